A gateway node for fleets on a platform, with the users' adapter

Cause: the product's node serves an OpenAI-style interface with slots and sections of its own; the users' platform routes by host and prefix, streams events by id and brings batch jobs of items with paths of their own.

Change: decisions of a gateway (routes, endpoints, placement, quotas, nodes, retries, jobs, pages, shares), the gateway node around them, and an adapter in platform/.

--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -0,0 +1,190 @@
+"""Where a request runs: loads of the endpoints, and the choice among them."""
+
+from typing import NamedTuple
+
+from .hashing import rank
+
+# An endpoint of 8 slots frees one about every 90 ms at the load of the sites; two
+# waiting requests still begin within an objective of 300 ms.
+QUEUE_ALLOWANCE = 2
+# Peers gossip several times a second; what one said longer ago no longer holds.
+PEER_LOAD_SECONDS = 1.5
+# How long an endpoint is avoided after its first failure in a row; doubled with each
+# further one, up to the maximum. An endpoint is back some seconds after a crash.
+AVOID_SECONDS = 0.5
+AVOID_MAX_SECONDS = 4.0
+# Slots assumed where neither the endpoint nor its service tells.
+DEFAULT_SLOTS = 8
+# Weight of the newest pause between events in an endpoint's average.
+PACE_WEIGHT = 0.1
+# An endpoint counts as slow by at most this factor.
+PACE_RATIO_MAX = 8.0
+
+
+class Placed(NamedTuple):
+    """The endpoint for a request; `preempts` asks to stop batch work there first."""
+
+    endpoint_id: str
+    preempts: bool = False
+
+
+class Full(NamedTuple):
+    """No endpoint can begin the request in time; `retry_after` is in seconds."""
+
+    retry_after: float
+    has_endpoints: bool
+
+
+class _Health(NamedTuple):
+    failures: int
+    avoid_until: float
+
+
+class Loads:
+    """Work in flight by endpoint: this node's own, and what its peers told.
+
+    Answers the load pattern of short requests from many nodes at once: an endpoint's
+    own reports lag behind the turnover of requests that take less than a second, so
+    that what each node has in flight, told a few times a second, is the better figure.
+
+    >>> from sequoiaglade_decisions.gateway import Endpoint
+    >>> loads = Loads()
+    >>> endpoints = [Endpoint("a", "s", "", "d", 8), Endpoint("b", "s", "", "d", 8)]
+    >>> loads.begin("a", is_batch=False)
+    >>> loads.choose(endpoints, now=0.0, affinity="")
+    Placed(endpoint_id='b', preempts=False)
+    """
+
+    def __init__(self):
+        self._own_by_id = {}
+        self._peers = {}
+        self._health_by_id = {}
+        self._pace_by_id = {}
+
+    def begin(self, endpoint_id, is_batch):
+        """Count a request that is sent to an endpoint."""
+        counts = self._own_by_id.setdefault(endpoint_id, [0, 0])
+        counts[is_batch] += 1
+
+    def end(self, endpoint_id, is_batch):
+        """Count a request's end."""
+        counts = self._own_by_id[endpoint_id]
+        counts[is_batch] -= 1
+        if not any(counts):
+            del self._own_by_id[endpoint_id]
+
+    def own(self):
+        """Return pairs of online and batch counts by endpoint id."""
+        return {i: tuple(counts) for i, counts in self._own_by_id.items()}
+
+    def hear(self, node_id, count_by_endpoint, now):
+        """Take a peer's pairs of online and batch counts by endpoint id."""
+        self._peers[node_id] = (now, count_by_endpoint)
+
+    def counts(self, endpoint_id, now):
+        """Return the pair of online and batch requests in flight at an endpoint."""
+        online, batch = self._own_by_id.get(endpoint_id, (0, 0))
+        for heard_at, count_by_endpoint in self._peers.values():
+            if now - heard_at <= PEER_LOAD_SECONDS:
+                theirs = count_by_endpoint.get(endpoint_id, (0, 0))
+                online += theirs[0]
+                batch += theirs[1]
+        return online, batch
+
+    def note_success(self, endpoint_id):
+        """Forget earlier failures of an endpoint that has answered."""
+        self._health_by_id.pop(endpoint_id, None)
+
+    def note_failure(self, endpoint_id, now):
+        """Avoid an endpoint that could not be reached or broke off."""
+        failures = self._health_by_id.get(endpoint_id, _Health(0, 0.0)).failures + 1
+        seconds = min(AVOID_SECONDS * 2 ** (failures - 1), AVOID_MAX_SECONDS)
+        self._health_by_id[endpoint_id] = _Health(failures, now + seconds)
+
+    def note_full(self, endpoint_id, now):
+        """Avoid for a moment an endpoint that refused for want of room."""
+        health = self._health_by_id.get(endpoint_id, _Health(0, 0.0))
+        until = max(health.avoid_until, now + AVOID_SECONDS / 4)
+        self._health_by_id[endpoint_id] = _Health(health.failures, until)
+
+    def note_pace(self, endpoint_id, seconds):
+        """Take the pause between two events of a stream."""
+        pace = self._pace_by_id.get(endpoint_id, seconds)
+        self._pace_by_id[endpoint_id] = pace + PACE_WEIGHT * (seconds - pace)
+
+    def choose(self, endpoints, now, affinity, excluded=frozenset(), headroom=0):
+        """Return `Placed` or `Full` for an online request.
+
+        `affinity` is a text that requests with the same prompt start share; among
+        endpoints of equal load it prefers those that read it before. `headroom` lowers
+        the number of requests that may wait at an endpoint, for less urgent ones.
+        """
+        open_ones = [
+            e
+            for e in endpoints
+            if e.endpoint_id not in excluded and self._is_open(e, now)
+        ]
+        if not open_ones:
+            open_ones = [e for e in endpoints if e.endpoint_id not in excluded]
+        ranked = []
+        for endpoint in open_ones:
+            online, batch = self.counts(endpoint.endpoint_id, now)
+            slots = endpoint.slots or DEFAULT_SLOTS
+            load = (online + batch) * self._pace_ratio(endpoint.endpoint_id)
+            tie = rank(affinity, endpoint.endpoint_id)
+            ranked.append((load / slots, tie, endpoint, online, batch, slots))
+        if not ranked:
+            return Full(AVOID_SECONDS, bool(endpoints))
+        load, _, endpoint, online, batch, slots = min(ranked, key=lambda row: row[:2])
+        if online + batch < slots:
+            return Placed(endpoint.endpoint_id)
+        return self._choose_busy(ranked, headroom)
+
+    def _choose_busy(self, ranked, headroom):
+        for _, _, endpoint, *_ in sorted(ranked, key=lambda row: row[:2]):
+            own_batch = self._own_by_id.get(endpoint.endpoint_id, (0, 0))[1]
+            if own_batch:
+                return Placed(endpoint.endpoint_id, preempts=True)
+        rows = sorted(ranked, key=lambda row: (row[3] - row[5], row[1]))
+        _, _, endpoint, online, batch, slots = rows[0]
+        if online < slots + QUEUE_ALLOWANCE - headroom:
+            return Placed(endpoint.endpoint_id)
+        excess = online - slots - QUEUE_ALLOWANCE + 1 + headroom
+        return Full(min(0.2 + 0.1 * excess, 1.5), True)
+
+    def choose_for_batch(self, endpoints, now, reserve, affinity):
+        """Return the id of the endpoint for a batch item, or None.
+
+        The endpoint has a slot free beyond `reserve` slots.
+        """
+        best = None
+        for endpoint in endpoints:
+            if not self._is_open(endpoint, now):
+                continue
+            online, batch = self.counts(endpoint.endpoint_id, now)
+            slots = endpoint.slots or DEFAULT_SLOTS
+            if online + batch + reserve >= slots:
+                continue
+            load = (online + batch) * self._pace_ratio(endpoint.endpoint_id) / slots
+            row = (load, rank(affinity, endpoint.endpoint_id), endpoint.endpoint_id)
+            if best is None or row < best:
+                best = row
+        return best[2] if best else None
+
+    def is_open(self, endpoint, now):
+        """Return whether an endpoint is not avoided after failures."""
+        return self._is_open(endpoint, now)
+
+    def _is_open(self, endpoint, now):
+        health = self._health_by_id.get(endpoint.endpoint_id)
+        return health is None or health.avoid_until <= now
+
+    def _pace_ratio(self, endpoint_id):
+        pace = self._pace_by_id.get(endpoint_id)
+        if pace is None or len(self._pace_by_id) < 2:
+            return 1.0
+        paces = sorted(self._pace_by_id.values())
+        typical = paces[len(paces) // 2]
+        if typical <= 0:
+            return 1.0
+        return min(max(pace / typical, 0.5), PACE_RATIO_MAX)
--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
@@ -0,0 +1,46 @@
+"""Requests that crash the endpoints that run them."""
+
+# The platform's pages tolerate three crashes; two leave room for news that is late.
+CRASH_LIMIT = 2
+# A quarantined request is refused for this long after its last crash, in seconds.
+QUARANTINE_SECONDS = 120.0
+
+
+class Quarantine:
+    """Counts endpoints that broke off while they ran a request, by its fingerprint.
+
+    Answers the load pattern of a caller that sends a crashing request again and again,
+    at any node. A request counts an endpoint's crash at most once, so that an endpoint
+    that dies for another reason makes none of its requests suspect for long.
+
+    >>> quarantine = Quarantine()
+    >>> quarantine.note_crash("f", "e-1", now=0.0)
+    >>> quarantine.holds("f", now=1.0)
+    False
+    >>> quarantine.note_crash("f", "e-2", now=1.0)
+    >>> quarantine.holds("f", now=2.0)
+    True
+    """
+
+    def __init__(self):
+        self._crashed_at_by_endpoint = {}
+
+    def note_crash(self, fingerprint, endpoint_key, now):
+        """Count a crash; `endpoint_key` names the endpoint and its start."""
+        crashes = self._crashed_at_by_endpoint.setdefault(fingerprint, {})
+        crashes.setdefault(endpoint_key, now)
+
+    def holds(self, fingerprint, now):
+        """Return whether the request is not to be run again."""
+        crashes = self._crashed_at_by_endpoint.get(fingerprint, {})
+        recent = [at for at in crashes.values() if now - at < QUARANTINE_SECONDS]
+        return len(recent) >= CRASH_LIMIT
+
+    def crashes(self, now):
+        """Return triples of fingerprint, endpoint key and age, to tell peers."""
+        return [
+            (fingerprint, key, now - at)
+            for fingerprint, crashes in self._crashed_at_by_endpoint.items()
+            for key, at in crashes.items()
+            if now - at < QUARANTINE_SECONDS
+        ]
--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/routes.py
@@ -0,0 +1,130 @@
+"""The operators' configuration as a gateway uses it: routes, services, workspaces."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from .hashing import rank
+
+
+class RouteKind(Enum):
+    """What a route's requests are and what may be repeated."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+class Route(NamedTuple):
+    """Requests of one host whose path begins with `prefix`.
+
+    `targets` are pairs of a service and its weight. `objective` is the time, in
+    seconds, within which an answer begins (for batch: a submission is acknowledged),
+    `timeout` the longest time that a request may take. `attempts` bounds the
+    endpoints on which one request may run. For batch routes, results are due
+    `run_seconds` after the submission, items may be given up after `retention`
+    seconds, and a workspace may have `waiting_tokens` unfinished tokens (0: no limit).
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    targets: tuple[tuple[str, int], ...]
+    timeout: float
+    objective: float
+    attempts: int = 1
+    priority: int = 0
+    is_public: bool = False
+    is_resumable: bool = False
+    run_seconds: float = 0.0
+    retention: float = 0.0
+    waiting_tokens: int = 0
+
+    @property
+    def is_repeatable(self):
+        """Whether a request may be sent again after it may have run."""
+        match self.kind:
+            case RouteKind.SAFE | RouteKind.BATCH:
+                return True
+            case RouteKind.STREAM:
+                return self.is_resumable
+            case RouteKind.UNSAFE:
+                return False
+
+    def service_for(self, request_id):
+        """Return the service for a request, by the targets' weights.
+
+        >>> route = Route("r", "h", "/", RouteKind.SAFE, (("a", 1),), 1.0, 1.0)
+        >>> route.service_for("request-1")
+        'a'
+        """
+        total = sum(weight for _, weight in self.targets)
+        if total <= 0:
+            return self.targets[0][0] if self.targets else None
+        point = rank(request_id) % total
+        for service, weight in self.targets:
+            if point < weight:
+                return service
+            point -= weight
+        return None
+
+
+class Service(NamedTuple):
+    """A group of endpoints that serve the same; `slots` is 0 where it is not told."""
+
+    name: str
+    connection_limit: int = 0
+    slots: int = 0
+
+
+class Workspace(NamedTuple):
+    """A customer: keys, priority (0 is the highest), quota over the whole fleet.
+
+    `rate` is in requests per second, `burst` in requests; a rate of 0 is no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+class FleetConfiguration:
+    """One version of the operators' configuration, indexed for requests.
+
+    >>> route = Route("r", "a.example", "/x/", RouteKind.SAFE, (("s", 1),), 1.0, 1.0)
+    >>> config = FleetConfiguration(3, (route,), (), (Workspace("w", ("k",)),))
+    >>> config.match("a.example:80", "/x/1").name, config.match("a.example", "/y")
+    ('r', None)
+    >>> config.workspace_of("k").name
+    'w'
+    """
+
+    def __init__(self, version, routes, services, workspaces):
+        self.version = version
+        self.routes = routes
+        self.service_by_name = {service.name: service for service in services}
+        self.workspace_by_name = {w.name: w for w in workspaces}
+        self._workspace_by_key = {k: w for w in workspaces for k in w.keys}
+        self._routes_by_host = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            self._routes_by_host.setdefault(route.host, []).append(route)
+
+    @property
+    def has_workspaces(self):
+        """Whether requests on routes that are not public need a key."""
+        return bool(self.workspace_by_name)
+
+    def match(self, host, path):
+        """Return the `Route` with the longest prefix of `path`, or None."""
+        name = host.partition(":")[0].lower()
+        for route in self._routes_by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def workspace_of(self, key):
+        """Return the `Workspace` that holds `key`, or None."""
+        return self._workspace_by_key.get(key)
--- a/packages/decisions/sequoiaglade_decisions/outcomes/failures.py
+++ b/packages/decisions/sequoiaglade_decisions/outcomes/failures.py
@@ -8,6 +8,7 @@
     """Why an operation on the platform, an endpoint or a peer gave no result."""
 
     CONFLICT = "conflict"
+    EXPIRED = "expired"
     INVALID = "invalid"
     NOT_FOUND = "not_found"
     UNAVAILABLE = "unavailable"
@@ -17,6 +18,7 @@
 class Failure(NamedTuple):
     """A failed operation, returned in place of its result.
 
+    ``EXPIRED`` states that a watch asked for changes that are no longer kept.
     ``UNAVAILABLE`` states that the operation had no effect, ``UNKNOWN`` that it may
     have had one.
 
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/batch/__init__.py
@@ -0,0 +1,17 @@
+"""Batch jobs: acceptance, storage, running beside online requests, and reading."""
+
+from .adoption import Adoption
+from .board import Board
+from .runner import ItemRunner
+from .service import BatchService
+from .storage import JobStorage
+from .writer import ResultWriter
+
+__all__ = [
+    "Adoption",
+    "BatchService",
+    "Board",
+    "ItemRunner",
+    "JobStorage",
+    "ResultWriter",
+]
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -0,0 +1,355 @@
+"""The actor that owns what a node knows of endpoints, peers, quotas and loads."""
+
+import time
+from typing import Any, NamedTuple
+
+import pykka
+import structlog
+
+from sequoiaglade_decisions.gateway import (
+    EndpointDirectory,
+    FleetQuotas,
+    Full,
+    Loads,
+    NodeState,
+    NodeTable,
+    Placed,
+    Quarantine,
+    batch_allowance,
+    batch_targets,
+)
+
+# States of peers heard in this time are passed on to others, in seconds.
+RELAY_SECONDS = 1.0
+
+
+class Admit(NamedTuple):
+    """Ask to admit a request; answers None or a `Limited` or `Quarantined`."""
+
+    workspace: str | None
+    fingerprint: str
+
+
+class Limited(NamedTuple):
+    """The workspace's quota is used up for `retry_after` seconds."""
+
+    retry_after: float
+    share: float
+
+
+class Quarantined(NamedTuple):
+    """The request crashed endpoints before."""
+
+
+class Place(NamedTuple):
+    """Ask for an endpoint; answers `Running` or `Full`."""
+
+    service: str
+    affinity: str
+    excluded: frozenset
+    headroom: int = 0
+
+
+class PlaceBatch(NamedTuple):
+    """Ask for an endpoint for a batch item; answers `Running` or None."""
+
+    service: str
+    affinity: str
+
+
+class Running(NamedTuple):
+    """A request's endpoint, counted as in flight until `Ended` is told."""
+
+    endpoint: Any
+    preempts: bool
+    in_flight: int
+
+
+class Ended(NamedTuple):
+    """A request is no longer in flight; `outcome` is a `RunOutcome` value."""
+
+    endpoint_id: str
+    is_batch: bool
+    outcome: str
+    fingerprint: str = ""
+
+
+class Paced(NamedTuple):
+    """The mean pause between the events of a stream, in seconds."""
+
+    endpoint_id: str
+    seconds: float
+
+
+class Configured(NamedTuple):
+    """A configuration came into force."""
+
+    configuration: Any
+
+
+class EndpointsListed(NamedTuple):
+    """The whole list of endpoints was read."""
+
+    endpoints: list
+
+
+class EndpointChanged(NamedTuple):
+    """An endpoint's entry changed; `endpoint` is None once it is gone."""
+
+    endpoint_id: str
+    endpoint: Any
+
+
+class ListReachable(NamedTuple):
+    """Whether the list of endpoints can be read."""
+
+    is_reachable: bool
+
+
+class Heard(NamedTuple):
+    """States that a peer told."""
+
+    states: list
+
+
+class Publish(NamedTuple):
+    """Ask for this node's new state and those to pass on; answers `Published`."""
+
+    batch_backlog: int
+    batch_running: int
+    jobs: tuple
+
+
+class Published(NamedTuple):
+    """This node's state, and other nodes' recent ones."""
+
+    own: NodeState
+    others: list
+
+
+class LiveNodes(NamedTuple):
+    """Ask for the states of live peers; answers a list."""
+
+
+class HeardShare(NamedTuple):
+    """Ask for the part of the known nodes that are heard; answers a number."""
+
+
+class BatchShare(NamedTuple):
+    """Ask how many items this node may run; answers a number."""
+
+    service: str
+    backlog: int
+
+
+class Leave(NamedTuple):
+    """This node stops; it takes no new callers and jobs."""
+
+    is_gone: bool = False
+
+
+class View(NamedTuple):
+    """Ask for what the node believes, to show it to operators; answers a dict."""
+
+
+DONE = "done"
+NOT_SENT = "not_sent"
+REFUSED = "refused"
+BROKEN = "broken"
+STOPPED = "stopped"
+
+
+class Coordinator(pykka.ThreadingActor):
+    """Owner of the decision machines; every message is answered in microseconds."""
+
+    use_daemon_thread = True
+
+    def __init__(self, settings, incarnation, clock=time.monotonic):
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._log = structlog.get_logger()
+        self._directory = EndpointDirectory()
+        self._loads = Loads()
+        self._quotas = FleetQuotas(settings.is_first_start)
+        self._quarantine = Quarantine()
+        self._nodes = NodeTable(settings.node_id)
+        self._configuration = None
+        self._state = NodeState(
+            node_id=settings.node_id,
+            incarnation=incarnation,
+            sequence=0,
+            data_address=settings.listen.data,
+            peer_address=settings.listen.peer,
+            failure_domain=settings.failure_domain,
+        )
+
+    def on_receive(self, message):
+        """Answer one of the messages of this module."""
+        now = self._clock()
+        match message:
+            case Admit():
+                return self._admit(message, now)
+            case Place():
+                return self._place(message, now)
+            case PlaceBatch():
+                return self._place_batch(message, now)
+            case Ended():
+                return self._end(message, now)
+            case Paced(endpoint_id, seconds):
+                return self._loads.note_pace(endpoint_id, seconds)
+            case Publish():
+                return self._publish(message, now)
+            case Heard(states):
+                return self._hear(states, now)
+            case LiveNodes():
+                return self._nodes.live(now)
+            case HeardShare():
+                return self._share(now)
+            case BatchShare():
+                return self._batch_share(message, now)
+            case Configured(configuration):
+                return self._configure(configuration, now)
+            case EndpointsListed(endpoints):
+                return self._directory.replace(endpoints, now)
+            case EndpointChanged(endpoint_id, None):
+                return self._directory.remove(endpoint_id, now)
+            case EndpointChanged(_, endpoint):
+                return self._directory.put(endpoint)
+            case ListReachable(True):
+                return self._directory.note_return(now)
+            case ListReachable(False):
+                return self._directory.note_outage()
+            case Leave(is_gone):
+                self._state = self._state._replace(is_leaving=True, is_gone=is_gone)
+                return None
+            case View():
+                return self._view(now)
+
+    def _admit(self, message, now):
+        if self._quarantine.holds(message.fingerprint, now):
+            return Quarantined()
+        if message.workspace is None:
+            return None
+        share = self._share(now)
+        wait = self._quotas.take(message.workspace, now, share)
+        return None if wait is None else Limited(wait, share)
+
+    def _share(self, now):
+        least = 1 + sum(s != self._settings.listen.peer for s in self._settings.seeds)
+        return self._nodes.quota_share(now, least)
+
+    def _place(self, message, now):
+        endpoints = self._directory.usable(message.service, now)
+        choice = self._loads.choose(
+            endpoints, now, message.affinity, message.excluded, message.headroom
+        )
+        match choice:
+            case Full():
+                return choice
+            case Placed(endpoint_id, preempts):
+                return self._begin(endpoint_id, preempts, False, now)
+
+    def _place_batch(self, message, now):
+        endpoints = self._directory.usable(message.service, now)
+        endpoint_id = self._loads.choose_for_batch(endpoints, now, 0, message.affinity)
+        if endpoint_id is None:
+            return None
+        return self._begin(endpoint_id, False, True, now)
+
+    def _begin(self, endpoint_id, preempts, is_batch, now):
+        self._loads.begin(endpoint_id, is_batch)
+        in_flight = sum(self._loads.counts(endpoint_id, now))
+        endpoint = self._directory.get(endpoint_id, now)
+        return Running(endpoint, preempts, in_flight)
+
+    def _end(self, message, now):
+        endpoint_id = message.endpoint_id
+        self._loads.end(endpoint_id, message.is_batch)
+        match message.outcome:
+            case "done":
+                self._loads.note_success(endpoint_id)
+            case "not_sent":
+                self._note_failure(endpoint_id, now)
+            case "refused":
+                self._loads.note_full(endpoint_id, now)
+            case "broken":
+                self._note_failure(endpoint_id, now)
+                self._note_crash(message, now)
+
+    def _note_failure(self, endpoint_id, now):
+        self._loads.note_failure(endpoint_id, now)
+        self._log.info("endpoint avoided", endpoint_id=endpoint_id)
+
+    def _note_crash(self, message, now):
+        if not message.fingerprint:
+            return
+        endpoint = self._directory.get(message.endpoint_id, now)
+        born = endpoint.born if endpoint else 0
+        key = f"{message.endpoint_id}/{born}"
+        self._quarantine.note_crash(message.fingerprint, key, now)
+
+    def _configure(self, configuration, now):
+        self._configuration = configuration
+        self._state = self._state._replace(configuration_version=configuration.version)
+        self._quotas.configure(
+            {
+                w.name: (w.rate, w.burst)
+                for w in configuration.workspace_by_name.values()
+            },
+            now,
+        )
+
+    def _publish(self, message, now):
+        self._state = self._state._replace(
+            sequence=self._state.sequence + 1,
+            load_by_endpoint=self._loads.own(),
+            admitted_by_workspace=self._quotas.admitted(),
+            batch_backlog=message.batch_backlog,
+            batch_running=message.batch_running,
+            jobs=message.jobs,
+            crashes=tuple(self._quarantine.crashes(now)),
+        )
+        return Published(self._state, self._nodes.newer_than(now, RELAY_SECONDS))
+
+    def _hear(self, states, now):
+        """Take states; return those that were news."""
+        news = []
+        for state in states:
+            if not self._nodes.hear(state, now):
+                continue
+            news.append(state)
+            share = self._share(now)
+            self._loads.hear(state.node_id, state.load_by_endpoint, now)
+            self._quotas.hear(
+                state.node_id,
+                state.incarnation,
+                state.admitted_by_workspace,
+                now,
+                share,
+            )
+            for fingerprint, key, age in state.crashes:
+                self._quarantine.note_crash(fingerprint, key, now - age)
+        return news
+
+    def _batch_share(self, message, now):
+        free_by_endpoint = {}
+        for endpoint in self._directory.usable(message.service, now):
+            if self._loads.is_open(endpoint, now):
+                online, _ = self._loads.counts(endpoint.endpoint_id, now)
+                free = (endpoint.slots or 8) - online
+                free_by_endpoint[endpoint.endpoint_id] = free
+        backlog_by_node = {s.node_id: s.batch_backlog for s in self._nodes.live(now)}
+        backlog_by_node[self._settings.node_id] = message.backlog
+        targets = batch_targets(batch_allowance(free_by_endpoint), backlog_by_node)
+        return targets[self._settings.node_id]
+
+    def _view(self, now):
+        configuration = self._configuration
+        return {
+            "configuration_version": configuration and configuration.version,
+            "endpoints": [e._asdict() for e in self._directory.endpoints()],
+            "loads": self._loads.own(),
+            "peers": [s.node_id for s in self._nodes.live(now)],
+            "quota_share": self._share(now),
+        }
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -0,0 +1,112 @@
+"""What a gateway needs of a deployment's wire form; an adapter provides it."""
+
+from typing import Any, NamedTuple, Protocol
+
+
+class IncomingCall(NamedTuple):
+    """A caller's request.
+
+    `headers` are the pairs that pass on to an endpoint, without the key and without
+    what this system sets itself. `deadline` is how many seconds the caller waits (None
+    if it does not tell), `last_event_id` the last event that it has already,
+    `prompt_parts` the ids of the prompt's shared parts, outermost first.
+    """
+
+    request_id: str
+    host: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    key: str | None
+    deadline: float | None
+    last_event_id: int
+    prompt_parts: tuple[str, ...]
+
+    @property
+    def path(self):
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class EndpointLoad(NamedTuple):
+    """Load as an endpoint tells it with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerHead(NamedTuple):
+    """What the head of an endpoint's answer tells.
+
+    `request_id` is the id of the request that it answers (None if it is not told),
+    `is_signed` whether it bears the endpoint's signature, `is_not_run` whether the
+    endpoint states that it did not run the request.
+    """
+
+    request_id: str | None
+    is_signed: bool
+    is_not_run: bool
+    load: EndpointLoad | None
+
+
+class ReadJob(NamedTuple):
+    """Read of a job's results from position `after`."""
+
+    job_id: str
+    after: int
+
+
+class ReadItem(NamedTuple):
+    """Read of the body of an item."""
+
+    job_id: str
+    item_id: str
+
+
+class EndJob(NamedTuple):
+    """Call that ends a job."""
+
+    job_id: str
+
+
+class StoreKinds(NamedTuple):
+    """Kinds of documents in the store that the operator and the endpoints write."""
+
+    configuration: str
+    endpoints: str
+    retirements: str
+
+
+class Dialect(Protocol):
+    """Names and formats of one deployment. It decides nothing."""
+
+    kinds: StoreKinds
+
+    def read_call(self, request) -> IncomingCall: ...
+
+    def endpoint_headers(
+        self, call, endpoint_id, seconds_left, workspace, last_event_id
+    ) -> list[tuple[str, str]]: ...
+
+    def read_head(self, headers) -> AnswerHead: ...
+
+    def passed_headers(self, headers) -> list[tuple[str, str]]: ...
+
+    def batch_call(self, request) -> Any: ...
+
+    def read_items(self, body) -> Any: ...
+
+    def results_body(self, total, after, results) -> dict: ...
+
+    def is_readiness_call(self, request) -> bool: ...
+
+    def is_directory_call(self, request) -> bool: ...
+
+    def directory_body(self, addresses, seconds) -> dict: ...
+
+    def read_configuration(self, document) -> Any: ...
+
+    def read_endpoint(self, document) -> Any: ...
+
+    def retirement_status(self) -> Any: ...
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/main.py
@@ -0,0 +1,69 @@
+"""Runs a gateway node, or the node of an instance with a disk, until told to stop.
+
+Exit codes: 0 stopped as planned, 2 faulty settings, 3 an address can't be listened on,
+70 an invariant was broken.
+"""
+
+import contextlib
+import os
+import signal
+import sys
+import threading
+
+import structlog
+
+from sequoiaglade_decisions.outcomes import on_broken_invariant
+
+from .logs import start_logs
+from .node import GatewayNode
+from .retirement import RetirementNode
+from .settings import SettingsFault, load_settings
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+EXIT_INVARIANT = 70
+
+
+def run(settings_path, dialect, open_store):
+    """Run the node that the settings describe; return the exit code.
+
+    `open_store` returns a context manager of a `DocumentStore` for a `StoreAccess`.
+    """
+    try:
+        settings = load_settings(settings_path)
+    except SettingsFault as fault:
+        print(fault, file=sys.stderr)
+        return EXIT_SETTINGS
+    stop, reload = threading.Event(), threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, lambda *_: reload.set())
+    on_broken_invariant(_stop_at_once)
+    with contextlib.ExitStack() as stack:
+        start_logs(stack, settings.log_level, settings.node_id)
+        store = stack.enter_context(open_store(settings.store))
+        kind = GatewayNode if settings.listen else RetirementNode
+        try:
+            node = stack.enter_context(kind(settings, dialect, store))
+        except (OSError, RuntimeError) as error:
+            structlog.get_logger().error("can't listen", reason=str(error))
+            return EXIT_ADDRESS
+        while not stop.wait(0.2):
+            if reload.is_set():
+                reload.clear()
+                _reload(node, settings_path)
+        node.drain()
+    return EXIT_OK
+
+
+def _reload(node, path):
+    try:
+        node.reload(load_settings(path))
+    except SettingsFault as fault:
+        structlog.get_logger().error("settings not reloaded", faults=fault.faults)
+
+
+def _stop_at_once(reason):
+    structlog.get_logger().critical("invariant broken", reason=reason)
+    os._exit(EXIT_INVARIANT)
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/online/__init__.py
@@ -0,0 +1,5 @@
+"""Online requests: from the caller's head to the last event of the answer."""
+
+from .service import OnlineService
+
+__all__ = ["OnlineService"]
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -0,0 +1,83 @@
+"""Node states as messages of the inner protocol."""
+
+from sequoiaglade_decisions.gateway import JobNote, NodeState, Result
+from sequoiaglade_protocol import fleet_pb2
+
+MS_PER_SECOND = 1000
+
+
+def encode_state(state):
+    """Return the message for a `NodeState`."""
+    return fleet_pb2.FleetNode(
+        node_id=state.node_id,
+        incarnation=state.incarnation,
+        sequence=state.sequence,
+        data_address=state.data_address,
+        peer_address=state.peer_address,
+        failure_domain=state.failure_domain,
+        is_leaving=state.is_leaving,
+        is_gone=state.is_gone,
+        configuration_version=state.configuration_version,
+        loads=[
+            fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
+            for name, (online, batch) in state.load_by_endpoint.items()
+        ],
+        admitted=[
+            fleet_pb2.AdmittedCount(workspace=name, count=count)
+            for name, count in state.admitted_by_workspace.items()
+        ],
+        batch_backlog=state.batch_backlog,
+        batch_running=state.batch_running,
+        jobs=[fleet_pb2.HeldJob(**note._asdict()) for note in state.jobs],
+        crashes=[
+            fleet_pb2.EndpointCrash(
+                fingerprint=mark, endpoint_key=key, age_ms=int(age * MS_PER_SECOND)
+            )
+            for mark, key, age in state.crashes
+        ],
+    )
+
+
+def decode_state(message):
+    """Return the `NodeState` of a message."""
+    return NodeState(
+        node_id=message.node_id,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        data_address=message.data_address,
+        peer_address=message.peer_address,
+        failure_domain=message.failure_domain,
+        is_leaving=message.is_leaving,
+        is_gone=message.is_gone,
+        configuration_version=message.configuration_version,
+        load_by_endpoint={
+            load.endpoint_id: (load.online, load.batch) for load in message.loads
+        },
+        admitted_by_workspace={row.workspace: row.count for row in message.admitted},
+        batch_backlog=message.batch_backlog,
+        batch_running=message.batch_running,
+        jobs=tuple(
+            JobNote(
+                note.job_key,
+                note.workspace,
+                note.route,
+                note.waiting_tokens,
+                note.is_open,
+            )
+            for note in message.jobs
+        ),
+        crashes=tuple(
+            (row.fingerprint, row.endpoint_key, row.age_ms / MS_PER_SECOND)
+            for row in message.crashes
+        ),
+    )
+
+
+def encode_results(results):
+    """Return the messages for a list of `Result`."""
+    return [fleet_pb2.JobResult(**result._asdict()) for result in results]
+
+
+def decode_results(messages):
+    """Return the list of `Result` of messages."""
+    return [Result(row.item_id, row.is_completed, row.output) for row in messages]
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -0,0 +1,114 @@
+"""Rounds of gossip: each node tells a few peers of itself and of others."""
+
+import concurrent.futures
+import random
+
+import structlog
+
+from sequoiaglade_node.threads import OwnedThread
+from sequoiaglade_protocol import fleet_pb2
+
+from ..coordinator import Heard, HeardShare, LiveNodes, Publish
+from .codec import decode_state, encode_state
+
+# A request takes the better part of a second, so that news of this age still tells
+# most of what runs.
+ROUND_SECONDS = 0.2
+# Peers asked in a round; each is told by as many, so that a fleet of the sites' size
+# hears of all within a round.
+FANOUT = 4
+# A peer that takes longer is asked again in a later round, in seconds.
+CALL_SECONDS = 0.4
+
+
+class Gossip(OwnedThread):
+    """One thread that runs the rounds; a context manager."""
+
+    def __init__(self, parts, client, board, runner, on_loss):
+        super().__init__("gossip")
+        self._parts = parts
+        self._client = client
+        self._board = board
+        self._runner = runner
+        self._on_loss = on_loss
+        self._live_ids = frozenset()
+        self._log = structlog.get_logger()
+        self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
+
+    def __exit__(self, *exc_info):
+        super().__exit__(*exc_info)
+        self._pool.shutdown(wait=False)
+
+    def digest(self):
+        """Return the message that tells of this node and of others."""
+        publish = Publish(
+            self._board.backlog(), self._runner.running_count, self._board.notes()
+        )
+        published = self._parts.coordinator.ask(publish)
+        states = [published.own, *published.others]
+        return fleet_pb2.FleetDigest(nodes=map(encode_state, states))
+
+    def hear(self, digest):
+        """Take a peer's digest."""
+        states = [decode_state(message) for message in digest.nodes]
+        news = self._parts.coordinator.ask(Heard(states))
+        for state in news:
+            self._release_doubles(state)
+            if state.is_leaving:
+                self._on_loss()
+
+    def heard_share(self):
+        """Return the part of the known nodes that are heard, this one included."""
+        return self._parts.coordinator.ask(HeardShare())
+
+    def run_round(self, count=FANOUT):
+        """Tell a few peers, and take what they tell."""
+        live = self._parts.coordinator.ask(LiveNodes())
+        addresses = [state.peer_address for state in live]
+        own = self._parts.settings.listen.peer
+        seeds = [a for a in self._parts.settings.seeds if a != own]
+        targets = list(addresses)
+        random.shuffle(targets)
+        targets = targets[:count]
+        # Seeds that are not heard are tried on: they may be back, or cut off alone.
+        missing = [seed for seed in seeds if seed not in addresses]
+        if missing and (len(targets) < count or random.random() < 0.2):
+            targets.append(random.choice(missing))
+        digest = self.digest()
+        tell = lambda a: self._client.gossip(a, digest, CALL_SECONDS)  # noqa: E731
+        for reply in self._pool.map(tell, targets):
+            if reply is not None:
+                self.hear(reply)
+        self._client.keep([*addresses, *seeds])
+
+    def _run(self):
+        while not self._stopped.wait(ROUND_SECONDS * (0.8 + 0.4 * random.random())):
+            self.run_round()
+            self._look()
+
+    def _look(self):
+        live = self._parts.coordinator.ask(LiveNodes())
+        ids = frozenset(state.node_id for state in live)
+        if ids != self._live_ids:
+            lost = sorted(self._live_ids - ids)
+            self._log.info("peers changed", lost=lost, met=sorted(ids - self._live_ids))
+            self._live_ids = ids
+            if lost:
+                self._on_loss()
+        newest = max(live, key=lambda s: s.configuration_version, default=None)
+        knowledge = self._parts.knowledge
+        if newest and newest.configuration_version > knowledge.version:
+            shared = self._client.knowledge(newest.peer_address)
+            if shared is not None:
+                knowledge.take_shared(*shared, source=newest.node_id)
+
+    def _release_doubles(self, state):
+        """Leave a job to a peer with a lower id that holds it as well."""
+        if state.node_id >= self._parts.settings.node_id or state.is_leaving:
+            return
+        for note in state.jobs:
+            job = self._board.get(note.job_key)
+            if job is not None and note.is_open and job.batch.is_open:
+                self._board.release(note.job_key)
+                self._runner.stop_job(note.job_key)
+                self._log.info("job left to peer", job=note.job_key, peer=state.node_id)
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -0,0 +1,53 @@
+"""What a node answers to its peers."""
+
+from sequoiaglade_node.peers.server import PeerServer
+from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
+
+from .codec import encode_results
+
+WINDOW_CHARACTERS = 400_000
+
+
+class FleetServicer(fleet_pb2_grpc.FleetServicer):
+    """Answers the calls of the service `Fleet`."""
+
+    def __init__(self, gossip, knowledge, board, batch):
+        self._gossip = gossip
+        self._knowledge = knowledge
+        self._board = board
+        self._batch = batch
+
+    def Gossip(self, request, context):  # noqa: N802
+        self._gossip.hear(request)
+        return self._gossip.digest()
+
+    def Knowledge(self, request, context):  # noqa: N802
+        configuration, endpoints = self._knowledge.share()
+        return fleet_pb2.KnowledgeReply(
+            configuration=configuration, endpoints=endpoints
+        )
+
+    def ReadJob(self, request, context):  # noqa: N802
+        window = self._board.window(request.job_key, request.after, WINDOW_CHARACTERS)
+        if window is None:
+            return fleet_pb2.ReadJobReply(is_held=False)
+        total, results = window
+        return fleet_pb2.ReadJobReply(
+            is_held=True, total=total, results=encode_results(results)
+        )
+
+    def ReadItem(self, request, context):  # noqa: N802
+        body = self._board.body(request.job_key, request.item_id)
+        if body is None:
+            return fleet_pb2.ReadItemReply(is_held=False)
+        return fleet_pb2.ReadItemReply(is_held=True, is_found=True, body=body)
+
+    def EndJob(self, request, context):  # noqa: N802
+        self._batch.note_end(request.job_key)
+        return fleet_pb2.EndJobReply()
+
+
+def start_peer_server(stack, address, servicer):
+    """Serve peers on `address` until `stack` is left."""
+    service = (fleet_pb2_grpc.add_FleetServicer_to_server, servicer)
+    return stack.enter_context(PeerServer(address, [service]))
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -0,0 +1,97 @@
+"""Settings of a gateway node, as they are written in its YAML file."""
+
+from typing import Annotated
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sequoiaglade_node.settings import Address, Limits
+
+NodeId = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Listeners(_Part):
+    """Addresses, each HOST:PORT, that the node listens on.
+
+    `data` serves callers, `readiness` the platform's checks, `directory` callers that
+    ask where to connect, `peer` the other nodes.
+    """
+
+    data: Address
+    readiness: Address
+    directory: Address
+    peer: Address
+
+
+class StoreAccess(_Part):
+    """The platform's store: its address, and the largest value in bytes."""
+
+    address: Address
+    value_bytes: int = Field(default=1_048_576, ge=65_536)
+
+
+class GatewaySettings(_Part):
+    """All settings of a gateway node.
+
+    `seeds` are peer addresses to meet first. `is_first_start` tells that the whole
+    system starts for the first time. The process is killed `grace_seconds` after the
+    request to stop. `directory_seconds` is how long callers may keep an address.
+    """
+
+    node_id: NodeId
+    failure_domain: str
+    listen: Listeners | None = None
+    store: StoreAccess
+    seeds: tuple[Address, ...] = ()
+    is_first_start: bool = False
+    grace_seconds: float = Field(default=8.0, gt=0, le=3600)
+    directory_seconds: float = Field(default=1.0, gt=0, le=60)
+    limits: Limits = Limits()
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+class SettingsFault(Exception):  # noqa: N818
+    """Settings that can't be used; `faults` are pairs of place and reason."""
+
+    def __init__(self, path, faults):
+        self.path = path
+        self.faults = faults
+        lines = [f"{path}: {place}: {reason}" for place, reason in faults]
+        super().__init__("\n".join(lines))
+
+
+def load_settings(path):
+    """Return the `GatewaySettings` in a YAML file; raise `SettingsFault`."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return parse_settings(file.read(), path)
+    except OSError as error:
+        raise SettingsFault(path, [("file", error.strerror or str(error))]) from error
+
+
+def parse_settings(text, path="settings"):
+    """Return the `GatewaySettings` that a YAML text holds; raise `SettingsFault`.
+
+    >>> parse_settings("node_id: a", "x.yaml")
+    Traceback (most recent call last):
+    sequoiaglade_gateway.settings.SettingsFault: x.yaml: failure_domain: Field required
+    x.yaml: store: Field required
+    """
+    try:
+        value = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise SettingsFault(path, [("text", str(error).replace("\n", " "))]) from error
+    if not isinstance(value, dict):
+        raise SettingsFault(path, [("text", "the settings are not a mapping")])
+    try:
+        return GatewaySettings(**value)
+    except ValidationError as error:
+        faults = [
+            (".".join(map(str, fault["loc"])) or "settings", fault["msg"])
+            for fault in error.errors()
+        ]
+        raise SettingsFault(path, faults) from error
--- a/packages/node/sequoiaglade_node/logs.py
+++ b/packages/node/sequoiaglade_node/logs.py
@@ -7,8 +7,11 @@
 import structlog
 
 
-def configure_logs(level, node_id):
-    """Set up structlog to write JSON lines of at least `level`."""
+def configure_logs(level, node_id, stream=None):
+    """Set up structlog to write JSON lines of at least `level`.
+
+    They go to `stream`, by default to standard error.
+    """
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -19,7 +22,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node_id=node_id)
--- a/packages/node/sequoiaglade_node/web/__init__.py
+++ b/packages/node/sequoiaglade_node/web/__init__.py
@@ -3,7 +3,7 @@
 from .listeners import Listener
 from .refusals import refusal_body, refusal_response
 from .requests import Request, read_request
-from .responses import Response, json_response, respond
+from .responses import Response, json_response, respond, send
 
 __all__ = [
     "Listener",
@@ -14,4 +14,5 @@
     "refusal_body",
     "refusal_response",
     "respond",
+    "send",
 ]
--- a/packages/node/sequoiaglade_node/web/responses.py
+++ b/packages/node/sequoiaglade_node/web/responses.py
@@ -23,14 +23,20 @@
 
 
 def respond(response, request_id, start_response):
-    """Send the head of a `Response` and return its body, as WSGI asks.
+    """Send the head of a `Response` with the request's id, and return its body."""
+    fields = [(n, v) for n, v in response.headers if n.lower() not in _OWN_HEADERS]
+    fields.append(("X-Request-Id", request_id))
+    return send(response._replace(headers=fields), start_response)
+
+
+def send(response, start_response):
+    """Send the head of a `Response` as it is and return its body, as WSGI asks.
 
     The body is closed if the head can't be sent.
     """
     line = f"{response.status} {_phrase(response.status)}"
-    fields = [(n, v) for n, v in response.headers if n.lower() not in _OWN_HEADERS]
     try:
-        start_response(line, [*fields, ("X-Request-Id", request_id)])
+        start_response(line, response.headers)
     except BaseException:
         if hasattr(response.body, "close"):
             response.body.close()
--- a/packages/platform/sequoiaglade_platform/__init__.py
+++ b/packages/platform/sequoiaglade_platform/__init__.py
@@ -1,6 +1,18 @@
 """Adapter to the platform: objects with versions, watches, and the instance list."""
 
 from .client import PlatformClient
+from .documents import Changes, Document, DocumentChange, DocumentStore, Listing
 from .interface import Change, Instance, Platform, Stored
 
-__all__ = ["Change", "Instance", "Platform", "PlatformClient", "Stored"]
+__all__ = [
+    "Change",
+    "Changes",
+    "Document",
+    "DocumentChange",
+    "DocumentStore",
+    "Instance",
+    "Listing",
+    "Platform",
+    "PlatformClient",
+    "Stored",
+]
