--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -21,9 +21,10 @@
     Service,
     Workspace,
 )
-from .shares import batch_allowance, batch_targets
+from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
 
 __all__ = [
+    "RESERVE_SLOTS",
     "Batch",
     "Endpoint",
     "EndpointDirectory",
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -46,6 +46,7 @@
     batch_running: int = 0
     jobs: tuple[JobNote, ...] = ()
     crashes: tuple = ()
+    is_store_reachable: bool = True
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -9,6 +9,9 @@
 QUEUE_ALLOWANCE = 2
 # Peers gossip several times a second; what one said longer ago no longer holds.
 PEER_LOAD_SECONDS = 1.5
+# Endpoints whose loads differ by this many requests count as alike: the nodes' figures
+# lag by about as much, and all of them would choose the very least one.
+ALIKE_REQUESTS = 1
 # How long an endpoint is avoided after its first failure in a row; doubled with each
 # further one, up to the maximum. An endpoint is back some seconds after a crash.
 AVOID_SECONDS = 0.5
@@ -51,11 +54,13 @@
     >>> loads = Loads()
     >>> endpoints = [Endpoint("a", "s", "", "d", 8), Endpoint("b", "s", "", "d", 8)]
     >>> loads.begin("a", is_batch=False)
-    >>> loads.choose(endpoints, now=0.0, affinity="")
+    >>> loads.begin("a", is_batch=False)
+    >>> loads.choose(endpoints, now=0.0, spread="")
     Placed(endpoint_id='b', preempts=False)
     """
 
-    def __init__(self):
+    def __init__(self, failure_domain=""):
+        self._domain = failure_domain
         self._own_by_id = {}
         self._peers = {}
         self._health_by_id = {}
@@ -112,12 +117,13 @@
         pace = self._pace_by_id.get(endpoint_id, seconds)
         self._pace_by_id[endpoint_id] = pace + PACE_WEIGHT * (seconds - pace)
 
-    def choose(self, endpoints, now, affinity, excluded=frozenset(), headroom=0):
+    def choose(self, endpoints, now, spread, excluded=frozenset(), headroom=0):
         """Return `Placed` or `Full` for an online request.
 
-        `affinity` is a text that requests with the same prompt start share; among
-        endpoints of equal load it prefers those that read it before. `headroom` lowers
-        the number of requests that may wait at an endpoint, for less urgent ones.
+        `spread` is a text of the request's own, by which requests of many nodes spread
+        over endpoints of like load; those in the node's failure domain are preferred,
+        since bytes to others cost more. `headroom` lowers the number of requests that may
+        wait at an endpoint, for less urgent ones.
         """
         open_ones = [
             e
@@ -131,12 +137,16 @@
             online, batch = self.counts(endpoint.endpoint_id, now)
             slots = endpoint.slots or DEFAULT_SLOTS
             load = (online + batch) * self._pace_ratio(endpoint.endpoint_id)
-            tie = rank(affinity, endpoint.endpoint_id)
+            tie = rank(spread, endpoint.endpoint_id)
             ranked.append((load / slots, tie, endpoint, online, batch, slots))
         if not ranked:
             return Full(AVOID_SECONDS, bool(endpoints))
-        load, _, endpoint, online, batch, slots = min(ranked, key=lambda row: row[:2])
-        if online + batch < slots:
+        least = min(ranked, key=lambda row: row[:2])
+        most = least[0] + ALIKE_REQUESTS / least[5]
+        alike = [row for row in ranked if row[0] <= most and row[3] + row[4] < row[5]]
+        if alike:
+            near = [row for row in alike if row[2].failure_domain == self._domain]
+            _, _, endpoint, *_ = min(near or alike, key=lambda row: row[1])
             return Placed(endpoint.endpoint_id)
         return self._choose_busy(ranked, headroom)
 
@@ -152,7 +162,15 @@
         excess = online - slots - QUEUE_ALLOWANCE + 1 + headroom
         return Full(min(0.2 + 0.1 * excess, 1.5), True)
 
-    def choose_for_batch(self, endpoints, now, reserve, affinity):
+    def batch_nodes(self, endpoint_id, now):
+        """Return the ids of peers with batch items at an endpoint, one an item."""
+        nodes = []
+        for node_id, (heard_at, count_by_endpoint) in self._peers.items():
+            if now - heard_at <= PEER_LOAD_SECONDS:
+                nodes += [node_id] * count_by_endpoint.get(endpoint_id, (0, 0))[1]
+        return nodes
+
+    def choose_for_batch(self, endpoints, now, reserve, spread):
         """Return the id of the endpoint for a batch item, or None.
 
         The endpoint has a slot free beyond `reserve` slots.
@@ -166,7 +184,8 @@
             if online + batch + reserve >= slots:
                 continue
             load = (online + batch) * self._pace_ratio(endpoint.endpoint_id) / slots
-            row = (load, rank(affinity, endpoint.endpoint_id), endpoint.endpoint_id)
+            load += (endpoint.failure_domain != self._domain) * ALIKE_REQUESTS / slots
+            row = (load, rank(spread, endpoint.endpoint_id), endpoint.endpoint_id)
             if best is None or row < best:
                 best = row
         return best[2] if best else None
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -63,13 +63,14 @@
         return len(self._runs)
 
     def preempt(self, endpoint_id):
-        """Stop the item at an endpoint that is due last, to make room."""
+        """Stop the item at an endpoint that is due last; return whether one ran."""
         with self._lock:
             runs = [r for r in self._runs.values() if _runs_at(r, endpoint_id)]
             if not runs:
-                return
+                return False
             last = max(runs, key=lambda run: run.job.batch.due)
         self._stop(last, "room for online requests")
+        return True
 
     def stop_job(self, key):
         """Stop all items of a job that has ended or is held elsewhere."""
@@ -187,6 +188,8 @@
     def _finish(self, job, item_id, end, route):
         with self._board.lock:
             job.batch.finish(item_id, end, route.attempts, time.monotonic())
+        if end is not ItemEnd.STOPPED:
+            self._parts.writer.wake()
 
     def _call(self, run):
         """Run an item; return its `ItemEnd`, the endpoint's outcome and a reason."""
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -1,5 +1,6 @@
 """Callers' calls about batch jobs."""
 
+import random
 import time
 
 import structlog
@@ -11,6 +12,7 @@
 from ..coordinator import LiveNodes
 from ..interface import EndJob, ReadItem, ReadJob
 from ..online.refusals import GatewayRefusal, refusal_answer
+from ..peers.codec import decode_job
 from .board import held_job
 from .storage import Header
 
@@ -25,6 +27,8 @@
 # batch jobs wait about four.
 SETTLE_SECONDS = 2.5
 SETTLE_PAUSE_SECONDS = 0.1
+# Peers that are asked to store a job in turn.
+STORING_PEERS = 2
 # Jobs of other nodes whose listed results are kept at hand.
 KEPT_PAGES = 64
 
@@ -43,8 +47,8 @@
         self._log = structlog.get_logger()
 
     def preempt(self, endpoint_id):
-        """Stop an item at an endpoint, to make room for an online request."""
-        self._runner.preempt(endpoint_id)
+        """Stop an item at an endpoint, to make room; return whether one ran there."""
+        return self._runner.preempt(endpoint_id)
 
     def submit(self, call, request, route, workspace):
         """Return the `Response` to the submission of a job."""
@@ -105,27 +109,68 @@
         return sum(item.tokens for item in spec.items) > room
 
     def _store(self, call, spec, route):
+        """Store a job here or through peers, until it is known whether it is stored."""
         give_up_at = time.monotonic() + SETTLE_SECONDS
         may_be_stored = False
         while True:
-            done = self._storage.write_job(spec)
-            if not isinstance(done, Failure):
-                sizes = tuple(len(item.body) for item in spec.items)
-                header = Header(spec, sizes, False, done.revision)
-                self._board.add(held_job(header, spec, route))
+            failure = self._store_once(spec, route)
+            if failure is None:
                 return self._accepted(spec, "stored")
-            if done.code is FailureCode.CONFLICT:
+            if failure.code is FailureCode.CONFLICT:
                 if may_be_stored:
                     self._adoption.look()
                 return self._accepted(spec, "stored before")
-            may_be_stored = may_be_stored or done.code is FailureCode.UNKNOWN
+            may_be_stored = may_be_stored or failure.code is FailureCode.UNKNOWN
             if not may_be_stored:
-                refusal = GatewayRefusal(503, done.reason, STORE_RETRY_SECONDS)
+                refusal = GatewayRefusal(503, failure.reason, STORE_RETRY_SECONDS)
                 return self._refuse(call, refusal)
             if time.monotonic() > give_up_at:
-                return self._refuse(call, GatewayRefusal(504, done.reason))
+                return self._refuse(call, GatewayRefusal(504, failure.reason))
             time.sleep(SETTLE_PAUSE_SECONDS)
 
+    def _store_once(self, spec, route):
+        """Try this node's path to the store, then a peer's; return as `_store_here`."""
+        failure = None
+        may_be_stored = False
+        if self._parts.knowledge.is_store_reachable:
+            failure = self._store_here(spec, route)
+            if failure is None or failure.code is FailureCode.CONFLICT:
+                return failure
+            may_be_stored = failure.code is FailureCode.UNKNOWN
+        for address in self._storing_peers():
+            failure = self._parts.peers.store_job(address, spec)
+            if failure is None or failure.code is FailureCode.CONFLICT:
+                return failure
+            may_be_stored = may_be_stored or failure.code is FailureCode.UNKNOWN
+        reason = failure.reason if failure else "no node reaches the store"
+        code = FailureCode.UNKNOWN if may_be_stored else FailureCode.UNAVAILABLE
+        return Failure(code, reason)
+
+    def _storing_peers(self):
+        live = self._parts.coordinator.ask(LiveNodes())
+        peers = [s for s in live if s.is_store_reachable and not s.is_leaving]
+        random.shuffle(peers)
+        return [state.peer_address for state in peers[:STORING_PEERS]]
+
+    def _store_here(self, spec, route):
+        done = self._storage.write_job(spec)
+        if isinstance(done, Failure):
+            return done
+        sizes = tuple(len(item.body) for item in spec.items)
+        header = Header(spec, sizes, False, done.revision)
+        self._board.add(held_job(header, spec, route))
+        return None
+
+    def store_for_peer(self, message):
+        """Store and hold a job for a peer; return None or a `Failure`."""
+        spec = decode_job(message, self._parts.settings.node_id)
+        configuration = self._parts.knowledge.configuration
+        route = configuration and configuration.match(spec.host, spec.path)
+        if route is None:
+            reason = f"no route of host {spec.host!r} begins path {spec.path!r}"
+            return Failure(FailureCode.UNAVAILABLE, reason)
+        return self._store_here(spec, route)
+
     def _accepted(self, spec, how):
         self._log.info(
             "job accepted", job=spec.key, items=len(spec.items), how=how, path=spec.path
--- a/packages/gateway/sequoiaglade_gateway/batch/storage.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/storage.py
@@ -15,6 +15,9 @@
 PARTS = "batch-parts"
 RESULTS = "batch-results"
 ENDS = "batch-ends"
+# Longest time that a write of a submission takes, in seconds: the store answers within
+# a quarter of a second even when it is slow, and a peer can write in this node's place.
+SUBMIT_SECONDS = 0.3
 # Share of the store's value size that a part's bytes take, before their encoding as
 # base64 adds a third and JSON a little.
 PART_SHARE = 0.6
@@ -53,11 +56,13 @@
         for number, start in enumerate(range(0, len(blob), self._part_bytes)):
             part = blob[start : start + self._part_bytes]
             value = {"data": base64.b64encode(part).decode()}
-            done = self._store.create(PARTS, _numbered(spec.key, number), value)
+            name = _numbered(spec.key, number)
+            done = self._store.create(PARTS, name, value, SUBMIT_SECONDS)
             if isinstance(done, Failure) and done.code is not FailureCode.CONFLICT:
                 # Without its header the job does not exist, whatever came of the part.
                 return Failure(FailureCode.UNAVAILABLE, done.reason)
-        return self._store.create(JOBS, spec.key, _header_value(spec, False))
+        value = _header_value(spec, False)
+        return self._store.create(JOBS, spec.key, value, SUBMIT_SECONDS)
 
     def read_header(self, key):
         """Return the `Header` of a job, or a `Failure`."""
--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -1,5 +1,7 @@
 """Lists finished results in the store, from where they are read."""
 
+import threading
+
 import structlog
 
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
@@ -7,6 +9,10 @@
 
 # Pause after the store failed, in seconds: a fraction of what callers wait.
 RETRY_SECONDS = 0.4
+# Longest pause between looks for results, in seconds.
+IDLE_SECONDS = 1.0
+# Results that finish within this time are written together, in seconds.
+GATHER_SECONDS = 0.02
 
 
 class ResultWriter(OwnedThread):
@@ -22,6 +28,11 @@
         self._storage = storage
         self._log = structlog.get_logger()
         self._is_failing = False
+        self._wanted = threading.Event()
+
+    def wake(self):
+        """List soon what is finished."""
+        self._wanted.set()
 
     def write_waiting(self):
         """List all results that are finished; return whether none is left."""
@@ -30,8 +41,15 @@
             done = self._write(job) and done
         return done
 
+    def _interrupt(self):
+        self._wanted.set()
+
     def _run(self):
-        while not self._stopped.wait(0.05 if not self._is_failing else RETRY_SECONDS):
+        while not self._stopped.is_set():
+            self._wanted.wait(RETRY_SECONDS if self._is_failing else IDLE_SECONDS)
+            # Results that finish together go into one write.
+            self._stopped.wait(GATHER_SECONDS)
+            self._wanted.clear()
             self._is_failing = not self.write_waiting()
 
     def _write(self, job):
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -7,6 +7,7 @@
 import structlog
 
 from sequoiaglade_decisions.gateway import (
+    RESERVE_SLOTS,
     EndpointDirectory,
     FleetQuotas,
     Full,
@@ -21,6 +22,10 @@
 
 # States of peers heard in this time are passed on to others, in seconds.
 RELAY_SECONDS = 1.0
+# Peers up to which each hears of all others directly within about a round; there, what
+# others told is passed on with each n-th message only, for those that are cut apart.
+SMALL_FLEET = 10
+RELAY_EACH = 8
 
 
 class Admit(NamedTuple):
@@ -45,7 +50,7 @@
     """Ask for an endpoint; answers `Running` or `Full`."""
 
     service: str
-    affinity: str
+    spread: str
     excluded: frozenset
     headroom: int = 0
 
@@ -54,7 +59,7 @@
     """Ask for an endpoint for a batch item; answers `Running` or None."""
 
     service: str
-    affinity: str
+    spread: str
 
 
 class Running(NamedTuple):
@@ -118,6 +123,7 @@
     batch_backlog: int
     batch_running: int
     jobs: tuple
+    is_store_reachable: bool
 
 
 class Published(NamedTuple):
@@ -127,6 +133,12 @@
     others: list
 
 
+class BatchPeers(NamedTuple):
+    """Ask for the peer addresses of nodes with batch items at an endpoint."""
+
+    endpoint_id: str
+
+
 class LiveNodes(NamedTuple):
     """Ask for the states of live peers; answers a list."""
 
@@ -170,7 +182,7 @@
         self._clock = clock
         self._log = structlog.get_logger()
         self._directory = EndpointDirectory()
-        self._loads = Loads()
+        self._loads = Loads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._quarantine = Quarantine()
         self._nodes = NodeTable(settings.node_id)
@@ -202,6 +214,8 @@
                 return self._publish(message, now)
             case Heard(states):
                 return self._hear(states, now)
+            case BatchPeers(endpoint_id):
+                return self._batch_peers(endpoint_id, now)
             case LiveNodes():
                 return self._nodes.live(now)
             case HeardShare():
@@ -242,7 +256,7 @@
     def _place(self, message, now):
         endpoints = self._directory.usable(message.service, now)
         choice = self._loads.choose(
-            endpoints, now, message.affinity, message.excluded, message.headroom
+            endpoints, now, message.spread, message.excluded, message.headroom
         )
         match choice:
             case Full():
@@ -252,11 +266,17 @@
 
     def _place_batch(self, message, now):
         endpoints = self._directory.usable(message.service, now)
-        endpoint_id = self._loads.choose_for_batch(endpoints, now, 0, message.affinity)
+        endpoint_id = self._loads.choose_for_batch(
+            endpoints, now, RESERVE_SLOTS, message.spread
+        )
         if endpoint_id is None:
             return None
         return self._begin(endpoint_id, False, True, now)
 
+    def _batch_peers(self, endpoint_id, now):
+        states = map(self._nodes.state, self._loads.batch_nodes(endpoint_id, now))
+        return [state.peer_address for state in states if state is not None]
+
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
         in_flight = sum(self._loads.counts(endpoint_id, now))
@@ -308,9 +328,14 @@
             batch_backlog=message.batch_backlog,
             batch_running=message.batch_running,
             jobs=message.jobs,
+            is_store_reachable=message.is_store_reachable,
             crashes=tuple(self._quarantine.crashes(now)),
         )
-        return Published(self._state, self._nodes.newer_than(now, RELAY_SECONDS))
+        others = []
+        is_large = len(self._nodes.live(now)) > SMALL_FLEET
+        if is_large or self._state.sequence % RELAY_EACH == 0:
+            others = self._nodes.newer_than(now, RELAY_SECONDS)
+        return Published(self._state, others)
 
     def _hear(self, states, now):
         """Take states; return those that were news."""
--- a/packages/gateway/sequoiaglade_gateway/knowledge/state.py
+++ b/packages/gateway/sequoiaglade_gateway/knowledge/state.py
@@ -23,6 +23,7 @@
         self._endpoint_by_name = {}
         self._has_listed_endpoints = False
         self.configuration = None
+        self.is_store_reachable = True
 
     @property
     def version(self):
@@ -103,6 +104,7 @@
 
     def endpoints_reachable(self, is_reachable):
         """Take note whether the list of endpoints can be read."""
+        self.is_store_reachable = is_reachable
         self._coordinator.tell(ListReachable(is_reachable))
 
     def share(self):
--- a/packages/gateway/sequoiaglade_gateway/main.py
+++ b/packages/gateway/sequoiaglade_gateway/main.py
@@ -6,9 +6,9 @@
 
 import contextlib
 import os
+import queue
 import signal
 import sys
-import threading
 
 import structlog
 
@@ -35,10 +35,9 @@
     except SettingsFault as fault:
         print(fault, file=sys.stderr)
         return EXIT_SETTINGS
-    stop, reload = threading.Event(), threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: reload.set())
+    signals = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, _: signals.put(number))
     on_broken_invariant(_stop_at_once)
     with contextlib.ExitStack() as stack:
         start_logs(stack, settings.log_level, settings.node_id)
@@ -49,10 +48,8 @@
         except (OSError, RuntimeError) as error:
             structlog.get_logger().error("can't listen", reason=str(error))
             return EXIT_ADDRESS
-        while not stop.wait(0.2):
-            if reload.is_set():
-                reload.clear()
-                _reload(node, settings_path)
+        while signals.get() == signal.SIGHUP:
+            _reload(node, settings_path)
         node.drain()
     return EXIT_OK
 
--- a/packages/gateway/sequoiaglade_gateway/metrics.py
+++ b/packages/gateway/sequoiaglade_gateway/metrics.py
@@ -1,7 +1,5 @@
 """Counters and histograms of a gateway, through OpenTelemetry."""
 
-import time
-
 from opentelemetry import metrics
 
 _SERVICE = "sequoiaglade.gateway"
@@ -25,7 +23,6 @@
         """Count an event."""
         self._events.add(1, {"event": event, "outcome": outcome})
 
-    def first_event(self, work):
+    def first_event(self, work, seconds):
         """Record the time until the first event of an admitted request."""
-        seconds = time.monotonic() - work.arrived_at
         self._first_event.record(seconds, {"route": work.route.name})
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -20,7 +20,7 @@
 from .coordinator import Coordinator, Leave, LiveNodes
 from .knowledge import KindWatcher, Knowledge
 from .metrics import GatewayMetrics
-from .online import OnlineService
+from .online import OnlineService, RoomWatcher
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 
 # Callers may keep an address for this many times the told period: the platform's pages.
@@ -43,6 +43,8 @@
     online: Any
     batch: Any
     peers: Any
+    room: Any
+    writer: Any
 
 
 class PeerCalls:
@@ -52,6 +54,7 @@
         self.read_job = client.read_job
         self.read_item = client.read_item
         self.end_job = client.end_job
+        self.store_job = client.store_job
         self.heard_share = gossip.heard_share
 
 
@@ -135,14 +138,21 @@
         storage = JobStorage(parts.store, parts.settings.store.value_bytes)
         self._runner = ItemRunner(parts, board)
         self._adoption = Adoption(parts, board, storage)
-        self._writer = ResultWriter(board, storage)
+        self._writer = parts.writer = ResultWriter(board, storage)
         parts.batch = BatchService(parts, board, storage, self._runner, self._adoption)
         client = stack.enter_context(PeerClient())
         self._gossip = Gossip(parts, client, board, self._runner, self._adoption.look)
         parts.peers = PeerCalls(client, self._gossip)
         servicer = FleetServicer(self._gossip, parts.knowledge, board, parts.batch)
         start_peer_server(stack, parts.settings.listen.peer, servicer)
-        for thread in (self._gossip, self._runner, self._writer, self._adoption):
+        parts.room = RoomWatcher(parts, client.ask_to_yield)
+        for thread in (
+            parts.room,
+            self._gossip,
+            self._runner,
+            self._writer,
+            self._adoption,
+        ):
             stack.enter_context(thread)
 
     def _start_watches(self, stack):
--- a/packages/gateway/sequoiaglade_gateway/online/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/online/__init__.py
@@ -1,5 +1,6 @@
 """Online requests: from the caller's head to the last event of the answer."""
 
+from .room import RoomWatcher
 from .service import OnlineService
 
-__all__ = ["OnlineService"]
+__all__ = ["OnlineService", "RoomWatcher"]
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -70,6 +70,7 @@
         self._log = structlog.get_logger()
         self.last_event_id = work.call.last_event_id
         self.has_left = False
+        self.first_event_seconds = None
 
     def answer(self):
         """Return the `Response` to the request."""
@@ -83,7 +84,8 @@
                 self.close()
         match outcome:
             case Begun():
-                self._parts.metrics.first_event(self.work)
+                self.first_event_seconds = time.monotonic() - self.work.arrived_at
+                self._parts.metrics.first_event(self.work, self.first_event_seconds)
                 relay = EventRelay(self, outcome)
                 return Response(200, outcome.answer.headers, relay)
             case WholeAnswer(status, headers, body):
@@ -160,7 +162,7 @@
     def _try_once(self):
         work = self.work
         place = Place(
-            work.service or "", _affinity(work.call), self._excluded, work.priority
+            work.service or "", work.call.request_id, self._excluded, work.priority
         )
         placed = self._parts.coordinator.ask(place)
         if isinstance(placed, Full):
@@ -202,8 +204,9 @@
             seconds_left=round(left, 3),
             configuration_version=work.version,
         )
-        answer = open_call(target, self._parts.dialect, self._attempt, stall, left)
-        return self._check(answer)
+        with self._parts.room.watching(endpoint.endpoint_id):
+            answer = open_call(target, self._parts.dialect, self._attempt, stall, left)
+            return self._check(answer)
 
     def _check(self, answer):
         progress = self._progress
@@ -288,7 +291,3 @@
         case CallFault(Fault.BROKEN):
             return BROKEN
     return DONE
-
-
-def _affinity(call):
-    return call.prompt_parts[0] if call.prompt_parts else ""
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -28,6 +28,8 @@
         self._is_closed = False
         self._outcome = "hung up"
         self._event_count = 0
+        self._longest_pause = 0.0
+        self._last_event_at = time.monotonic()
 
     def __iter__(self):
         return self._parts
@@ -45,6 +47,8 @@
             request_id=self._exchange.work.call.request_id,
             outcome=self._outcome,
             events=self._event_count,
+            first_event_ms=round(self._exchange.first_event_seconds * 1000),
+            longest_pause_ms=round(self._longest_pause * 1000),
         )
 
     def _relay(self):
@@ -100,5 +104,11 @@
                 return parts, CallFault(Fault.BROKEN, reason)
             self._exchange.last_event_id = event.event_id
             self._event_count += 1
+            self._note_pause()
             parts.append(event.raw)
         return parts, None
+
+    def _note_pause(self):
+        now = time.monotonic()
+        self._longest_pause = max(self._longest_pause, now - self._last_event_at)
+        self._last_event_at = now
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -5,13 +5,16 @@
 import grpc
 import structlog
 
+from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.peers.tracing import open_channel
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
-from .codec import decode_results
+from .codec import decode_results, encode_job
 
 # A peer answers within a few milliseconds; a caller waits for the answer.
 CALL_SECONDS = 0.6
+# A peer writes to the store meanwhile.
+STORE_SECONDS = 1.5
 
 
 class PeerClient:
@@ -56,6 +59,21 @@
         """Tell the holder of a job of its end; its watch tells it as well."""
         self._call(address, "EndJob", fleet_pb2.EndJobRequest(job_key=key))
 
+    def store_job(self, address, spec):
+        """Have a peer store a job; return None, or a `Failure`."""
+        reply = self._call(address, "StoreJob", encode_job(spec), STORE_SECONDS)
+        if reply is None:
+            return Failure(FailureCode.UNKNOWN, f"peer {address} did not answer")
+        if reply.failure_code:
+            return Failure(FailureCode(reply.failure_code), reply.reason)
+        return None
+
+    def ask_to_yield(self, address, endpoint_id):
+        """Ask a peer to stop a batch item at an endpoint; don't wait for it."""
+        stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+        request = fleet_pb2.YieldRequest(endpoint_id=endpoint_id)
+        stub.Yield.future(request, timeout=CALL_SECONDS)
+
     def keep(self, addresses):
         """Close channels to addresses that are no longer in use."""
         with self._lock:
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -1,6 +1,6 @@
 """Node states as messages of the inner protocol."""
 
-from sequoiaglade_decisions.gateway import JobNote, NodeState, Result
+from sequoiaglade_decisions.gateway import Item, JobNote, JobSpec, NodeState, Result
 from sequoiaglade_protocol import fleet_pb2
 
 MS_PER_SECOND = 1000
@@ -35,6 +35,7 @@
             )
             for mark, key, age in state.crashes
         ],
+        is_store_reachable=state.is_store_reachable,
     )
 
 
@@ -70,6 +71,7 @@
             (row.fingerprint, row.endpoint_key, row.age_ms / MS_PER_SECOND)
             for row in message.crashes
         ),
+        is_store_reachable=message.is_store_reachable,
     )
 
 
@@ -81,3 +83,47 @@
 def decode_results(messages):
     """Return the list of `Result` of messages."""
     return [Result(row.item_id, row.is_completed, row.output) for row in messages]
+
+
+def encode_job(spec):
+    """Return the message that asks a peer to store a `JobSpec`."""
+    return fleet_pb2.StoreJobRequest(
+        job_id=spec.job_id,
+        workspace=spec.workspace,
+        host=spec.host,
+        path=spec.path,
+        submitted_at=spec.submitted_at,
+        items=[
+            fleet_pb2.JobItem(
+                item_id=item.item_id,
+                path=item.path,
+                header_names=[name for name, _ in item.headers],
+                header_values=[value for _, value in item.headers],
+                body=item.body,
+                tokens=item.tokens,
+            )
+            for item in spec.items
+        ],
+    )
+
+
+def decode_job(message, accepted_by):
+    """Return the `JobSpec` of a message, as accepted by the node that stores it."""
+    return JobSpec(
+        message.job_id,
+        message.workspace,
+        message.host,
+        message.path,
+        message.submitted_at,
+        accepted_by,
+        tuple(
+            Item(
+                item.item_id,
+                item.path,
+                tuple(zip(item.header_names, item.header_values)),
+                item.body,
+                item.tokens,
+            )
+            for item in message.items
+        ),
+    )
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -42,7 +42,10 @@
     def digest(self):
         """Return the message that tells of this node and of others."""
         publish = Publish(
-            self._board.backlog(), self._runner.running_count, self._board.notes()
+            self._board.backlog(),
+            self._runner.running_count,
+            self._board.notes(),
+            self._parts.knowledge.is_store_reachable,
         )
         published = self._parts.coordinator.ask(publish)
         states = [published.own, *published.others]
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -46,6 +46,18 @@
         self._batch.note_end(request.job_key)
         return fleet_pb2.EndJobReply()
 
+    def StoreJob(self, request, context):  # noqa: N802
+        failure = self._batch.store_for_peer(request)
+        if failure is None:
+            return fleet_pb2.StoreJobReply()
+        return fleet_pb2.StoreJobReply(
+            failure_code=failure.code.value, reason=failure.reason
+        )
+
+    def Yield(self, request, context):  # noqa: N802
+        self._batch.preempt(request.endpoint_id)
+        return fleet_pb2.YieldReply()
+
 
 def start_peer_server(stack, address, servicer):
     """Serve peers on `address` until `stack` is left."""
