--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,6 +1,12 @@
 """Behave hooks: each scenario owns what it starts and cleans it up."""
 
 import contextlib
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+# The emulator of the users' platform stands beside the adapter, with its names.
+sys.path.append(str(ROOT / "platform"))
 
 
 def before_scenario(context, scenario):
@@ -11,6 +17,9 @@
     if scenario.status in ("failed", "error") and hasattr(context, "fleet"):
         for node in context.fleet.nodes:
             print_log(node.process)
+    if scenario.status in ("failed", "error") and hasattr(context, "gateways"):
+        for node in context.gateways.nodes:
+            print_log(node)
     context.stack.close()
 
 
--- /dev/null
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -0,0 +1,244 @@
+"""Steps of batch jobs through real gateways on the emulated platform."""
+
+import time
+from collections import Counter
+
+from behave import given, then, when
+from emulator import RunnerPlan
+from emulator.fleet import wait_until
+from gateway_calls import ask_together, runs, start
+
+EVENTS = 6
+DEAD_ADDRESS = "127.0.0.1:1"
+
+
+@given("2 gateways, one more without a path to the store, and 1 runner")
+def given_cut_node(context):
+    start(context, 2, [RunnerPlan()])
+    node = context.gateways.add_node(store_address=DEAD_ADDRESS)
+    context.gateways.wait_ready(node)
+
+
+@given('1 gateway and 2 runners that answer 422 on "never" and 500 on "fails"')
+def given_failing(context):
+    start(context, 1, [RunnerPlan(answers={"never": 422, "fails": 500})] * 2)
+
+
+def submit(context, names, node, **options):
+    context.items = [(name, f"/batch/x/{name}") for name in names]
+    context.submitted_at = time.monotonic()
+    context.job_id, context.answer = context.gateways.submit(
+        context.items, node, **options
+    )
+
+
+@when("a job of {count:d} items is submitted at gateway {node:d}")
+def submit_job(context, count, node):
+    submit(context, [f"item-{n:02d}" for n in range(count)], node)
+
+
+@when("the same job is submitted again at gateway {node:d}")
+def submit_again(context, node):
+    _, context.answer = context.gateways.submit(
+        context.items, node, job_id=context.job_id
+    )
+
+
+@when('a job with an item "never", an item "fails" and 2 others is submitted')
+def submit_failing(context):
+    submit(context, ["never", "fails", "item-0", "item-1"], 0)
+
+
+@then("it is accepted")
+def check_accepted(context):
+    assert context.answer.status == 202, context.answer
+
+
+@then("it is refused as not run within 1 second")
+def check_refused_job(context):
+    assert context.answer.status in (429, 503), context.answer
+    assert time.monotonic() - context.submitted_at < 1.0
+
+
+@then("no item of it runs within 2 seconds")
+def check_not_run(context):
+    time.sleep(2.0)
+    assert not runs(context), runs(context)
+
+
+def results(context, node):
+    status, body = context.gateways.results(context.job_id, node)
+    return body["Results"] if status == 200 else []
+
+
+@then("within {seconds:d} seconds all items are completed at gateway {node:d}")
+def check_completed(context, seconds, node):
+    count = len(context.items)
+    done = lambda: len(results(context, node)) == count  # noqa: E731
+    wait_until(done, seconds, f"{count} results at gateway {node}")
+    found = results(context, node)
+    assert all(row["State"] == "completed" for row in found), found
+    assert sorted(row["Id"] for row in found) == sorted(n for n, _ in context.items)
+    return found
+
+
+@then("within {seconds:d} seconds all items are completed at every gateway")
+def check_completed_everywhere(context, seconds):
+    first = check_completed(context, seconds, 0)
+    for node in range(1, len(context.gateways.nodes)):
+        assert results(context, node) == first, node
+
+
+@then("every result has the data of events 1 to 6")
+def check_output(context):
+    expected = "\n".join(f"piece-{n}" for n in range(1, EVENTS + 1))
+    assert {row["Output"] for row in results(context, 0)} == {expected}
+
+
+@then("a read from position 5 begins with the sixth result")
+def check_position(context):
+    _, body = context.gateways.results(context.job_id, 1, after=5)
+    assert body["Results"] == results(context, 0)[5:], body
+    assert body["Next"] == body["Total"] == len(context.items), body
+
+
+@then("no item ran twice")
+def check_no_double(context):
+    counts = Counter(run.request_id for run in runs(context))
+    assert set(counts.values()) == {1}, counts
+
+
+@then("no item is listed twice")
+def check_listed_once(context):
+    ids = [row["Id"] for row in results(context, 0)]
+    assert len(ids) == len(set(ids)), ids
+
+
+@when("gateway 0 is killed")
+def kill(context):
+    context.gateways.nodes[0].kill()
+
+
+@when("all gateways are killed and started again")
+def restart_all(context):
+    for node in context.gateways.nodes:
+        node.kill()
+    for node in context.gateways.nodes:
+        node.start()
+    for number in range(len(context.gateways.nodes)):
+        context.gateways.wait_ready(number)
+
+
+@when('the store loses the answers of the next {count:d} writes of "{kind}"')
+def lose_answers(context, count, kind):
+    context.gateways.store.lose_answers(kind, count)
+
+
+@when("the store is down")
+def store_down(context):
+    context.gateways.store.set_down(True)
+    time.sleep(1.0)
+
+
+@when("the store is back")
+def store_back(context):
+    context.gateways.store.set_down(False)
+
+
+@then('within {seconds:d} seconds "never" and "fails" are given up, others done')
+def check_given_up(context, seconds):
+    count = len(context.items)
+    wait_until(lambda: len(results(context, 0)) == count, seconds, "all are listed")
+    state_by_id = {row["Id"]: row["State"] for row in results(context, 0)}
+    assert state_by_id == {
+        "never": "dead_letter",
+        "fails": "dead_letter",
+        "item-0": "completed",
+        "item-1": "completed",
+    }, state_by_id
+
+
+@then('"never" ran once and "fails" 3 times')
+def check_attempts(context):
+    counts = Counter(run.request_id for run in runs(context))
+    assert counts["never"] == 1 and counts["fails"] == 3, counts
+
+
+@when("the job is ended at gateway 1")
+def end_job(context):
+    wait_until(lambda: runs(context), 3.0, "an item runs")
+    answer = context.gateways.end(context.job_id, 1)
+    assert answer.status == 200, answer
+
+
+@then("after 1 second no item of it starts")
+def check_ended_job(context):
+    time.sleep(1.0)
+    before = len(runs(context))
+    time.sleep(1.5)
+    assert len(runs(context)) == before < len(context.items)
+    assert all(runner.running == 0 for runner in context.gateways.runners)
+
+
+@then('the job "{job_id}" is not found at gateway 0')
+def check_not_found(context, job_id):
+    status, _ = context.gateways.results(job_id, 0)
+    assert status == 404, status
+
+
+@then('the workspace "other" does not find it')
+def check_other_workspace(context):
+    fleet = context.gateways
+    fleet.workspaces["other"] = {"keys": ["key-other"]}
+    fleet.configure()
+    path = f"/v1/lots/{context.job_id}?After=0"
+    ask = lambda: fleet.ask(path, 1, key="key-other", method="GET", body=b"").status  # noqa: E731
+    wait_until(lambda: ask() != 401, 2.0, "the key is known")
+    assert ask() == 404
+
+
+@when("jobs of 40,000 tokens are submitted at both gateways in turn")
+def submit_large(context):
+    context.statuses = []
+    for number in range(3):
+        items = [(f"item-{number}-{n}", f"/batch/x/{n}") for n in range(20)]
+        _, answer = context.gateways.submit(items, number % 2, tokens=2000)
+        context.statuses.append(answer.status)
+        time.sleep(0.4)
+
+
+@then("2 are accepted and the third is refused with 429")
+def check_bounded(context):
+    assert context.statuses == [202, 202, 429], context.statuses
+
+
+@then("the body of its last item is the same at every gateway")
+def check_body(context):
+    name, _ = context.items[-1]
+    for node in range(len(context.gateways.nodes)):
+        answer = context.gateways.item_body(context.job_id, name, node)
+        assert (answer.status, answer.body) == (200, name.encode()), answer
+
+
+@when("batch items fill the runners")
+def fill(context):
+    fleet = context.gateways
+    wait_until(lambda: sum(r.running for r in fleet.runners) >= 13, 5.0, "runners fill")
+
+
+@when("{count:d} callers ask at once at gateway 1")
+def ask_at_peak(context, count):
+    ask_together(context, count, 1)
+
+
+@then("all {count:d} get their first event within {seconds:f} seconds")
+def check_peak(context, count, seconds):
+    assert all(a.status == 200 for a in context.answers), context.answers
+    slowest = max(answer.seconds for answer in context.answers)
+    assert slowest < seconds, [answer.seconds for answer in context.answers]
+
+
+@then("the items that made room go on after their last event")
+def check_went_on(context):
+    went_on = lambda: any(run.batch and run.after_event for run in runs(context))  # noqa: E731
+    wait_until(went_on, 5.0, "an item goes on")
--- /dev/null
+++ b/tests/features/steps/gateway_decision_steps.py
@@ -0,0 +1,194 @@
+"""Steps that play loads against the gateway's decisions alone."""
+
+import random
+from collections import Counter
+
+from behave import then, when
+from hypothesis import given as forall
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from sequoiaglade_decisions.gateway import (
+    Endpoint,
+    EventSplitter,
+    FleetQuotas,
+    Loads,
+    NodeState,
+    NodeTable,
+    Result,
+    ResultPages,
+    batch_targets,
+)
+
+RATE, BURST = 18.0, 18.0
+# The platform's pages: window, allowed overshoot and slack.
+WINDOW_SECONDS, OVERSHOOT, SLACK = 5.0, 0.1, 20
+NEWS_SECONDS = 0.2
+
+
+class _Node:
+    def __init__(self, name):
+        self.name = name
+        self.quotas = FleetQuotas(is_first_start=True)
+        self.quotas.configure({"w": (RATE, BURST)}, 0.0)
+        self.table = NodeTable(name)
+        self.sequence = 0
+
+    def tell(self, others, now):
+        self.sequence += 1
+        admitted = self.quotas.admitted()
+        state = NodeState(self.name, 1, self.sequence, admitted_by_workspace=admitted)
+        for other in others:
+            if other is not self and other.table.hear(state, now):
+                share = other.table.quota_share(now, 1)
+                other.quotas.hear(self.name, 1, admitted, now, share)
+
+
+def _play(context, groups_at):
+    chance = random.Random(7)
+    nodes = [_Node(f"n{number}") for number in range(9)]
+    context.admitted_at = []
+    now, news_at, step = 0.0, 0.0, 1 / (8 * RATE)
+    for node in nodes:
+        node.tell(nodes, now)
+    while now < 30.0:
+        now += step
+        if now >= news_at:
+            news_at = now + NEWS_SECONDS
+            for group in groups_at(now, nodes):
+                for node in group:
+                    node.tell(group, now)
+        node = chance.choice(nodes)
+        if node.quotas.take("w", now, node.table.quota_share(now, 1)) is None:
+            context.admitted_at.append(now)
+
+
+@when("9 nodes that hear of each other every 0.2 s are sent 8 times a rate of 18")
+def play_hot(context):
+    _play(context, lambda now, nodes: [nodes])
+
+
+@when("9 nodes are cut 3 from 6 while a workspace sends 8 times a rate of 18")
+def play_cut(context):
+    cut = lambda now, nodes: [nodes[:3], nodes[3:]] if 8 < now < 20 else [nodes]  # noqa: E731
+    _play(context, cut)
+
+
+@then("in no 5 seconds more than the bound is admitted")
+def check_bound(context):
+    bound = (RATE * WINDOW_SECONDS + BURST) * (1 + OVERSHOOT) + SLACK
+    times = context.admitted_at
+    most = max(sum(t <= u < t + WINDOW_SECONDS for u in times) for t in times)
+    assert most <= bound, (most, bound)
+
+
+@then("at least nine tenths of the rate is admitted")
+def check_not_starved(context):
+    assert len(context.admitted_at) >= 0.9 * RATE * 30.0, len(context.admitted_at)
+
+
+@then("for any backlogs the shares add up to the smaller of allowance and backlog")
+def check_shares(context):
+    @seed(1)
+    @settings(max_examples=300, deadline=None, database=None)
+    @forall(
+        st.integers(0, 200),
+        st.dictionaries(st.sampled_from("abcdefghi"), st.integers(0, 60), min_size=1),
+    )
+    def holds(allowance, backlog_by_node):
+        targets = batch_targets(allowance, backlog_by_node)
+        assert sum(targets.values()) == min(allowance, sum(backlog_by_node.values()))
+        assert all(targets[n] <= b for n, b in backlog_by_node.items())
+
+    holds()
+
+
+class _Store:
+    """Pages under revisions, as the platform's store keeps them."""
+
+    def __init__(self):
+        self.pages = {}
+
+    def write(self, number, revision, content):
+        held = self.pages.get(number)
+        if (held and held[0]) != revision:
+            return
+        self.pages[number] = ((revision or 0) + 1, content)
+
+    def read(self, pages):
+        while pages.next_unread in self.pages:
+            number = pages.next_unread
+            revision, content = self.pages[number]
+            pages.put(number, content, revision)
+            if pages.next_unread == number:
+                return
+
+    def results(self):
+        return [r for n in sorted(self.pages) for r in self.pages[n][1]]
+
+
+@then("for any order of two writers' steps every reader sees one growing list")
+def check_pages(context):
+    step = st.tuples(st.integers(0, 1), st.sampled_from(("plan", "write", "read")))
+
+    @seed(1)
+    @settings(max_examples=300, deadline=None, database=None)
+    @forall(st.lists(step, max_size=60), st.randoms(use_true_random=False))
+    def holds(steps, chance):
+        store = _Store()
+        writers = [ResultPages(), ResultPages()]
+        planned = [None, None]
+        seen = []
+        for number, action in steps:
+            if action == "read":
+                store.read(writers[number])
+            elif action == "plan":
+                item = f"i-{chance.randrange(8)}"
+                result = Result(item, True, "x" * chance.choice((10, 150_000)))
+                planned[number] = writers[number].plan([result])
+            elif planned[number] and planned[number][2]:
+                store.write(*planned[number])
+            now = store.results()
+            assert now[: len(seen)] == seen
+            ids = [result.item_id for result in now]
+            assert len(ids) == len(set(ids))
+            seen = now
+
+    holds()
+
+
+@then("any partition of a stream gives the same events")
+def check_partition(context):
+    text = b"".join(b"id: %d\ndata: p%d\ndata: q\n\n" % (n, n) for n in range(1, 8))
+
+    @seed(1)
+    @settings(max_examples=200, deadline=None, database=None)
+    @forall(st.lists(st.integers(1, len(text) - 1)))
+    def holds(cuts):
+        places = [0, *sorted(set(cuts)), len(text)]
+        splitter = EventSplitter()
+        events = []
+        for begin, end in zip(places, places[1:]):
+            events += splitter.feed(text[begin:end])
+        assert [event.event_id for event in events] == list(range(1, 8))
+        assert b"".join(event.raw for event in events) == text
+        assert not splitter.has_rest
+
+    holds()
+
+
+@when("7 nodes place 60 requests at 9 endpoints before they hear of each other")
+def place_unheard(context):
+    endpoints = [Endpoint(f"e-{n}", "s", "", f"d-{n % 4}", 8) for n in range(9)]
+    nodes = [Loads(f"d-{n % 4}") for n in range(7)]
+    context.placed = Counter()
+    for number in range(60):
+        loads = nodes[number % 7]
+        placed = loads.choose(endpoints, 0.0, f"request-{number}")
+        loads.begin(placed.endpoint_id, False)
+        context.placed[placed.endpoint_id] += 1
+
+
+@then("no endpoint has more than 12 of them")
+def check_spread(context):
+    assert max(context.placed.values()) <= 12, context.placed
--- /dev/null
+++ b/tests/features/steps/gateway_steps.py
@@ -0,0 +1,303 @@
+"""Steps of online requests through real gateways on the emulated platform."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+from behave import given, then, when
+from emulator import RunnerPlan
+from emulator.fleet import HOST, wait_until
+from gateway_calls import SLOW, ask_together, runs, start
+
+
+@given("{nodes:d} gateways and {count:d} runners")
+@given("{nodes:d} gateway and {count:d} runners")
+@given("{nodes:d} gateway and {count:d} runner")
+@given("{nodes:d} gateways and {count:d} runner")
+def given_fleet(context, nodes, count):
+    start(context, nodes, [RunnerPlan()] * count)
+
+
+@given("{nodes:d} gateways and {count:d} slow runners")
+@given("{nodes:d} gateway and {count:d} slow runner")
+@given("{nodes:d} gateways and {count:d} slow runner")
+def given_slow_fleet(context, nodes, count):
+    start(context, nodes, [SLOW] * count)
+
+
+@given("1 gateway and 1 slow runner with 1 slot")
+def given_one_slot(context):
+    start(context, 1, [SLOW._replace(slots=1)])
+
+
+@given("1 gateway and 2 runners of which {count:d} breaks after 2 events")
+@given("1 gateway and 2 runners of which {count:d} break after 2 events")
+def given_breaking(context, count):
+    plans = [RunnerPlan(breaks_after=2 if n < count else 0) for n in range(2)]
+    start(context, 1, plans)
+
+
+@given('{nodes:d} gateways and {count:d} runners that crash on "{word}"')
+@given('{nodes:d} gateway and {count:d} runners that crash on "{word}"')
+def given_crashing(context, nodes, count, word):
+    start(context, nodes, [RunnerPlan(crashes_on=word)] * count)
+
+
+@given("3 gateways and 2 runners and a rate of {rate:d} and a burst of {burst:d}")
+def given_rate(context, rate, burst):
+    workspaces = {"yard": {"keys": ["key-yard"], "rate": rate, "burst": burst}}
+    plans = [RunnerPlan(slots=64)] * 2
+    start(context, 3, plans, workspaces=workspaces)
+
+
+@when('somebody asks "{path}" at gateway {node:d}')
+def ask(context, path, node):
+    context.answers = [context.gateways.ask(path, node)]
+
+
+@when('somebody asks "{path}" at gateway 0 until both runners ran one')
+def ask_until_both(context, path):
+    context.answers = []
+    for _ in range(40):
+        context.answers.append(context.gateways.ask(path, 0))
+        if all(runner.runs for runner in context.gateways.runners):
+            return
+    raise AssertionError("one runner got no request")
+
+
+@when('somebody asks "{path}" {count:d} times at both gateways')
+def ask_often(context, path, count):
+    context.answers = []
+    for number in range(count):
+        for node in (0, 1):
+            context.answers.append(context.gateways.ask(path, node))
+            time.sleep(0.5)
+
+
+@then("the answer is 200, signed and whole with {count:d} events")
+def check_whole(context, count):
+    (answer,) = context.answers
+    assert answer.status == 200, answer
+    assert answer.is_whole and "Server-Stamp" in answer.headers, answer
+    assert answer.events == list(range(1, count + 1)), answer
+
+
+@then('the runners got it once, for "{workspace}" and without the key')
+def check_run(context, workspace):
+    (run,) = runs(context)
+    assert run.workspace == workspace and not run.has_key, run
+
+
+@then("the runners got it once in all")
+def check_once(context):
+    assert len(runs(context)) == 1, runs(context)
+
+
+@then("the answer is {status:d}")
+def check_status(context, status):
+    assert context.answers[0].status == status, context.answers
+
+
+@then("the answer is cut short")
+def check_cut(context):
+    assert not context.answers[0].is_whole, context.answers
+
+
+@then("each answer has the events 1 to 6 in order")
+def check_events(context):
+    for answer in context.answers:
+        assert answer.is_whole and answer.events == [1, 2, 3, 4, 5, 6], answer
+
+
+@then("a run went on after event {number:d}")
+def check_went_on(context, number):
+    assert any(run.after_event == number for run in runs(context)), runs(context)
+
+
+@then("at most {count:d} runners have crashed")
+def check_crashes(context, count):
+    crashed = [r for r in context.gateways.runners if r.is_down]
+    assert 1 <= len(crashed) <= count, len(crashed)
+
+
+@then('"{path}" with key "{key}" is answered {status:d}')
+def check_answer(context, path, key, status):
+    answer = context.gateways.ask(path, 0, key=key)
+    assert answer.status == status, answer
+
+
+@then('"{path}" without a key is answered {status:d}')
+def check_public(context, path, status):
+    answer = context.gateways.ask(path, 0, key=None)
+    assert answer.status == status, answer
+
+
+@when('the key "{old}" is replaced by "{new}"')
+def replace_key(context, old, new):
+    context.gateways.workspaces = {"yard": {"keys": [new]}}
+    context.gateways.configure()
+
+
+@when('the store forgets its history and the key "{old}" is replaced by "{new}"')
+def forget_history(context, old, new):
+    replace_key(context, old, new)
+    context.gateways.store.compact()
+
+
+@then('within 2 seconds "{path}" with key "{key}" is answered 401 everywhere')
+def check_withdrawn(context, path, key):
+    fleet = context.gateways
+    nodes = range(len(fleet.nodes))
+    refused = lambda: all(fleet.ask(path, n, key=key).status == 401 for n in nodes)  # noqa: E731
+    wait_until(refused, 2.0, f"{key} is refused everywhere")
+
+
+@when("runner 0 says that it leaves")
+def leave(context):
+    context.gateways.runners[0].register("draining")
+
+
+@then("after 1 second {count:d} requests reach runner 1 alone")
+def check_left(context, count):
+    time.sleep(1.0)
+    for number in range(count):
+        assert context.gateways.ask(f"/once/{number}").status == 200
+    first, second = context.gateways.runners
+    assert not first.runs and len(second.runs) == count, (first.runs, second.runs)
+
+
+@when("the store is down while all runners' entries lapse")
+def lapse(context):
+    context.gateways.store.set_down(True)
+    time.sleep(0.7)
+    for runner in context.gateways.runners:
+        runner.leave_list()
+
+
+@when("the store is back and the runners are listed again within a second")
+def listed_again(context):
+    context.gateways.store.set_down(False)
+    time.sleep(0.8)
+    context.gateways.runners[0].register("ready")
+
+
+@then("an entry that stays away is gone after 3 seconds")
+def check_gone(context):
+    time.sleep(3.0)
+    before = len(context.gateways.runners[1].runs)
+    for number in range(8):
+        assert context.gateways.ask(f"/once/{number}").status == 200
+    assert len(context.gateways.runners[1].runs) == before
+
+
+@when("somebody asks {count:d} times in {seconds:d} seconds at all gateways in turn")
+def ask_at_rate(context, count, seconds):
+    fleet = context.gateways
+    with ThreadPoolExecutor(16) as pool:
+        futures = []
+        for number in range(count):
+            node = number % len(fleet.nodes)
+            futures.append(pool.submit(fleet.ask, f"/once/{number}", node))
+            time.sleep(seconds / count)
+        context.answers = [future.result() for future in futures]
+
+
+@then("the runners ran between {least:d} and {most:d} requests")
+def check_ran(context, least, most):
+    count = len(runs(context))
+    assert least <= count <= most, count
+
+
+@then("the others were refused with 429 and a time to return")
+def check_limited(context):
+    refused = [answer for answer in context.answers if answer.status != 200]
+    assert refused and all(answer.status == 429 for answer in refused), refused
+    assert all(float(answer.headers["Retry-After"]) > 0 for answer in refused)
+
+
+@when("a caller leaves after the first event")
+def hang_up(context):
+    fleet = context.gateways
+    pool = urllib3.HTTPConnectionPool(fleet.nodes[0].data, timeout=5)
+    response = pool.request(
+        "POST",
+        "/once/1",
+        body=b"{}",
+        headers={"Host": HOST, "Request-Id": "hang-up", "Key": "key-yard"},
+        preload_content=False,
+    )
+    response.read1(10)
+    response.close()
+    pool.close()
+
+
+@then("within {seconds:f} seconds nothing runs")
+def check_stopped(context, seconds):
+    runner = context.gateways.runners[0]
+    assert runner.runs
+    wait_until(lambda: runner.running == 0, seconds, "the run has stopped")
+
+
+@when("{count:d} callers ask at once")
+def ask_at_once(context, count):
+    ask_together(context, count, 0)
+
+
+@then("some are refused with 503 within {seconds:f} seconds")
+def check_refused(context, seconds):
+    refused = [a for a in context.answers if a.status == 503]
+    assert refused and all(a.seconds < seconds for a in refused), context.answers
+    assert all(float(a.headers["Retry-After"]) > 0 for a in refused), refused
+
+
+@then("a refused request never runs")
+def check_never_ran(context):
+    time.sleep(0.5)
+    served = sum(answer.status == 200 for answer in context.answers)
+    assert len(runs(context)) == served, (len(runs(context)), served)
+
+
+@when("gateway 0 is asked to stop while {count:d} requests run there")
+def stop_busy(context, count):
+    thread = threading.Thread(target=ask_together, args=(context, count, 0))
+    thread.start()
+    wait_until(lambda: len(runs(context)) == count, 3.0, "all requests run")
+    context.stopped_at = time.monotonic()
+    context.gateways.nodes[0].terminate()
+    time.sleep(0.5)
+    context.told = context.gateways.addresses(1)
+    thread.join()
+
+
+@then("all {count:d} answers are whole")
+def check_all_whole(context, count):
+    assert len(context.answers) == count
+    assert all(a.status == 200 and a.is_whole for a in context.answers)
+
+
+@then("the directory of gateway 1 tells gateway 1 alone")
+def check_directory(context):
+    assert context.told == [context.gateways.nodes[1].data], context.told
+
+
+@then("gateway 0 ends within 8 seconds")
+def check_ended(context):
+    code = context.gateways.nodes[0].process.wait(8.0)
+    assert code == 0, code
+    assert time.monotonic() - context.stopped_at < 8.0
+
+
+@when("the store is down and gateway 0 is killed and started again")
+def restart_in_outage(context):
+    fleet = context.gateways
+    fleet.store.set_down(True)
+    fleet.nodes[0].kill()
+    fleet.nodes[0].start()
+
+
+@then("gateway 0 takes callers within 6 seconds")
+def check_takes_callers(context):
+    fleet = context.gateways
+    serves = lambda: (a := fleet.ask("/once/1", 0)) is not None and a.status == 200  # noqa: E731
+    wait_until(serves, 6.0, "gateway 0 serves")
