News more often while endpoints are full; refused callers return later in a peak

Change: rounds of 0.08 s while endpoints are full; the time to return grows with the refusals of the last second, up to 1.2 s.

--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -4,9 +4,15 @@
 
 from .hashing import rank
 
-# An endpoint of 8 slots frees one about every 90 ms at the load of the sites; two
-# waiting requests still begin within an objective of 300 ms.
+# Requests that may wait at an endpoint. One of 8 slots frees one about every 100 ms at
+# the load of the sites, and the objective is 300 ms.
 QUEUE_ALLOWANCE = 2
+# A refused caller may return after this long, in seconds, and later the more callers
+# were refused in the last second: few refusals are the edge of a peak, many a peak.
+# Callers honour up to a third of the five seconds that they wait.
+RETURN_SECONDS = 0.3
+RETURN_SECONDS_EACH = 0.1
+RETURN_SECONDS_MAX = 1.2
 # Peers gossip several times a second; what one said longer ago no longer holds.
 PEER_LOAD_SECONDS = 1.5
 # Endpoints whose loads differ by this many requests count as alike: the nodes' figures
@@ -65,6 +71,8 @@
         self._peers = {}
         self._health_by_id = {}
         self._pace_by_id = {}
+        self._refused_at = []
+        self._busy_at = None
 
     def begin(self, endpoint_id, is_batch):
         """Count a request that is sent to an endpoint."""
@@ -148,9 +156,10 @@
             near = [row for row in alike if row[2].failure_domain == self._domain]
             _, _, endpoint, *_ = min(near or alike, key=lambda row: row[1])
             return Placed(endpoint.endpoint_id)
-        return self._choose_busy(ranked, headroom)
+        return self._choose_busy(ranked, headroom, now)
 
-    def _choose_busy(self, ranked, headroom):
+    def _choose_busy(self, ranked, headroom, now):
+        self._busy_at = now
         for _, _, endpoint, *_ in sorted(ranked, key=lambda row: row[:2]):
             own_batch = self._own_by_id.get(endpoint.endpoint_id, (0, 0))[1]
             if own_batch:
@@ -159,8 +168,13 @@
         _, _, endpoint, online, batch, slots = rows[0]
         if online < slots + QUEUE_ALLOWANCE - headroom:
             return Placed(endpoint.endpoint_id)
-        excess = online - slots - QUEUE_ALLOWANCE + 1 + headroom
-        return Full(min(0.2 + 0.1 * excess, 1.5), True)
+        return Full(self._return_seconds(now), True)
+
+    def _return_seconds(self, now):
+        recent = [at for at in self._refused_at if now - at < 1.0]
+        self._refused_at = [*recent, now]
+        seconds = RETURN_SECONDS + RETURN_SECONDS_EACH * len(recent)
+        return min(seconds, RETURN_SECONDS_MAX)
 
     def batch_nodes(self, endpoint_id, now):
         """Return the ids of peers with batch items at an endpoint, one an item."""
@@ -190,6 +204,10 @@
                 best = row
         return best[2] if best else None
 
+    def is_busy(self, now):
+        """Return whether a request found all endpoints full in the last second."""
+        return bool(self._busy_at is not None and now - self._busy_at < 1.0)
+
     def is_open(self, endpoint, now):
         """Return whether an endpoint is not avoided after failures."""
         return self._is_open(endpoint, now)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -127,10 +127,11 @@
 
 
 class Published(NamedTuple):
-    """This node's state, and other nodes' recent ones."""
+    """This node's state, other nodes' recent ones, and whether endpoints are full."""
 
     own: NodeState
     others: list
+    is_busy: bool
 
 
 class BatchPeers(NamedTuple):
@@ -335,7 +336,7 @@
         is_large = len(self._nodes.live(now)) > SMALL_FLEET
         if is_large or self._state.sequence % RELAY_EACH == 0:
             others = self._nodes.newer_than(now, RELAY_SECONDS)
-        return Published(self._state, others)
+        return Published(self._state, others, self._loads.is_busy(now))
 
     def _hear(self, states, now):
         """Take states; return those that were news."""
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -14,6 +14,8 @@
 # A request takes the better part of a second, so that news of this age still tells
 # most of what runs.
 ROUND_SECONDS = 0.2
+# While endpoints are full, each place counts: news of ends is as welcome as of starts.
+BUSY_ROUND_SECONDS = 0.08
 # Peers asked in a round; each is told by as many, so that a fleet of the sites' size
 # hears of all within a round.
 FANOUT = 4
@@ -32,6 +34,7 @@
         self._runner = runner
         self._on_loss = on_loss
         self._live_ids = frozenset()
+        self._is_busy = False
         self._log = structlog.get_logger()
         self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
 
@@ -48,6 +51,7 @@
             self._parts.knowledge.is_store_reachable,
         )
         published = self._parts.coordinator.ask(publish)
+        self._is_busy = published.is_busy
         states = [published.own, *published.others]
         return fleet_pb2.FleetDigest(nodes=map(encode_state, states))
 
@@ -85,10 +89,14 @@
         self._client.keep([*addresses, *seeds])
 
     def _run(self):
-        while not self._stopped.wait(ROUND_SECONDS * (0.8 + 0.4 * random.random())):
+        while not self._stopped.wait(self._pause()):
             self.run_round()
             self._look()
 
+    def _pause(self):
+        seconds = BUSY_ROUND_SECONDS if self._is_busy else ROUND_SECONDS
+        return seconds * (0.8 + 0.4 * random.random())
+
     def _look(self):
         live = self._parts.coordinator.ask(LiveNodes())
         ids = frozenset(state.node_id for state in live)
