--- a/packages/cli/sequoiaglade_cli/commands.py
+++ b/packages/cli/sequoiaglade_cli/commands.py
@@ -10,6 +10,7 @@
 
 from . import document
 from .client import EXIT_REFUSED, EXIT_USAGE, Problem, Reply
+from .logs import explain_from_logs
 from .output import print_value
 
 
@@ -174,6 +175,8 @@
 
 def explain(client, options):
     """Tell why a request, item, job or change ended as it did."""
+    if options.log:
+        return explain_from_logs(options.id, options.log)
     found = client.call("GET", f"/operator/explain/{quote(options.id)}")
     if isinstance(found, Problem) or options.output == "json":
         return found
--- a/packages/cli/sequoiaglade_cli/main.py
+++ b/packages/cli/sequoiaglade_cli/main.py
@@ -59,7 +59,15 @@
     _add_jobs(groups)
     _add(groups, "entries", commands.entries, is_operator=False)
     _add(groups, "status", commands.status)
-    _add(groups, "explain", commands.explain).add_argument("id")
+    explain = _add(groups, "explain", commands.explain)
+    explain.add_argument("id")
+    explain.add_argument(
+        "--log",
+        action="append",
+        metavar="FILE",
+        help="nodes' log to read instead of asking a node; - is standard input",
+    )
+    explain.epilog = "example: sequoiaglade explain 9c41d07be2a35f68 --log node.log"
     _add_load(groups)
     _add(groups, "replay", commands.replay_trace).add_argument("trace")
     return parser
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -130,8 +130,8 @@
 
         `spread` is a text of the request's own, by which requests of many nodes spread
         over endpoints of like load; those in the node's failure domain are preferred,
-        since bytes to others cost more. `headroom` lowers the number of requests that may
-        wait at an endpoint, for less urgent ones.
+        since bytes to others cost more. `headroom` lowers the number of requests that
+        may wait at an endpoint, for less urgent ones.
         """
         open_ones = [
             e
--- a/packages/gateway/sequoiaglade_gateway/applications.py
+++ b/packages/gateway/sequoiaglade_gateway/applications.py
@@ -29,6 +29,23 @@
         return send(json_response(status, {"ready": ready}), start_response)
 
 
+class MetricsApplication:
+    """Serves the node's metrics as text."""
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+
+    def __call__(self, environ, start_response):
+        if read_request(environ).path != "/metrics":
+            return send(_not_found(), start_response)
+        text = self._metrics.text()
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4"),
+            ("Content-Length", str(len(text))),
+        ]
+        return send(Response(200, headers, [text]), start_response)
+
+
 class DirectoryApplication:
     """Tells callers which addresses to connect to, and for how long."""
 
--- a/packages/gateway/sequoiaglade_gateway/metrics.py
+++ b/packages/gateway/sequoiaglade_gateway/metrics.py
@@ -1,24 +1,32 @@
 """Counters and histograms of a gateway, through OpenTelemetry."""
 
-from opentelemetry import metrics
-
-_SERVICE = "sequoiaglade.gateway"
+from sequoiaglade_node.telemetry import Telemetry
 
 
 class GatewayMetrics:
-    """Instruments of a gateway; without an exporter they cost next to nothing.
+    """Instruments of a gateway; a context manager.
 
     `sequoiaglade.gateway.events` counts decisions by `event` and `outcome`;
-    `sequoiaglade.gateway.first_event` is the time to the first event in seconds.
+    `sequoiaglade.gateway.first_event` is the time to the first event in seconds, by
+    `route`.
     """
 
-    def __init__(self):
-        meter = metrics.get_meter(_SERVICE)
-        self._events = meter.create_counter("sequoiaglade.gateway.events")
-        self._first_event = meter.create_histogram(
+    def __init__(self, node_id):
+        self._telemetry = Telemetry(node_id)
+        self._events = self._telemetry.counter(
+            "sequoiaglade.gateway.events", "1", "decisions by event and outcome"
+        )
+        self._first_event = self._telemetry.histogram(
             "sequoiaglade.gateway.first_event", "s", "time to a stream's first event"
         )
 
+    def __enter__(self):
+        self._telemetry.__enter__()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._telemetry.__exit__(*exc_info)
+
     def count(self, event, outcome):
         """Count an event."""
         self._events.add(1, {"event": event, "outcome": outcome})
@@ -26,3 +34,7 @@
     def first_event(self, work, seconds):
         """Record the time until the first event of an admitted request."""
         self._first_event.record(seconds, {"route": work.route.name})
+
+    def text(self):
+        """Return all metrics in the text format, as bytes."""
+        return self._telemetry.text()
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -12,6 +12,7 @@
 from .applications import (
     DataApplication,
     DirectoryApplication,
+    MetricsApplication,
     ReadinessApplication,
     guarded,
 )
@@ -129,7 +130,7 @@
         stack.callback(actor.stop, block=False)
         parts.coordinator = actor
         parts.knowledge = Knowledge(parts.dialect, actor)
-        parts.metrics = GatewayMetrics()
+        parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.hangups = stack.enter_context(HangupWatcher())
 
     def _start_batch(self, stack):
@@ -196,11 +197,15 @@
         directory = DirectoryApplication(
             parts.dialect, self._addresses, settings.directory_seconds
         )
+        metrics = MetricsApplication(parts.metrics)
         for application, address, threads in (
             (data, listen.data, limits.data_threads),
             (readiness, listen.readiness, SIDE_THREADS),
             (directory, listen.directory, SIDE_THREADS),
+            (metrics, settings.metrics, 1),
         ):
+            if address is None:
+                continue
             listener = Listener(guarded(application), address, threads, limits)
             self._listeners.append(stack.enter_context(listener))
 
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -266,6 +266,7 @@
             retry_after=retry_after,
             configuration_version=self.work.version,
         )
+        self._parts.metrics.count("refused", str(status))
         return GatewayRefusal(status, reason, retry_after)
 
     def _is_over(self):
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -37,6 +37,7 @@
 class GatewaySettings(_Part):
     """All settings of a gateway node.
 
+    Metrics are served under ``/metrics`` at the address `metrics`, if it is set.
     `seeds` are peer addresses to meet first. `is_first_start` tells that the whole
     system starts for the first time. The process is killed `grace_seconds` after the
     request to stop. `directory_seconds` is how long callers may keep an address.
@@ -46,6 +47,7 @@
     failure_domain: str
     listen: Listeners | None = None
     store: StoreAccess
+    metrics: Address | None = None
     seeds: tuple[Address, ...] = ()
     is_first_start: bool = False
     grace_seconds: float = Field(default=8.0, gt=0, le=3600)
--- a/packages/node/sequoiaglade_node/logs.py
+++ b/packages/node/sequoiaglade_node/logs.py
@@ -15,6 +15,8 @@
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
+            # Bound here and not in a context, since threads have contexts of their own.
+            lambda logger, method, fields: {"node_id": node_id, **fields},
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.JSONRenderer(),
@@ -25,7 +27,6 @@
         logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(node_id=node_id)
     _forward("waitress", logging.ERROR)
     _forward("pykka", logging.INFO)
     return structlog.get_logger()
--- a/packages/node/sequoiaglade_node/telemetry.py
+++ b/packages/node/sequoiaglade_node/telemetry.py
@@ -40,6 +40,10 @@
         """Return a counter, of which ``add(number, labels)`` adds to a series."""
         return self._meter.create_counter(name, unit, description)
 
+    def histogram(self, name, unit, description):
+        """Return a histogram, of which ``record(number, labels)`` adds a value."""
+        return self._meter.create_histogram(name, unit, description)
+
     def gauge(self, name, unit, description, read):
         """Add a gauge whose value `read` returns when it is collected."""
 
--- /dev/null
+++ b/tests/features/steps/gateway_explain_steps.py
@@ -0,0 +1,69 @@
+"""Steps that go from an id to its cause by the logs of gateways."""
+
+import time
+
+from behave import then
+from gateway_calls import runs
+
+from sequoiaglade_cli.logs import explain_from_logs
+
+
+def account(context, sought):
+    paths = [str(node.log_path) for node in context.gateways.nodes]
+    rows = explain_from_logs(sought, paths).value
+    return "\n".join(f"{row['event']} {row['facts']}" for row in rows)
+
+
+def check_account(context, sought, *texts):
+    time.sleep(0.3)
+    told = account(context, sought)
+    assert all(text in told for text in texts), told
+    return told
+
+
+@then('the account of a refused request tells "{first}" and "{second}"')
+def check_refused(context, first, second):
+    ran = {run.request_id for run in runs(context)}
+    refused = next(i for i in context.gateways.asked_ids if i not in ran)
+    check_account(context, refused, first, second)
+
+
+@then("the metrics count refused requests")
+def check_metrics(context):
+    text = context.gateways.metrics()
+    lines = [line for line in text.splitlines() if "gateway_events" in line]
+    assert any('event="refused"' in line and "503" in line for line in lines), text
+
+
+@then('the account of the slowest request tells "{first}" and "{second}"')
+def check_slowest(context, first, second):
+    last = runs(context)[-1].request_id
+    context.told = check_account(context, last, first, second)
+
+
+@then("it tells how many requests were in flight and the time to the first event")
+def check_inputs(context):
+    assert "in_flight=" in context.told and "first_event_ms=" in context.told
+
+
+@then('the account of the request tells "{first}" and "{second}"')
+def check_request(context, first, second):
+    check_account(context, context.gateways.asked_ids[-1], first, second)
+
+
+@then('the account of the item "{item_id}" tells "{first}" and "{second}"')
+def check_item(context, item_id, first, second):
+    check_account(context, item_id, first, second)
+
+
+@then('the account of the job tells "{first}" and "{second}"')
+def check_job(context, first, second):
+    check_account(context, context.job_id, first, second)
+
+
+@then('no log holds "{first}" or "{second}"')
+def check_no_key(context, first, second):
+    time.sleep(0.3)
+    for node in context.gateways.nodes:
+        text = node.log_path.read_text(encoding="utf-8")
+        assert first not in text and second not in text
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -13,7 +13,7 @@
 from sequoiaglade_standins.fleet import Fleet
 from sequoiaglade_standins.samples import restockers_document, restockers_endpoints
 
-TABLE = Path(__file__).resolve().parents[3] / "docs" / "OPERATING.md"
+TABLE = Path(__file__).resolve().parents[3] / "docs" / "OPERATIONS.md"
 OWN_PREFIX = "sequoiaglade_"
 HISTOGRAM_PARTS = ("_bucket", "_sum", "_count")
 
