--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -10,6 +10,7 @@
 from .hashing import rank
 from .jobs import Batch, Item, ItemEnd, JobSpec, Result, job_key
 from .nodes import JobNote, NodeState, NodeTable, job_holder
+from .orphans import Orphans
 from .pages import ResultPages
 from .placement import Full, Loads, Placed
 from .quarantine import Quarantine
@@ -42,6 +43,7 @@
     "Next",
     "NodeState",
     "NodeTable",
+    "Orphans",
     "Placed",
     "Progress",
     "Quarantine",
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -1,11 +1,12 @@
 """Takes over jobs that no node holds any more."""
 
+import queue
 import threading
 import time
 
 import structlog
 
-from sequoiaglade_decisions.gateway import ResultPages, job_holder
+from sequoiaglade_decisions.gateway import Orphans, ResultPages
 from sequoiaglade_decisions.outcomes import Failure
 from sequoiaglade_node.threads import OwnedThread
 
@@ -16,9 +17,11 @@
 MEET_SECONDS = 1.0
 # Pause between looks at all jobs by the node with the lowest id, in seconds. It finds
 # jobs whose holder ended right after it had accepted them.
-SWEEP_SECONDS = 6.0
+SWEEP_SECONDS = 4.0
 # Pause after the store failed, in seconds.
 RETRY_SECONDS = 0.5
+# Pause until a job that was found stored is looked for again, in seconds.
+EXPECTED_PAUSE_SECONDS = 0.7
 
 
 class Adoption(OwnedThread):
@@ -30,6 +33,8 @@
         self._board = board
         self._storage = storage
         self._wanted = threading.Event()
+        self._found = queue.SimpleQueue()
+        self._orphans = Orphans(parts.settings.node_id)
         self._log = structlog.get_logger()
         self.ended_keys = set()
         self.is_leaving = False
@@ -38,6 +43,11 @@
         """Look soon for jobs without a holder: a node left or was lost."""
         self._wanted.set()
 
+    def expect(self, key):
+        """Take over a job that is stored, unless a holder tells of it soon."""
+        self._found.put(key)
+        self._wanted.set()
+
     def note_end(self, key):
         """Take note that a job has ended."""
         self.ended_keys.add(key)
@@ -54,6 +64,9 @@
             if is_due:
                 self._stopped.wait(RETRY_SECONDS)
                 continue
+            if self._orphans.expects:
+                is_due = not self._stopped.wait(EXPECTED_PAUSE_SECONDS)
+                continue
             is_due = self._wanted.wait(SWEEP_SECONDS) or self._is_sweeper()
             self._wanted.clear()
 
@@ -66,6 +79,8 @@
 
     def _adopt_orphans(self):
         """Adopt what falls to this node; return whether the store answered."""
+        while not self._found.empty():
+            self._orphans.expect(self._found.get(), time.monotonic())
         headers = self._storage.list_headers()
         if isinstance(headers, Failure):
             self._log.info("jobs not listed", reason=headers.reason)
@@ -75,16 +90,16 @@
         keys_by_node = {s.node_id: {note.job_key for note in s.jobs} for s in live}
         keys_by_node[own_id] = {job.key for job in self._board.jobs()}
         ids = sorted([own_id, *(s.node_id for s in live if not s.is_leaving)])
-        held = set().union(*keys_by_node.values())
-        done = True
-        for header in headers:
-            key = header.spec.key
-            if header.is_finished or key in held or key in self.ended_keys:
-                continue
-            holder = job_holder(key, header.spec.accepted_by, keys_by_node, ids)
-            if holder == own_id:
-                done = self.adopt(header) and done
-        return done
+        header_by_key = {
+            header.spec.key: header
+            for header in headers
+            if not header.is_finished and header.spec.key not in self.ended_keys
+        }
+        accepted_by_key = {k: h.spec.accepted_by for k, h in header_by_key.items()}
+        chosen = self._orphans.choose(
+            accepted_by_key, keys_by_node, ids, time.monotonic()
+        )
+        return all([self.adopt(header_by_key[key]) for key in chosen])
 
     def adopt(self, header):
         """Hold the job of a header; return whether the store answered."""
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -117,8 +117,8 @@
             if failure is None:
                 return self._accepted(spec, "stored")
             if failure.code is FailureCode.CONFLICT:
-                if may_be_stored:
-                    self._adoption.look()
+                # Perhaps by a write whose answer was lost, so that nobody holds it.
+                self._adoption.expect(spec.key)
                 return self._accepted(spec, "stored before")
             may_be_stored = may_be_stored or failure.code is FailureCode.UNKNOWN
             if not may_be_stored:
--- a/tests/features/gateway/batch.feature
+++ b/tests/features/gateway/batch.feature
@@ -35,6 +35,14 @@
     Then it is accepted
     And within 15 seconds all items are completed at every gateway
 
+  Scenario: The answer to a job's creation is lost, and a peer finds the job stored
+    Given 2 gateways and 2 runners
+    And the gateways have run for 3 seconds
+    When the store loses the answers of the next 1 writes of "batch-jobs"
+    And a job of 4 items is submitted at gateway 1
+    Then it is accepted
+    And within 4 seconds all items are completed at every gateway
+
   Scenario: Answers to the listing of results are lost
     Given 2 gateways and 2 runners
     When the store loses the answers of the next 3 writes of "batch-results"
--- a/tests/features/steps/gateway_batch_steps.py
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -24,6 +24,11 @@
     start(context, 1, [RunnerPlan(answers={"never": 422, "fails": 500})] * 2)
 
 
+@given("the gateways have run for {seconds:d} seconds")
+def given_running(context, seconds):
+    time.sleep(seconds)
+
+
 def submit(context, names, node, **options):
     context.items = [(name, f"/batch/x/{name}") for name in names]
     context.submitted_at = time.monotonic()
