Gossip and placing that stand a fleet of some fifty nodes

Change: in large fleets a round a second with two peers, admissions of the last seconds only, the less loaded of two endpoints, no watch for jobs by all nodes at a loss; at most 64 addresses in the directory's answer.

--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -7,6 +7,10 @@
 # A node that was not heard for this long gets no callers and holds no jobs, in
 # seconds; several rounds of gossip have failed by then.
 SILENT_SECONDS = 1.5
+# The same in a fleet so large that news passes through several nodes, a round each.
+SILENT_SECONDS_LARGE = 6.0
+# Peers up to which each hears of all others directly within about a round.
+SMALL_FLEET = 12
 # A silent node keeps its share of the quotas for this long, in seconds: longer than
 # the partitions that the platform's pages tell of, since it may serve on.
 FORGET_SECONDS = 20.0
@@ -82,12 +86,18 @@
         found = self._heard.get(node_id)
         return found and found[0]
 
+    @property
+    def is_large(self):
+        """Whether news reaches all nodes only through others."""
+        return len(self._heard) > SMALL_FLEET
+
     def live(self, now):
         """Return the states of peers that were heard lately and have not left."""
+        silent = SILENT_SECONDS_LARGE if self.is_large else SILENT_SECONDS
         return [
             state
             for state, at in self._heard.values()
-            if now - at <= SILENT_SECONDS and not state.is_gone
+            if now - at <= silent and not state.is_gone
         ]
 
     def known(self, now):
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -15,9 +15,13 @@
 RETURN_SECONDS_MAX = 1.2
 # Peers gossip several times a second; what one said longer ago no longer holds.
 PEER_LOAD_SECONDS = 1.5
+# In a large fleet news is older, and what it tells of batch items still holds.
+PEER_LOAD_SECONDS_LARGE = 4.0
 # Endpoints whose loads differ by this many requests count as alike: the nodes' figures
 # lag by about as much, and all of them would choose the very least one.
 ALIKE_REQUESTS = 1
+# Endpoints looked at for a request in a large fleet.
+SAMPLE_SIZE = 2
 # How long an endpoint is avoided after its first failure in a row; doubled with each
 # further one, up to the maximum. An endpoint is back some seconds after a crash.
 AVOID_SECONDS = 0.5
@@ -73,6 +77,7 @@
         self._pace_by_id = {}
         self._refused_at = []
         self._busy_at = None
+        self.is_fleet_large = False
 
     def begin(self, endpoint_id, is_batch):
         """Count a request that is sent to an endpoint."""
@@ -98,12 +103,16 @@
         """Return the pair of online and batch requests in flight at an endpoint."""
         online, batch = self._own_by_id.get(endpoint_id, (0, 0))
         for heard_at, count_by_endpoint in self._peers.values():
-            if now - heard_at <= PEER_LOAD_SECONDS:
+            if now - heard_at <= self._peer_load_seconds:
                 theirs = count_by_endpoint.get(endpoint_id, (0, 0))
                 online += theirs[0]
                 batch += theirs[1]
         return online, batch
 
+    @property
+    def _peer_load_seconds(self):
+        return PEER_LOAD_SECONDS_LARGE if self.is_fleet_large else PEER_LOAD_SECONDS
+
     def note_success(self, endpoint_id):
         """Forget earlier failures of an endpoint that has answered."""
         self._health_by_id.pop(endpoint_id, None)
@@ -149,6 +158,10 @@
             ranked.append((load / slots, tie, endpoint, online, batch, slots))
         if not ranked:
             return Full(AVOID_SECONDS, bool(endpoints))
+        if self.is_fleet_large:
+            sampled = self._least_of_sample(ranked)
+            if sampled is not None:
+                return Placed(sampled)
         least = min(ranked, key=lambda row: row[:2])
         most = least[0] + ALIKE_REQUESTS / least[5]
         alike = [row for row in ranked if row[0] <= most and row[3] + row[4] < row[5]]
@@ -158,6 +171,16 @@
             return Placed(endpoint.endpoint_id)
         return self._choose_busy(ranked, headroom, now)
 
+    def _least_of_sample(self, ranked):
+        """Return the less loaded of a few endpoints, None if all of them are full.
+
+        With news seconds old, many nodes would all choose the one that was least
+        loaded then.
+        """
+        sample = sorted(ranked, key=lambda row: row[1])[:SAMPLE_SIZE]
+        free = [row for row in sample if row[3] + row[4] < row[5]]
+        return min(free, key=lambda row: row[:2])[2].endpoint_id if free else None
+
     def _choose_busy(self, ranked, headroom, now):
         self._busy_at = now
         for _, _, endpoint, *_ in sorted(ranked, key=lambda row: row[:2]):
@@ -180,7 +203,7 @@
         """Return the ids of peers with batch items at an endpoint, one an item."""
         nodes = []
         for node_id, (heard_at, count_by_endpoint) in self._peers.items():
-            if now - heard_at <= PEER_LOAD_SECONDS:
+            if now - heard_at <= self._peer_load_seconds:
                 nodes += [node_id] * count_by_endpoint.get(endpoint_id, (0, 0))[1]
         return nodes
 
@@ -190,6 +213,9 @@
         The endpoint has a slot free beyond `reserve` slots.
         """
         best = None
+        if self.is_fleet_large:
+            by_rank = sorted(endpoints, key=lambda e: rank(spread, e.endpoint_id))
+            endpoints = by_rank[:SAMPLE_SIZE]
         for endpoint in endpoints:
             if not self._is_open(endpoint, now):
                 continue
--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -40,6 +40,7 @@
         self._start_level = 1.0 if is_first_start else RESTART_LEVEL
         self._bucket_by_workspace = {}
         self._admitted_by_workspace = {}
+        self._admitted_at_by_workspace = {}
         self._heard = {}
 
     def configure(self, limit_by_workspace, now):
@@ -68,14 +69,23 @@
             bucket.level -= 1.0
         count = self._admitted_by_workspace.get(workspace, 0)
         self._admitted_by_workspace[workspace] = count + 1
+        self._admitted_at_by_workspace[workspace] = now
         return None
 
     def admitted(self):
         """Return this node's admitted requests since its start, by workspace."""
         return dict(self._admitted_by_workspace)
 
+    def admitted_since(self, now, seconds):
+        """Return the same for workspaces that had any in the last `seconds`."""
+        return {
+            workspace: count
+            for workspace, count in self._admitted_by_workspace.items()
+            if now - self._admitted_at_by_workspace[workspace] <= seconds
+        }
+
     def hear(self, node_id, incarnation, admitted_by_workspace, now, share):
-        """Take a peer's admitted requests since its start.
+        """Take a peer's admitted requests since its start; some may be left out.
 
         The first figure of a peer that this node had not met only sets the mark.
         """
@@ -84,7 +94,7 @@
         for stale in [k for k in self._heard if k[0] == node_id and k != key]:
             del self._heard[stale]
             before = before or {}
-        self._heard[key] = admitted_by_workspace
+        self._heard[key] = {**(before or {}), **admitted_by_workspace}
         if before is None:
             return
         for workspace, count in admitted_by_workspace.items():
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -22,10 +22,12 @@
 
 # States of peers heard in this time are passed on to others, in seconds.
 RELAY_SECONDS = 1.0
-# Peers up to which each hears of all others directly within about a round; there, what
-# others told is passed on with each n-th message only, for those that are cut apart.
-SMALL_FLEET = 10
+# In a small fleet, where each node hears of all others directly, what others told is
+# passed on with each n-th message only, for those that are cut apart.
 RELAY_EACH = 8
+# In a large fleet a state leaves out the workspaces without a request in this time, in
+# seconds; a node that missed a round hears of them in the next.
+ADMITTED_SECONDS = 5.0
 
 
 class Admit(NamedTuple):
@@ -132,6 +134,7 @@
     own: NodeState
     others: list
     is_busy: bool
+    is_fleet_large: bool
 
 
 class BatchPeers(NamedTuple):
@@ -322,10 +325,14 @@
         )
 
     def _publish(self, message, now):
+        is_large = self._loads.is_fleet_large = self._nodes.is_large
+        admitted = self._quotas.admitted()
+        if is_large and self._state.sequence % RELAY_EACH:
+            admitted = self._quotas.admitted_since(now, ADMITTED_SECONDS)
         self._state = self._state._replace(
             sequence=self._state.sequence + 1,
             load_by_endpoint=self._loads.own(),
-            admitted_by_workspace=self._quotas.admitted(),
+            admitted_by_workspace=admitted,
             batch_backlog=message.batch_backlog,
             batch_running=message.batch_running,
             jobs=message.jobs,
@@ -333,10 +340,10 @@
             crashes=tuple(self._quarantine.crashes(now)),
         )
         others = []
-        is_large = len(self._nodes.live(now)) > SMALL_FLEET
         if is_large or self._state.sequence % RELAY_EACH == 0:
             others = self._nodes.newer_than(now, RELAY_SECONDS)
-        return Published(self._state, others, self._loads.is_busy(now))
+        is_busy = self._loads.is_busy(now)
+        return Published(self._state, others, is_busy, is_large)
 
     def _hear(self, states, now):
         """Take states; return those that were news."""
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -1,6 +1,7 @@
 """Puts a gateway node together and runs it until it is told to stop."""
 
 import contextlib
+import random
 import time
 from typing import Any
 
@@ -29,6 +30,8 @@
 # Time kept for the last steps before the process is killed, in seconds.
 EXIT_MARGIN_SECONDS = 0.7
 SIDE_THREADS = 4
+# Addresses in one answer of the directory: the platform's pages.
+ADDRESSES_MAX = 64
 
 
 class Parts:
@@ -223,4 +226,6 @@
         ]
         if self._is_ready():
             addresses.append(self._parts.settings.listen.data)
+        if len(addresses) > ADDRESSES_MAX:
+            addresses = random.sample(addresses, ADDRESSES_MAX)
         return sorted(addresses)
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -16,6 +16,10 @@
 ROUND_SECONDS = 0.2
 # While endpoints are full, each place counts: news of ends is as welcome as of starts.
 BUSY_ROUND_SECONDS = 0.08
+# In a large fleet each round passes on what many nodes told: a message holds some 200
+# bytes a node, and a few kilobytes a second are to be spent on control.
+LARGE_ROUND_SECONDS = 1.0
+LARGE_FANOUT = 2
 # Peers asked in a round; each is told by as many, so that a fleet of the sites' size
 # hears of all within a round.
 FANOUT = 4
@@ -35,6 +39,7 @@
         self._on_loss = on_loss
         self._live_ids = frozenset()
         self._is_busy = False
+        self._is_large = False
         self._log = structlog.get_logger()
         self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
 
@@ -52,6 +57,7 @@
         )
         published = self._parts.coordinator.ask(publish)
         self._is_busy = published.is_busy
+        self._is_large = published.is_fleet_large
         states = [published.own, *published.others]
         return fleet_pb2.FleetDigest(nodes=map(encode_state, states))
 
@@ -61,8 +67,6 @@
         news = self._parts.coordinator.ask(Heard(states))
         for state in news:
             self._release_doubles(state)
-            if state.is_leaving:
-                self._on_loss()
 
     def heard_share(self):
         """Return the part of the known nodes that are heard, this one included."""
@@ -86,15 +90,18 @@
         for reply in self._pool.map(tell, targets):
             if reply is not None:
                 self.hear(reply)
-        self._client.keep([*addresses, *seeds])
+        if not self._is_large:
+            self._client.keep([*addresses, *seeds])
 
     def _run(self):
         while not self._stopped.wait(self._pause()):
-            self.run_round()
+            self.run_round(LARGE_FANOUT if self._is_large else FANOUT)
             self._look()
 
     def _pause(self):
         seconds = BUSY_ROUND_SECONDS if self._is_busy else ROUND_SECONDS
+        if self._is_large:
+            seconds = LARGE_ROUND_SECONDS
         return seconds * (0.8 + 0.4 * random.random())
 
     def _look(self):
@@ -104,7 +111,8 @@
             lost = sorted(self._live_ids - ids)
             self._log.info("peers changed", lost=lost, met=sorted(ids - self._live_ids))
             self._live_ids = ids
-            if lost:
+            # In a large fleet the node with the lowest id looks after a while.
+            if lost and not self._is_large:
                 self._on_loss()
         newest = max(live, key=lambda s: s.configuration_version, default=None)
         knowledge = self._parts.knowledge
