Ask the store before answering for a job that another node may have taken over

Change: a holder answers from memory only while all peers were told of it within a second, by a clock that runs on in suspension, and no write of its own is unanswered; else it reads the job's pages first.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -7,6 +7,7 @@
 from .attempts import Fault, Next, Progress, next_step
 from .endpoints import Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
+from .exclusive import Contacts
 from .hashing import rank
 from .jobs import Batch, Item, ItemEnd, JobSpec, Result, job_key
 from .nodes import JobNote, NodeState, NodeTable, job_holder
@@ -27,6 +28,7 @@
 __all__ = [
     "RESERVE_SLOTS",
     "Batch",
+    "Contacts",
     "Endpoint",
     "EndpointDirectory",
     "Event",
--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/exclusive.py
@@ -0,0 +1,40 @@
+"""Whether a node can be sure that no other took over what it holds."""
+
+# Peers take a node's jobs over once they have not heard of it for `SILENT_SECONDS`; a
+# node trusts itself for less than that, in seconds, to allow for calls under way.
+TRUST_SECONDS = 1.0
+
+
+class Contacts:
+    """When each peer was last told of this node, by a clock that runs in suspension.
+
+    A node that was frozen, suspended or cut off finds its contacts old, and asks the
+    store before it answers for what it holds.
+
+    >>> contacts = Contacts()
+    >>> contacts.note_told("b", sent_at=10.0)
+    >>> contacts.is_exclusive(["b"], now=10.5), contacts.is_exclusive(["b"], now=11.5)
+    (True, False)
+    >>> contacts.is_exclusive(["b", "c"], now=10.5)
+    False
+    """
+
+    def __init__(self):
+        self._told_at_by_id = {}
+
+    def note_told(self, node_id, sent_at):
+        """Take note that a peer answered a message that was sent at `sent_at`."""
+        known = self._told_at_by_id.get(node_id, sent_at)
+        self._told_at_by_id[node_id] = max(known, sent_at)
+
+    def told_at(self, node_id):
+        """Return when a peer was last told, 0.0 if it never was."""
+        return self._told_at_by_id.get(node_id, 0.0)
+
+    def is_exclusive(self, peer_ids, now):
+        """Return whether all peers know that this node lives."""
+        return all(now - self.told_at(peer) <= TRUST_SECONDS for peer in peer_ids)
+
+    def is_in_touch(self, peer_ids, now):
+        """Return whether any peer knows it, for fleets too large to tell all."""
+        return any(now - self.told_at(peer) <= TRUST_SECONDS for peer in peer_ids)
--- a/packages/decisions/sequoiaglade_decisions/gateway/pages.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/pages.py
@@ -38,8 +38,14 @@
         last = len(self._pages) - 1
         return last if last >= 0 and not _is_full(self._pages[last]) else last + 1
 
+    def pages(self):
+        """Return the pages as pairs of results and revision."""
+        return list(zip(self._pages, self._revisions))
+
     def put(self, number, results, revision):
-        """Take a page as it was read or written."""
+        """Take a page as it was read or written, unless a newer one is known."""
+        if number < len(self._pages) and revision < self._revisions[number]:
+            return
         if number == len(self._pages):
             self._pages.append(list(results))
             self._revisions.append(revision)
--- a/packages/gateway/sequoiaglade_gateway/batch/board.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/board.py
@@ -17,6 +17,8 @@
         self.pages = pages
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
+        # Whether the store's pages are known to be as here: no write is unanswered.
+        self.is_settled = True
         self.batch.note_listed(pages.results)
 
     @property
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -179,7 +179,7 @@
         return json_response(202, {})
 
     def _read(self, call, key, after):
-        window = self._board.window(key, after, WINDOW_CHARACTERS)
+        window = self.held_window(key, after)
         if window is None:
             window = self._read_from_peer(key, after)
         if window is None:
@@ -190,6 +190,35 @@
         body = self._parts.dialect.results_body(total, after, results)
         return json_response(200, body)
 
+    def held_window(self, key, after):
+        """Return the total and the results of a held job from `after`, else None.
+
+        Another node may have listed more if this one was out of touch or a write of
+        its own is unanswered: the store is asked then.
+        """
+        job = self._board.get(key)
+        if job is None:
+            return None
+        if not job.is_settled or not self._parts.peers.is_exclusive():
+            failure = self._refresh(job)
+            if failure is not None:
+                return None
+        return self._board.window(key, after, WINDOW_CHARACTERS)
+
+    def _refresh(self, job):
+        pages = ResultPages()
+        with self._board.lock:
+            for number, page in enumerate(job.pages.pages()):
+                pages.put(number, *page)
+        failure = self._storage.read_pages(job.key, pages)
+        if failure is not None:
+            return failure
+        with self._board.lock:
+            for number, page in enumerate(pages.pages()):
+                job.pages.put(number, *page)
+            job.batch.note_listed(job.pages.results)
+        return None
+
     def _read_from_peer(self, key, after):
         address = self._peer_of(key)
         return address and self._parts.peers.read_job(address, key, after)
--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -57,6 +57,7 @@
             number, revision, content = job.pages.plan(job.batch.unlisted())
         if content is None:
             return self._mark_finished(job)
+        job.is_settled = False
         page = self._storage.write_page(job.key, number, revision, content)
         if isinstance(page, Failure):
             self._log.info(
@@ -74,6 +75,7 @@
         with self._board.lock:
             job.pages.put(number, page.results, page.revision)
             job.batch.note_listed(page.results)
+            job.is_settled = True
         self._log.info(
             "results listed", job=job.key, page=number, listed=job.pages.count
         )
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -147,6 +147,10 @@
     """Ask for the states of live peers; answers a list."""
 
 
+class KnownNodes(NamedTuple):
+    """Ask for the ids of peers that may live; answers a list."""
+
+
 class HeardShare(NamedTuple):
     """Ask for the part of the known nodes that are heard; answers a number."""
 
@@ -222,6 +226,8 @@
                 return self._batch_peers(endpoint_id, now)
             case LiveNodes():
                 return self._nodes.live(now)
+            case KnownNodes():
+                return [state.node_id for state in self._nodes.known(now)]
             case HeardShare():
                 return self._share(now)
             case BatchShare():
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -60,6 +60,7 @@
         self.end_job = client.end_job
         self.store_job = client.store_job
         self.heard_share = gossip.heard_share
+        self.is_exclusive = gossip.is_exclusive
 
 
 class GatewayNode:
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -2,13 +2,15 @@
 
 import concurrent.futures
 import random
+import time
 
 import structlog
 
+from sequoiaglade_decisions.gateway import Contacts
 from sequoiaglade_node.threads import OwnedThread
 from sequoiaglade_protocol import fleet_pb2
 
-from ..coordinator import Heard, HeardShare, LiveNodes, Publish
+from ..coordinator import Heard, HeardShare, KnownNodes, LiveNodes, Publish
 from .codec import decode_state, encode_state
 
 # A request takes the better part of a second, so that news of this age still tells
@@ -40,6 +42,7 @@
         self._live_ids = frozenset()
         self._is_busy = False
         self._is_large = False
+        self._contacts = Contacts()
         self._log = structlog.get_logger()
         self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
 
@@ -72,23 +75,33 @@
         """Return the part of the known nodes that are heard, this one included."""
         return self._parts.coordinator.ask(HeardShare())
 
+    def is_exclusive(self):
+        """Return whether no peer can have taken over what this node holds."""
+        known = self._parts.coordinator.ask(KnownNodes())
+        if self._is_large:
+            return self._contacts.is_in_touch(known, _now())
+        return self._contacts.is_exclusive(known, _now())
+
     def run_round(self, count=FANOUT):
         """Tell a few peers, and take what they tell."""
         live = self._parts.coordinator.ask(LiveNodes())
         addresses = [state.peer_address for state in live]
         own = self._parts.settings.listen.peer
         seeds = [a for a in self._parts.settings.seeds if a != own]
-        targets = list(addresses)
-        random.shuffle(targets)
-        targets = targets[:count]
+        random.shuffle(live)
+        live.sort(key=lambda state: self._contacts.told_at(state.node_id))
+        targets = [state.peer_address for state in live[:count]]
         # Seeds that are not heard are tried on: they may be back, or cut off alone.
         missing = [seed for seed in seeds if seed not in addresses]
         if missing and (len(targets) < count or random.random() < 0.2):
             targets.append(random.choice(missing))
         digest = self.digest()
+        sent_at = _now()
         tell = lambda a: self._client.gossip(a, digest, CALL_SECONDS)  # noqa: E731
         for reply in self._pool.map(tell, targets):
             if reply is not None:
+                # A digest begins with its sender's own state.
+                self._contacts.note_told(reply.nodes[0].node_id, sent_at)
                 self.hear(reply)
         if not self._is_large:
             self._client.keep([*addresses, *seeds])
@@ -131,3 +144,8 @@
                 self._board.release(note.job_key)
                 self._runner.stop_job(note.job_key)
                 self._log.info("job left to peer", job=note.job_key, peer=state.node_id)
+
+
+def _now():
+    """Return the seconds of a clock that runs on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -5,8 +5,6 @@
 
 from .codec import encode_results
 
-WINDOW_CHARACTERS = 400_000
-
 
 class FleetServicer(fleet_pb2_grpc.FleetServicer):
     """Answers the calls of the service `Fleet`."""
@@ -28,7 +26,7 @@
         )
 
     def ReadJob(self, request, context):  # noqa: N802
-        window = self._board.window(request.job_key, request.after, WINDOW_CHARACTERS)
+        window = self._batch.held_window(request.job_key, request.after)
         if window is None:
             return fleet_pb2.ReadJobReply(is_held=False)
         total, results = window
--- a/tests/features/gateway/batch.feature
+++ b/tests/features/gateway/batch.feature
@@ -22,6 +22,12 @@
     And gateway 0 is killed
     Then within 15 seconds all items are completed at gateway 1
 
+  Scenario: A frozen gateway wakes after another has taken its job over
+    Given 2 gateways and 2 slow runners
+    When a job of 24 items is submitted at gateway 0
+    And gateway 0 is frozen until gateway 1 has listed 8 results more
+    Then gateway 0 shows at least as many results as gateway 1 did
+
   Scenario: All gateways are killed right after a job was accepted
     Given 2 gateways and 2 runners
     When a job of 6 items is submitted at gateway 0
--- a/tests/features/steps/gateway_batch_steps.py
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -1,5 +1,6 @@
 """Steps of batch jobs through real gateways on the emulated platform."""
 
+import signal
 import time
 from collections import Counter
 
@@ -124,6 +125,26 @@
     context.gateways.nodes[0].kill()
 
 
+@when("gateway 0 is frozen until gateway 1 has listed {count:d} results more")
+def freeze(context, count):
+    process = context.gateways.nodes[0].process
+    wait_until(lambda: results(context, 0), 10.0, "a result is listed")
+    before = len(results(context, 0))
+    process.send_signal(signal.SIGSTOP)
+    try:
+        listed = lambda: len(results(context, 1)) >= before + count  # noqa: E731
+        wait_until(listed, 15.0, "gateway 1 lists more")
+        context.seen = results(context, 1)
+    finally:
+        process.send_signal(signal.SIGCONT)
+
+
+@then("gateway 0 shows at least as many results as gateway 1 did")
+def check_not_older(context):
+    found = results(context, 0)
+    assert found[: len(context.seen)] == context.seen, (len(found), len(context.seen))
+
+
 @when("all gateways are killed and started again")
 def restart_all(context):
     for node in context.gateways.nodes:
