A gateway that was held up hears its peers before it takes over their jobs

Change: after a round that comes two seconds late no job is adopted for a second; for 8 s after an adoption, or after a second holder was seen, each read asks the store. The storage node tries its status again.

--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -59,6 +59,9 @@
         self._stopped.wait(MEET_SECONDS)
         is_due = True
         while not self._stopped.is_set():
+            if self._parts.peers.seconds_awake() < MEET_SECONDS:
+                # After a freeze all peers look lost until they are heard again.
+                self._stopped.wait(MEET_SECONDS)
             if is_due and not self.is_leaving:
                 is_due = not self._adopt_orphans()
             if is_due:
@@ -114,7 +117,9 @@
             return False
         configuration = self._parts.knowledge.configuration
         route = configuration and configuration.match(spec.host, spec.path)
-        self._board.add(held_job(header, spec, route, pages))
+        job = held_job(header, spec, route, pages)
+        job.confirm_reads()
+        self._board.add(job)
         self._log.info(
             "job adopted",
             job=spec.key,
--- a/packages/gateway/sequoiaglade_gateway/batch/board.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/board.py
@@ -5,6 +5,10 @@
 
 from sequoiaglade_decisions.gateway import Batch, JobNote, ResultPages
 
+# How long a former or second holder's writes may still arrive, in seconds: the store
+# may do an unanswered write up to six seconds later.
+CONFIRM_SECONDS = 8.0
+
 
 class HeldJob:
     """A job that this node runs or ran, with its listed results."""
@@ -19,8 +23,13 @@
         self.is_marked_finished = header.is_finished
         # Whether the store's pages are known to be as here: no write is unanswered.
         self.is_settled = True
+        self.confirm_until = 0.0
         self.batch.note_listed(pages.results)
 
+    def confirm_reads(self):
+        """Have reads ask the store for a while: another node may list results."""
+        self.confirm_until = time.monotonic() + CONFIRM_SECONDS
+
     @property
     def key(self):
         """Name of the job in the store."""
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -199,7 +199,8 @@
         job = self._board.get(key)
         if job is None:
             return None
-        if not job.is_settled or not self._parts.peers.is_exclusive():
+        is_sure = job.is_settled and time.monotonic() > job.confirm_until
+        if not is_sure or not self._parts.peers.is_exclusive():
             failure = self._refresh(job)
             if failure is not None:
                 return None
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -61,6 +61,7 @@
         self.store_job = client.store_job
         self.heard_share = gossip.heard_share
         self.is_exclusive = gossip.is_exclusive
+        self.seconds_awake = gossip.seconds_awake
 
 
 class GatewayNode:
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -22,6 +22,9 @@
 # bytes a node, and a few kilobytes a second are to be spent on control.
 LARGE_ROUND_SECONDS = 1.0
 LARGE_FANOUT = 2
+# A round that comes this late, in seconds, shows that the process was frozen; what it
+# knows of its peers is as old then.
+HELD_UP_SECONDS = LARGE_ROUND_SECONDS + 1.0
 # Peers asked in a round; each is told by as many, so that a fleet of the sites' size
 # hears of all within a round.
 FANOUT = 4
@@ -43,6 +46,7 @@
         self._is_busy = False
         self._is_large = False
         self._contacts = Contacts()
+        self._round_at = self._woke_at = _now()
         self._log = structlog.get_logger()
         self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
 
@@ -108,9 +112,22 @@
 
     def _run(self):
         while not self._stopped.wait(self._pause()):
+            self._note_round()
             self.run_round(LARGE_FANOUT if self._is_large else FANOUT)
             self._look()
 
+    def seconds_awake(self):
+        """Return the seconds since this node was last held up."""
+        return _now() - self._woke_at
+
+    def _note_round(self):
+        now = _now()
+        held_up = now - self._round_at
+        self._round_at = now
+        if held_up > HELD_UP_SECONDS:
+            self._woke_at = now
+            self._log.info("node was held up", seconds=round(held_up, 3))
+
     def _pause(self):
         seconds = BUSY_ROUND_SECONDS if self._is_busy else ROUND_SECONDS
         if self._is_large:
@@ -136,11 +153,18 @@
 
     def _release_doubles(self, state):
         """Leave a job to a peer with a lower id that holds it as well."""
-        if state.node_id >= self._parts.settings.node_id or state.is_leaving:
-            return
+        goes_first = state.node_id < self._parts.settings.node_id
         for note in state.jobs:
             job = self._board.get(note.job_key)
-            if job is not None and note.is_open and job.batch.is_open:
+            if job is not None:
+                job.confirm_reads()
+            if (
+                job is not None
+                and note.is_open
+                and goes_first
+                and job.batch.is_open
+                and not state.is_leaving
+            ):
                 self._board.release(note.job_key)
                 self._runner.stop_job(note.job_key)
                 self._log.info("job left to peer", job=note.job_key, peer=state.node_id)
--- a/packages/gateway/sequoiaglade_gateway/retirement.py
+++ b/packages/gateway/sequoiaglade_gateway/retirement.py
@@ -4,12 +4,17 @@
 answers the operator who wants the instance emptied: it is empty at any time.
 """
 
+import threading
+
 import structlog
 
-from sequoiaglade_decisions.outcomes import Failure
+from sequoiaglade_decisions.outcomes import Failure, FailureCode
 
 from .knowledge import KindWatcher
 
+# Pause after the store failed, in seconds.
+RETRY_SECONDS = 0.5
+
 
 class RetirementNode:
     """Follows the requests to empty this instance; a context manager."""
@@ -19,6 +24,7 @@
         self._dialect = dialect
         self._store = store
         self._log = structlog.get_logger()
+        self._stopped = threading.Event()
         self._watcher = KindWatcher(
             store, dialect.kinds.retirements, self._listed, self._changed
         )
@@ -29,6 +35,7 @@
         return self
 
     def __exit__(self, *exc_info):
+        self._stopped.set()
         self._watcher.__exit__(*exc_info)
         self._log.info("node stopped")
 
@@ -51,6 +58,11 @@
         if name != self._settings.node_id:
             return
         status = self._dialect.retirement_status()
-        done = self._store.put_status(self._dialect.kinds.retirements, name, status)
-        reason = done.reason if isinstance(done, Failure) else None
-        self._log.info("instance is empty", told=reason is None, reason=reason)
+        kind = self._dialect.kinds.retirements
+        while not self._stopped.is_set():
+            done = self._store.put_status(kind, name, status)
+            reason = done.reason if isinstance(done, Failure) else None
+            self._log.info("instance is empty", told=reason is None, reason=reason)
+            if reason is None or done.code is FailureCode.NOT_FOUND:
+                return
+            self._stopped.wait(RETRY_SECONDS)
--- a/tests/features/gateway/batch.feature
+++ b/tests/features/gateway/batch.feature
@@ -28,6 +28,12 @@
     And gateway 0 is frozen until gateway 1 has listed 8 results more
     Then gateway 0 shows at least as many results as gateway 1 did
 
+  Scenario: A gateway that wakes leaves others' jobs to them, and shows no older list
+    Given 2 gateways and 2 slow runners
+    When a job of 24 items is submitted at gateway 1
+    And gateway 0 is frozen for 4 seconds
+    Then for 4 seconds gateway 0 never shows fewer results than gateway 1
+
   Scenario: All gateways are killed right after a job was accepted
     Given 2 gateways and 2 runners
     When a job of 6 items is submitted at gateway 0
--- a/tests/features/steps/gateway_batch_steps.py
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -139,6 +139,26 @@
         process.send_signal(signal.SIGCONT)
 
 
+@when("gateway 0 is frozen for {seconds:d} seconds")
+def freeze_for(context, seconds):
+    process = context.gateways.nodes[0].process
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(seconds)
+    process.send_signal(signal.SIGCONT)
+
+
+@then("for {seconds:d} seconds gateway 0 never shows fewer results than gateway 1")
+def check_never_older(context, seconds):
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        seen = results(context, 1)
+        status, body = context.gateways.results(context.job_id, 0)
+        assert status == 503 or body["Results"][: len(seen)] == seen, (body, seen)
+        time.sleep(0.02)
+    accounts = context.gateways.nodes[0].log_lines()
+    assert not any(line["event"] == "job adopted" for line in accounts), accounts
+
+
 @then("gateway 0 shows at least as many results as gateway 1 did")
 def check_not_older(context):
     found = results(context, 0)
--- /dev/null
+++ b/tests/features/steps/gateway_storage_steps.py
@@ -0,0 +1,44 @@
+"""Steps of nodes with a disk, and of settings."""
+
+import time
+
+from behave import given, then, when
+from emulator.fleet import GatewayProcess, wait_until
+
+
+@given("a storage node")
+def given_storage(context):
+    context.storage_id = context.gateways.start_storage()
+    time.sleep(1.5)
+
+
+@when("its instance is to be emptied while the store is down for {seconds:d} seconds")
+def retire(context, seconds):
+    fleet = context.gateways
+    fleet.store.set_down(True)
+    fleet.retire(context.storage_id)
+    time.sleep(seconds)
+    fleet.store.set_down(False)
+
+
+@then("within {seconds:d} seconds the system says that it is empty")
+def check_empty(context, seconds):
+    fleet = context.gateways
+    told = lambda: fleet.retirement_state(context.storage_id) == "completed"  # noqa: E731
+    wait_until(told, seconds, "the instance is empty")
+
+
+@when("a gateway starts with settings without an address and with a word for a number")
+def start_faulty(context):
+    fleet = context.gateways
+    settings = {**fleet.nodes[0].settings, "grace_seconds": "long"}
+    settings["listen"] = {**settings["listen"], "data": ""}
+    context.faulty = GatewayProcess(fleet.folder, "faulty", settings)
+    context.faulty.start()
+
+
+@then('it ends with code {code:d} and names "{first}" and "{second}"')
+def check_faults(context, code, first, second):
+    assert context.faulty.process.wait(10) == code
+    text = context.faulty.log_path.read_text(encoding="utf-8")
+    assert first in text and second in text, text
