--- a/bin/code_shares.py
+++ b/bin/code_shares.py
@@ -11,6 +11,7 @@
 DECIDING = {
     "decisions": (
         "configuration",
+        "gateway",
         "idempotency",
         "jobs",
         "limits",
--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -13,7 +13,7 @@
 from .nodes import JobNote, NodeState, NodeTable, job_holder
 from .orphans import Orphans
 from .pages import ResultPages
-from .placement import Full, Loads, Placed
+from .placement import DEFAULT_SLOTS, Full, Loads, Placed
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
 from .routes import (
@@ -26,6 +26,7 @@
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
 
 __all__ = [
+    "DEFAULT_SLOTS",
     "RESERVE_SLOTS",
     "Batch",
     "Contacts",
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -7,6 +7,7 @@
 import structlog
 
 from sequoiaglade_decisions.gateway import (
+    DEFAULT_SLOTS,
     RESERVE_SLOTS,
     EndpointDirectory,
     FleetQuotas,
@@ -376,7 +377,7 @@
         for endpoint in self._directory.usable(message.service, now):
             if self._loads.is_open(endpoint, now):
                 online, _ = self._loads.counts(endpoint.endpoint_id, now)
-                free = (endpoint.slots or 8) - online
+                free = (endpoint.slots or DEFAULT_SLOTS) - online
                 free_by_endpoint[endpoint.endpoint_id] = free
         backlog_by_node = {s.node_id: s.batch_backlog for s in self._nodes.live(now)}
         backlog_by_node[self._settings.node_id] = message.backlog
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -28,14 +28,6 @@
         return self.target.partition("?")[0]
 
 
-class EndpointLoad(NamedTuple):
-    """Load as an endpoint tells it with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class AnswerHead(NamedTuple):
     """What the head of an endpoint's answer tells.
 
@@ -47,7 +39,6 @@
     request_id: str | None
     is_signed: bool
     is_not_run: bool
-    load: EndpointLoad | None
 
 
 class ReadJob(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -71,8 +71,8 @@
     def ask_to_yield(self, address, endpoint_id):
         """Ask a peer to stop a batch item at an endpoint; don't wait for it."""
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
-        request = fleet_pb2.YieldRequest(endpoint_id=endpoint_id)
-        stub.Yield.future(request, timeout=CALL_SECONDS)
+        request = fleet_pb2.RoomRequest(endpoint_id=endpoint_id)
+        stub.MakeRoom.future(request, timeout=CALL_SECONDS)
 
     def keep(self, addresses):
         """Close channels to addresses that are no longer in use."""
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -52,9 +52,9 @@
             failure_code=failure.code.value, reason=failure.reason
         )
 
-    def Yield(self, request, context):  # noqa: N802
+    def MakeRoom(self, request, context):  # noqa: N802
         self._batch.preempt(request.endpoint_id)
-        return fleet_pb2.YieldReply()
+        return fleet_pb2.RoomReply()
 
 
 def start_peer_server(stack, address, servicer):
--- a/tests/features/steps/gateway_batch_steps.py
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -237,8 +237,7 @@
     fleet = context.gateways
     fleet.workspaces["other"] = {"keys": ["key-other"]}
     fleet.configure()
-    path = f"/v1/lots/{context.job_id}?After=0"
-    ask = lambda: fleet.ask(path, 1, key="key-other", method="GET", body=b"").status  # noqa: E731
+    ask = lambda: fleet.results(context.job_id, 1, key="key-other")[0]  # noqa: E731
     wait_until(lambda: ask() != 401, 2.0, "the key is known")
     assert ask() == 404
 
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -4,10 +4,9 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-import urllib3
 from behave import given, then, when
 from emulator import RunnerPlan
-from emulator.fleet import HOST, wait_until
+from emulator.fleet import wait_until
 from gateway_calls import SLOW, ask_together, runs, start
 
 
@@ -79,7 +78,7 @@
 def check_whole(context, count):
     (answer,) = context.answers
     assert answer.status == 200, answer
-    assert answer.is_whole and "Server-Stamp" in answer.headers, answer
+    assert answer.is_whole and answer.is_signed, answer
     assert answer.events == list(range(1, count + 1)), answer
 
 
@@ -218,18 +217,7 @@
 
 @when("a caller leaves after the first event")
 def hang_up(context):
-    fleet = context.gateways
-    pool = urllib3.HTTPConnectionPool(fleet.nodes[0].data, timeout=5)
-    response = pool.request(
-        "POST",
-        "/once/1",
-        body=b"{}",
-        headers={"Host": HOST, "Request-Id": "hang-up", "Key": "key-yard"},
-        preload_content=False,
-    )
-    response.read1(10)
-    response.close()
-    pool.close()
+    context.gateways.leave_after_first_event("/once/1")
 
 
 @then("within {seconds:f} seconds nothing runs")
