--- a/packages/gateway/sequoiaglade_gateway/knowledge/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/knowledge/watcher.py
@@ -10,6 +10,9 @@
 # How long one call of a watch waits, in seconds. Keep-alive probes find a connection
 # that went silent, so that a longer wait costs no freshness, and fewer calls.
 WATCH_SECONDS = 20.0
+# How long the first call after a failure waits, in seconds: it is to show at once that
+# the store is back, also where nothing has changed.
+PROBE_SECONDS = 0.02
 # Pause after a failed call, in seconds; changes are due everywhere within two.
 RETRY_SECONDS = 0.4
 
@@ -53,7 +56,8 @@
         return None
 
     def _watch(self):
-        seen = self._store.watch(self._kind, self._revision, WATCH_SECONDS)
+        seconds = WATCH_SECONDS if self._is_reachable else PROBE_SECONDS
+        seen = self._store.watch(self._kind, self._revision, seconds)
         if isinstance(seen, Failure):
             return seen
         self._note(None)
--- a/tests/features/gateway/batch.feature
+++ b/tests/features/gateway/batch.feature
@@ -76,6 +76,12 @@
     When the store is back
     Then no item of it runs within 2 seconds
 
+  Scenario: Jobs are accepted again soon after an outage of the store
+    Given 2 gateways and 1 runner
+    When the store is down
+    And the store is back
+    Then within 2 seconds a job is accepted at every gateway
+
   Scenario: Items that can't be done
     Given 1 gateway and 2 runners that answer 422 on "never" and 500 on "fails"
     When a job with an item "never", an item "fails" and 2 others is submitted
--- a/tests/features/steps/gateway_batch_steps.py
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -191,6 +191,16 @@
     context.gateways.store.set_down(False)
 
 
+@then("within {seconds:d} seconds a job is accepted at every gateway")
+def check_accepts_again(context, seconds):
+    fleet = context.gateways
+    items = [("item-0", "/batch/x/0")]
+    deadline = time.monotonic() + seconds
+    for node in range(len(fleet.nodes)):
+        accepted = lambda: fleet.submit(items, node)[1].status == 202  # noqa: B023, E731
+        wait_until(accepted, deadline - time.monotonic(), f"gateway {node} accepts")
+
+
 @then('within {seconds:d} seconds "never" and "fails" are given up, others done')
 def check_given_up(context, seconds):
     count = len(context.items)
