--- a/packages/cli/sequoiaglade_cli/commands.py
+++ b/packages/cli/sequoiaglade_cli/commands.py
@@ -173,6 +173,15 @@
     return client.call("GET", "/readyz")
 
 
+def gateway(client, options):
+    """Show what a gateway believes; its metrics address is the control URL."""
+    found = client.call("GET", "/status")
+    if isinstance(found, Problem):
+        return found
+    print_value(found.value, "json")
+    return Reply(None)
+
+
 def explain(client, options):
     """Tell why a request, item, job or change ended as it did."""
     if options.log:
--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -84,6 +84,13 @@
             if now - self._admitted_at_by_workspace[workspace] <= seconds
         }
 
+    def levels(self):
+        """Return triples of rate, burst and level by workspace, to show."""
+        return {
+            workspace: (bucket.rate, bucket.burst, round(bucket.level, 2))
+            for workspace, bucket in self._bucket_by_workspace.items()
+        }
+
     def hear(self, node_id, incarnation, admitted_by_workspace, now, share):
         """Take a peer's admitted requests since its start; some may be left out.
 
--- a/packages/gateway/sequoiaglade_gateway/applications.py
+++ b/packages/gateway/sequoiaglade_gateway/applications.py
@@ -30,14 +30,21 @@
 
 
 class MetricsApplication:
-    """Serves the node's metrics as text."""
+    """Serves the node's metrics as text, and what it believes as JSON."""
 
-    def __init__(self, metrics):
+    def __init__(self, metrics, status):
         self._metrics = metrics
+        self._status = status
 
     def __call__(self, environ, start_response):
-        if read_request(environ).path != "/metrics":
-            return send(_not_found(), start_response)
+        match read_request(environ).path:
+            case "/metrics":
+                return self._send_metrics(start_response)
+            case "/status":
+                return send(json_response(200, self._status()), start_response)
+        return send(_not_found(), start_response)
+
+    def _send_metrics(self, start_response):
         text = self._metrics.text()
         headers = [
             ("Content-Type", "text/plain; version=0.0.4"),
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -10,7 +10,7 @@
 from sequoiaglade_decisions.outcomes import Failure
 from sequoiaglade_node.threads import OwnedThread
 
-from ..coordinator import LiveNodes
+from ..messages import LiveNodes
 from .board import held_job
 
 # A node meets its peers within this time of its start, in seconds.
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -10,7 +10,9 @@
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.threads import OwnedThread
 
-from ..coordinator import (
+from ..endpoint_calls import CallFault, Target, WholeAnswer, open_call
+from ..interface import IncomingCall
+from ..messages import (
     BROKEN,
     DONE,
     NOT_SENT,
@@ -20,8 +22,6 @@
     Ended,
     PlaceBatch,
 )
-from ..endpoint_calls import CallFault, Target, WholeAnswer, open_call
-from ..interface import IncomingCall
 
 TICK_SECONDS = 0.1
 # An item is taken for stalled after this long without an event, in seconds.
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -9,8 +9,8 @@
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.web import Response, json_response
 
-from ..coordinator import LiveNodes
 from ..interface import EndJob, ReadItem, ReadJob
+from ..messages import LiveNodes
 from ..online.refusals import GatewayRefusal, refusal_answer
 from ..peers.codec import decode_job
 from .board import held_job
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -1,7 +1,6 @@
 """The actor that owns what a node knows of endpoints, peers, quotas and loads."""
 
 import time
-from typing import Any, NamedTuple
 
 import pykka
 import structlog
@@ -21,6 +20,32 @@
     batch_targets,
 )
 
+from . import messages
+from .messages import (
+    Admit,
+    BatchPeers,
+    BatchShare,
+    Configured,
+    Ended,
+    EndpointChanged,
+    EndpointsListed,
+    Heard,
+    HeardShare,
+    KnownNodes,
+    Leave,
+    Limited,
+    ListReachable,
+    LiveNodes,
+    Paced,
+    Place,
+    PlaceBatch,
+    Publish,
+    Published,
+    Quarantined,
+    Running,
+    View,
+)
+
 # States of peers heard in this time are passed on to others, in seconds.
 RELAY_SECONDS = 1.0
 # In a small fleet, where each node hears of all others directly, what others told is
@@ -31,155 +56,6 @@
 ADMITTED_SECONDS = 5.0
 
 
-class Admit(NamedTuple):
-    """Ask to admit a request; answers None or a `Limited` or `Quarantined`."""
-
-    workspace: str | None
-    fingerprint: str
-
-
-class Limited(NamedTuple):
-    """The workspace's quota is used up for `retry_after` seconds."""
-
-    retry_after: float
-    share: float
-
-
-class Quarantined(NamedTuple):
-    """The request crashed endpoints before."""
-
-
-class Place(NamedTuple):
-    """Ask for an endpoint; answers `Running` or `Full`."""
-
-    service: str
-    spread: str
-    excluded: frozenset
-    headroom: int = 0
-
-
-class PlaceBatch(NamedTuple):
-    """Ask for an endpoint for a batch item; answers `Running` or None."""
-
-    service: str
-    spread: str
-
-
-class Running(NamedTuple):
-    """A request's endpoint, counted as in flight until `Ended` is told."""
-
-    endpoint: Any
-    preempts: bool
-    in_flight: int
-
-
-class Ended(NamedTuple):
-    """A request is no longer in flight; `outcome` is a `RunOutcome` value."""
-
-    endpoint_id: str
-    is_batch: bool
-    outcome: str
-    fingerprint: str = ""
-
-
-class Paced(NamedTuple):
-    """The mean pause between the events of a stream, in seconds."""
-
-    endpoint_id: str
-    seconds: float
-
-
-class Configured(NamedTuple):
-    """A configuration came into force."""
-
-    configuration: Any
-
-
-class EndpointsListed(NamedTuple):
-    """The whole list of endpoints was read."""
-
-    endpoints: list
-
-
-class EndpointChanged(NamedTuple):
-    """An endpoint's entry changed; `endpoint` is None once it is gone."""
-
-    endpoint_id: str
-    endpoint: Any
-
-
-class ListReachable(NamedTuple):
-    """Whether the list of endpoints can be read."""
-
-    is_reachable: bool
-
-
-class Heard(NamedTuple):
-    """States that a peer told."""
-
-    states: list
-
-
-class Publish(NamedTuple):
-    """Ask for this node's new state and those to pass on; answers `Published`."""
-
-    batch_backlog: int
-    batch_running: int
-    jobs: tuple
-    is_store_reachable: bool
-
-
-class Published(NamedTuple):
-    """This node's state, other nodes' recent ones, and whether endpoints are full."""
-
-    own: NodeState
-    others: list
-    is_busy: bool
-    is_fleet_large: bool
-
-
-class BatchPeers(NamedTuple):
-    """Ask for the peer addresses of nodes with batch items at an endpoint."""
-
-    endpoint_id: str
-
-
-class LiveNodes(NamedTuple):
-    """Ask for the states of live peers; answers a list."""
-
-
-class KnownNodes(NamedTuple):
-    """Ask for the ids of peers that may live; answers a list."""
-
-
-class HeardShare(NamedTuple):
-    """Ask for the part of the known nodes that are heard; answers a number."""
-
-
-class BatchShare(NamedTuple):
-    """Ask how many items this node may run; answers a number."""
-
-    service: str
-    backlog: int
-
-
-class Leave(NamedTuple):
-    """This node stops; it takes no new callers and jobs."""
-
-    is_gone: bool = False
-
-
-class View(NamedTuple):
-    """Ask for what the node believes, to show it to operators; answers a dict."""
-
-
-DONE = "done"
-NOT_SENT = "not_sent"
-REFUSED = "refused"
-BROKEN = "broken"
-STOPPED = "stopped"
-
-
 class Coordinator(pykka.ThreadingActor):
     """Owner of the decision machines; every message is answered in microseconds."""
 
@@ -195,7 +71,7 @@
         self._quotas = FleetQuotas(settings.is_first_start)
         self._quarantine = Quarantine()
         self._nodes = NodeTable(settings.node_id)
-        self._configuration = None
+        self._configured = (None, None)
         self._state = NodeState(
             node_id=settings.node_id,
             incarnation=incarnation,
@@ -298,13 +174,13 @@
         endpoint_id = message.endpoint_id
         self._loads.end(endpoint_id, message.is_batch)
         match message.outcome:
-            case "done":
+            case messages.DONE:
                 self._loads.note_success(endpoint_id)
-            case "not_sent":
+            case messages.NOT_SENT:
                 self._note_failure(endpoint_id, now)
-            case "refused":
+            case messages.REFUSED:
                 self._loads.note_full(endpoint_id, now)
-            case "broken":
+            case messages.BROKEN:
                 self._note_failure(endpoint_id, now)
                 self._note_crash(message, now)
 
@@ -321,7 +197,7 @@
         self._quarantine.note_crash(message.fingerprint, key, now)
 
     def _configure(self, configuration, now):
-        self._configuration = configuration
+        self._configured = (configuration.version, now)
         self._state = self._state._replace(configuration_version=configuration.version)
         self._quotas.configure(
             {
@@ -385,11 +261,15 @@
         return targets[self._settings.node_id]
 
     def _view(self, now):
-        configuration = self._configuration
+        version, taken_at = self._configured
         return {
-            "configuration_version": configuration and configuration.version,
+            "configuration": {
+                "version": version,
+                "age_seconds": None if version is None else round(now - taken_at, 3),
+            },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
-            "loads": self._loads.own(),
+            "in_flight_by_endpoint": self._loads.own(),
             "peers": [s.node_id for s in self._nodes.live(now)],
             "quota_share": self._share(now),
+            "rate_burst_level_by_workspace": self._quotas.levels(),
         }
--- a/packages/gateway/sequoiaglade_gateway/knowledge/state.py
+++ b/packages/gateway/sequoiaglade_gateway/knowledge/state.py
@@ -8,7 +8,7 @@
 from sequoiaglade_decisions.outcomes import Failure
 from sequoiaglade_platform import Document
 
-from ..coordinator import Configured, EndpointChanged, EndpointsListed, ListReachable
+from ..messages import Configured, EndpointChanged, EndpointsListed, ListReachable
 
 
 class Knowledge:
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -0,0 +1,154 @@
+"""Messages of the coordinator: questions, their answers, and news."""
+
+from typing import Any, NamedTuple
+
+from sequoiaglade_decisions.gateway import NodeState
+
+
+class Admit(NamedTuple):
+    """Ask to admit a request; answers None or a `Limited` or `Quarantined`."""
+
+    workspace: str | None
+    fingerprint: str
+
+
+class Limited(NamedTuple):
+    """The workspace's quota is used up for `retry_after` seconds."""
+
+    retry_after: float
+    share: float
+
+
+class Quarantined(NamedTuple):
+    """The request crashed endpoints before."""
+
+
+class Place(NamedTuple):
+    """Ask for an endpoint; answers `Running` or `Full`."""
+
+    service: str
+    spread: str
+    excluded: frozenset
+    headroom: int = 0
+
+
+class PlaceBatch(NamedTuple):
+    """Ask for an endpoint for a batch item; answers `Running` or None."""
+
+    service: str
+    spread: str
+
+
+class Running(NamedTuple):
+    """A request's endpoint, counted as in flight until `Ended` is told."""
+
+    endpoint: Any
+    preempts: bool
+    in_flight: int
+
+
+class Ended(NamedTuple):
+    """A request is no longer in flight; `outcome` is one of the constants below."""
+
+    endpoint_id: str
+    is_batch: bool
+    outcome: str
+    fingerprint: str = ""
+
+
+class Paced(NamedTuple):
+    """The mean pause between the events of a stream, in seconds."""
+
+    endpoint_id: str
+    seconds: float
+
+
+class Configured(NamedTuple):
+    """A configuration came into force."""
+
+    configuration: Any
+
+
+class EndpointsListed(NamedTuple):
+    """The whole list of endpoints was read."""
+
+    endpoints: list
+
+
+class EndpointChanged(NamedTuple):
+    """An endpoint's entry changed; `endpoint` is None once it is gone."""
+
+    endpoint_id: str
+    endpoint: Any
+
+
+class ListReachable(NamedTuple):
+    """Whether the list of endpoints can be read."""
+
+    is_reachable: bool
+
+
+class Heard(NamedTuple):
+    """States that a peer told."""
+
+    states: list
+
+
+class Publish(NamedTuple):
+    """Ask for this node's new state and those to pass on; answers `Published`."""
+
+    batch_backlog: int
+    batch_running: int
+    jobs: tuple
+    is_store_reachable: bool
+
+
+class Published(NamedTuple):
+    """This node's state, other nodes' recent ones, and whether endpoints are full."""
+
+    own: NodeState
+    others: list
+    is_busy: bool
+    is_fleet_large: bool
+
+
+class BatchPeers(NamedTuple):
+    """Ask for the peer addresses of nodes with batch items at an endpoint."""
+
+    endpoint_id: str
+
+
+class LiveNodes(NamedTuple):
+    """Ask for the states of live peers; answers a list."""
+
+
+class KnownNodes(NamedTuple):
+    """Ask for the ids of peers that may live; answers a list."""
+
+
+class HeardShare(NamedTuple):
+    """Ask for the part of the known nodes that are heard; answers a number."""
+
+
+class BatchShare(NamedTuple):
+    """Ask how many items this node may run; answers a number."""
+
+    service: str
+    backlog: int
+
+
+class Leave(NamedTuple):
+    """This node stops; it takes no new callers and jobs."""
+
+    is_gone: bool = False
+
+
+class View(NamedTuple):
+    """Ask for what the node believes, to show it to operators; answers a dict."""
+
+
+DONE = "done"
+NOT_SENT = "not_sent"
+REFUSED = "refused"
+BROKEN = "broken"
+STOPPED = "stopped"
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -19,8 +19,9 @@
 )
 from .batch import Adoption, BatchService, Board, ItemRunner, JobStorage, ResultWriter
 from .batch.storage import ENDS
-from .coordinator import Coordinator, Leave, LiveNodes
+from .coordinator import Coordinator
 from .knowledge import KindWatcher, Knowledge
+from .messages import Leave, LiveNodes, View
 from .metrics import GatewayMetrics
 from .online import OnlineService, RoomWatcher
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
@@ -140,7 +141,7 @@
 
     def _start_batch(self, stack):
         parts = self._parts
-        board = Board()
+        board = self._board = Board()
         storage = JobStorage(parts.store, parts.settings.store.value_bytes)
         self._runner = ItemRunner(parts, board)
         self._adoption = Adoption(parts, board, storage)
@@ -202,7 +203,7 @@
         directory = DirectoryApplication(
             parts.dialect, self._addresses, settings.directory_seconds
         )
-        metrics = MetricsApplication(parts.metrics)
+        metrics = MetricsApplication(parts.metrics, self._status)
         for application, address, threads in (
             (data, listen.data, limits.data_threads),
             (readiness, listen.readiness, SIDE_THREADS),
@@ -214,6 +215,16 @@
             listener = Listener(guarded(application), address, threads, limits)
             self._listeners.append(stack.enter_context(listener))
 
+    def _status(self):
+        view = self._parts.coordinator.ask(View())
+        knowledge = self._parts.knowledge
+        return {
+            **view,
+            "is_ready": self._is_ready(),
+            "is_store_reachable": knowledge.is_store_reachable,
+            "jobs": [note._asdict() for note in self._board.notes()],
+        }
+
     def _is_ready(self):
         return not self._is_leaving and self._parts.knowledge.is_complete
 
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -18,9 +18,9 @@
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.web import Response
 
-from ..coordinator import BROKEN, DONE, NOT_SENT, REFUSED, STOPPED, Ended, Paced, Place
 from ..endpoint_calls import CallFault, EventAnswer, Target, WholeAnswer, open_call
 from ..interface import IncomingCall
+from ..messages import BROKEN, DONE, NOT_SENT, REFUSED, STOPPED, Ended, Paced, Place
 from .refusals import GatewayRefusal, refusal_answer
 from .stream import EventRelay
 
--- a/packages/gateway/sequoiaglade_gateway/online/room.py
+++ b/packages/gateway/sequoiaglade_gateway/online/room.py
@@ -11,7 +11,7 @@
 
 from sequoiaglade_node.threads import OwnedThread
 
-from ..coordinator import BatchPeers
+from ..messages import BatchPeers
 
 # A request without an event for this long waits in an endpoint's queue, in seconds:
 # three times what an endpoint with a free slot takes, and a sixth of the objective.
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -7,7 +7,7 @@
 from sequoiaglade_decisions.gateway import RouteKind
 from sequoiaglade_decisions.poison import fingerprint
 
-from ..coordinator import Admit, Limited, Quarantined
+from ..messages import Admit, Limited, Quarantined
 from .exchange import Exchange, Work
 from .refusals import GatewayRefusal, refusal_answer
 
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -10,7 +10,7 @@
 from sequoiaglade_node.threads import OwnedThread
 from sequoiaglade_protocol import fleet_pb2
 
-from ..coordinator import Heard, HeardShare, KnownNodes, LiveNodes, Publish
+from ..messages import Heard, HeardShare, KnownNodes, LiveNodes, Publish
 from .codec import decode_state, encode_state
 
 # A request takes the better part of a second, so that news of this age still tells
--- a/tests/features/gateway/explain.feature
+++ b/tests/features/gateway/explain.feature
@@ -24,6 +24,11 @@
     And the account of the item "never" tells "item run ended" and "answered 422"
     And the account of the job tells "job accepted" and "results listed"
 
+  Scenario: What a gateway believes
+    Given 2 gateways and 2 runners
+    When a job of 4 items is submitted at gateway 0
+    Then the command line shows its version, endpoints, peers, limits and that job
+
   Scenario: No key stands in a log
     Given 2 gateways and 1 runner
     When somebody asks "/once/1" at gateway 0
--- a/tests/features/steps/gateway_explain_steps.py
+++ b/tests/features/steps/gateway_explain_steps.py
@@ -1,11 +1,15 @@
 """Steps that go from an id to its cause by the logs of gateways."""
 
+import contextlib
+import io
+import json
 import time
 
 from behave import then
 from gateway_calls import runs
 
 from sequoiaglade_cli.logs import explain_from_logs
+from sequoiaglade_cli.main import main
 
 
 def account(context, sought):
@@ -61,6 +65,22 @@
     check_account(context, context.job_id, first, second)
 
 
+@then("the command line shows its version, endpoints, peers, limits and that job")
+def check_status(context):
+    fleet = context.gateways
+    url = "http://" + fleet.nodes[0].settings["metrics"]
+    text = io.StringIO()
+    with contextlib.redirect_stdout(text):
+        assert main(["--control-url", url, "gateway"]) == 0
+    shown = json.loads(text.getvalue())
+    assert shown["configuration"]["version"] == 3, shown
+    assert len(shown["endpoints"]) == 2 and shown["peers"] == ["gateway-1"], shown
+    assert shown["quota_share"] == 1.0 and shown["is_ready"], shown
+    assert "rate_burst_level_by_workspace" in shown, shown
+    assert any(job["job_key"].endswith(context.job_id) for job in shown["jobs"]), shown
+    assert "key-yard" not in text.getvalue()
+
+
 @then('no log holds "{first}" or "{second}"')
 def check_no_key(context, first, second):
     time.sleep(0.3)
