--- a/packages/decisions/sequoiaglade_decisions/gateway/attempts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/attempts.py
@@ -30,12 +30,11 @@
     """How far a request has come.
 
     `run_count` counts the endpoints that may have run it, `refusal_count` those that
-    provably have not; `has_begun` tells that events were sent on.
+    provably have not.
     """
 
     run_count: int
     refusal_count: int
-    has_begun: bool = False
 
 
 def next_step(route, progress, fault, seconds_left):
@@ -52,8 +51,7 @@
     >>> next_step(once, Progress(0, 1), Fault.NOT_RUN, 4.0).value
     'retry'
     """
-    may_have_run = progress.run_count > 0 or progress.has_begun
-    given_up = Next.FAIL if may_have_run else Next.REFUSE
+    given_up = Next.FAIL if progress.run_count else Next.REFUSE
     if seconds_left <= 0:
         return given_up
     match fault:
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -28,6 +28,8 @@
 # Peers asked in a round; each is told by as many, so that a fleet of the sites' size
 # hears of all within a round.
 FANOUT = 4
+# Share of the rounds in which a seed that is not heard is tried beside live peers.
+SEED_SHARE = 0.2
 # A peer that takes longer is asked again in a later round, in seconds.
 CALL_SECONDS = 0.4
 
@@ -97,7 +99,7 @@
         targets = [state.peer_address for state in live[:count]]
         # Seeds that are not heard are tried on: they may be back, or cut off alone.
         missing = [seed for seed in seeds if seed not in addresses]
-        if missing and (len(targets) < count or random.random() < 0.2):
+        if missing and (len(targets) < count or random.random() < SEED_SHARE):
             targets.append(random.choice(missing))
         digest = self.digest()
         sent_at = _now()
@@ -156,15 +158,11 @@
         goes_first = state.node_id < self._parts.settings.node_id
         for note in state.jobs:
             job = self._board.get(note.job_key)
-            if job is not None:
-                job.confirm_reads()
-            if (
-                job is not None
-                and note.is_open
-                and goes_first
-                and job.batch.is_open
-                and not state.is_leaving
-            ):
+            if job is None:
+                continue
+            job.confirm_reads()
+            both_run = note.is_open and job.batch.is_open
+            if both_run and goes_first and not state.is_leaving:
                 self._board.release(note.job_key)
                 self._runner.stop_job(note.job_key)
                 self._log.info("job left to peer", job=note.job_key, peer=state.node_id)
