Drop what nobody calls in the gateway

Re-read of the change: unused queries of jobs and nodes, a function around a class's own constructor, and prompt parts that were decoded and never read.

--- a/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
@@ -125,13 +125,6 @@
                 return row
         return None
 
-    def has_startable(self, now):
-        """Return whether an item waits to run."""
-        return not self.is_ended and any(
-            self._is_unfinished(row) and not row.is_running and row.not_before <= now
-            for row in self._progress_by_id.values()
-        )
-
     def add_event(self, item_id, event_id, data):
         """Keep an event's data; return whether it follows the last one."""
         row = self._progress_by_id[item_id]
@@ -141,12 +134,6 @@
         row.parts.append(data)
         return True
 
-    def restart(self, item_id):
-        """Forget the events of an item, so that it runs from its start."""
-        row = self._progress_by_id[item_id]
-        row.last_event_id = 0
-        row.parts = []
-
     def finish(self, item_id, end, attempts, now):
         """Take the end of a run; `attempts` is how many failures are allowed."""
         row = self._progress_by_id[item_id]
@@ -194,10 +181,6 @@
         """Take the results that stand in the store, by this node or another."""
         self._listed.update(result.item_id for result in results)
 
-    def is_listed(self, item_id):
-        """Return whether an item's result is listed."""
-        return item_id in self._listed
-
     def _is_unfinished(self, row):
         return row.result is None and row.item.item_id not in self._listed
 
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -118,10 +118,6 @@
         known = max(len(self.known(now)) + 1, least_count)
         return heard / max(heard, known)
 
-    def silent_count(self, now):
-        """Return the number of peers that are known and not heard."""
-        return len(self.known(now)) - len(self.live(now))
-
 
 def job_holder(job_key, accepted_by, notes_by_node, live_ids):
     """Return the id of the node that runs a job's items.
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -11,7 +11,7 @@
 from sequoiaglade_node.threads import OwnedThread
 
 from ..messages import LiveNodes
-from .board import held_job
+from .board import HeldJob
 
 # A node meets its peers within this time of its start, in seconds.
 MEET_SECONDS = 1.0
@@ -117,7 +117,7 @@
             return False
         configuration = self._parts.knowledge.configuration
         route = configuration and configuration.match(spec.host, spec.path)
-        job = held_job(header, spec, route, pages)
+        job = HeldJob(header, spec, route, pages)
         job.confirm_reads()
         self._board.add(job)
         self._log.info(
--- a/packages/gateway/sequoiaglade_gateway/batch/board.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/board.py
@@ -13,18 +13,18 @@
 class HeldJob:
     """A job that this node runs or ran, with its listed results."""
 
-    def __init__(self, header, spec, route, pages):
+    def __init__(self, header, spec, route, pages=None):
         self.header = header
         self.batch = Batch(
             spec, spec.submitted_at + (route.run_seconds if route else 0)
         )
-        self.pages = pages
+        self.pages = pages or ResultPages()
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
         # Whether the store's pages are known to be as here: no write is unanswered.
         self.is_settled = True
         self.confirm_until = 0.0
-        self.batch.note_listed(pages.results)
+        self.batch.note_listed(self.pages.results)
 
     def confirm_reads(self):
         """Have reads ask the store for a while: another node may list results."""
@@ -119,8 +119,3 @@
             job = self._job_by_key.get(key)
             item = job and job.batch.item(item_id)
             return item.body if item else None
-
-
-def held_job(header, spec, route, pages=None):
-    """Return a `HeldJob`; without `pages`, one whose results are all to come."""
-    return HeldJob(header, spec, route, pages or ResultPages())
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -241,7 +241,7 @@
         item = run.row.item
         spec = run.job.batch.spec
         call = IncomingCall(
-            item.item_id, spec.host, "POST", item.path, item.headers, None, None, 0, ()
+            item.item_id, spec.host, "POST", item.path, item.headers, None, None, 0
         )
         headers = self._parts.dialect.endpoint_headers(
             call,
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -13,7 +13,7 @@
 from ..messages import LiveNodes
 from ..online.refusals import GatewayRefusal, refusal_answer
 from ..peers.codec import decode_job
-from .board import held_job
+from .board import HeldJob
 from .storage import Header
 
 # Characters of output in one answer; the pages of the platform allow a megabyte.
@@ -158,7 +158,7 @@
             return done
         sizes = tuple(len(item.body) for item in spec.items)
         header = Header(spec, sizes, False, done.revision)
-        self._board.add(held_job(header, spec, route))
+        self._board.add(HeldJob(header, spec, route))
         return None
 
     def store_for_peer(self, message):
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -8,8 +8,7 @@
 
     `headers` are the pairs that pass on to an endpoint, without the key and without
     what this system sets itself. `deadline` is how many seconds the caller waits (None
-    if it does not tell), `last_event_id` the last event that it has already,
-    `prompt_parts` the ids of the prompt's shared parts, outermost first.
+    if it does not tell), `last_event_id` the last event that it has already.
     """
 
     request_id: str
@@ -20,7 +19,6 @@
     key: str | None
     deadline: float | None
     last_event_id: int
-    prompt_parts: tuple[str, ...]
 
     @property
     def path(self):
