Hold trial batch back while paying batch waits at another node

Change: nodes gossip the targets for which paying batch waits or did within 6 s, and others grant trial batch no slot there. New scenario in routing/dispatch.feature, which failed before.

--- a/packages/decisions/sequoiaglade_decisions/membership/members.py
+++ b/packages/decisions/sequoiaglade_decisions/membership/members.py
@@ -235,7 +235,9 @@
             )
         if now - member.heard_at > STATE_KEEP_SECONDS:
             return member.state._replace(
-                in_flight_by_endpoint={}, leaving=member.leaving
+                in_flight_by_endpoint={},
+                leaving=member.leaving,
+                paying_batch_targets=(),
             )
         return member.state._replace(leaving=member.leaving)
 
--- a/packages/decisions/sequoiaglade_decisions/membership/states.py
+++ b/packages/decisions/sequoiaglade_decisions/membership/states.py
@@ -9,7 +9,8 @@
     """What a node says of itself; the highest incarnation and sequence wins.
 
     `confirmed_age` and `failed_age` are the ages, in seconds, of its evidence for its
-    revision and of its last failed read of the platform.
+    revision and of its last failed read of the platform. `paying_batch_targets` are
+    the models and services for which paying batch items wait for a slot there.
     """
 
     node_id: str
@@ -20,6 +21,7 @@
     confirmed_age: float
     in_flight_by_endpoint: dict[str, tuple[int, int]]
     failed_age: float = math.inf
+    paying_batch_targets: tuple[str, ...] = ()
 
 
 class MarkKind(Enum):
--- a/packages/decisions/sequoiaglade_decisions/routing/dispatcher.py
+++ b/packages/decisions/sequoiaglade_decisions/routing/dispatcher.py
@@ -50,6 +50,14 @@
             self.slots.observe_peers(counts_by_endpoint, now), now
         )
 
+    def observe_paying_batch(self, targets, now):
+        """Take over the targets for which paying batch tickets wait at peers.
+
+        Answers the load pattern of a trial job at one node beside a paying job at
+        another: trial tickets wait here while paying ones find no slot there.
+        """
+        return self._dispatch_all(self.slots.observe_paying_batch(targets), now)
+
     def observe_report(self, endpoint_id, total, leaving, now):
         """Take over an endpoint's lagged report of the requests that it holds."""
         targets = self.slots.observe_report(endpoint_id, total, now)
@@ -113,6 +121,8 @@
         targets.update(
             name for name, pool in pools if pool.suspects or pool.waiting_online()
         )
+        for _, pool in pools:
+            pool.paying_batch_waited(now)
         if self.ledger.forget_old(now):
             effects += self._reconsider(self.slots.pool_by_target, now)
         effects += self._dispatch_all(targets, now)
@@ -224,6 +234,11 @@
         pools = self.slots.pool_by_target.items()
         return {name: n for name, pool in pools if (n := pool.waiting_online())}
 
+    def paying_batch_targets(self, now):
+        """Return the targets for which paying batch waits or did lately, sorted."""
+        pools = self.slots.pool_by_target.items()
+        return sorted(name for name, pool in pools if pool.paying_batch_waited(now))
+
     @property
     def waiting_count(self):
         """How many tickets wait."""
@@ -354,6 +369,8 @@
         if priorities is _BATCH and not pool.may_grant_batch(now):
             return None
         for priority in priorities:
+            if pool.holds_back(priority):
+                continue
             ticket = pool.queues[priority].pop()
             if ticket is not None:
                 return ticket
--- a/packages/decisions/sequoiaglade_decisions/routing/pool.py
+++ b/packages/decisions/sequoiaglade_decisions/routing/pool.py
@@ -18,6 +18,10 @@
 ARRIVAL_WINDOW_SECONDS = 1.0
 SERVICE_SMOOTHING = 0.1
 SERVICE_MINIMUM_SAMPLES = 5
+# Trial batch of other nodes is held back for this long after paying batch last waited,
+# in seconds. News takes up to two rounds of gossip each way: with less than a few times
+# that, trial items would fill the slots of each short gap between paying ones.
+PAYING_WAIT_MEMORY_SECONDS = 6.0
 
 
 class TargetPool:
@@ -40,6 +44,8 @@
         self.preempted = set()
         self.suspects = {}
         self.online_held = 0
+        self.is_paying_awaited = False
+        self._paying_waited_at = -math.inf
         self._peer_batch = 0
         self._asked_at = float("-inf")
         self._asked_count = 0
@@ -161,6 +167,16 @@
         """Return how many tickets wait in the queues."""
         return sum(len(queue) for queue in self.queues)
 
+    def paying_batch_waited(self, now):
+        """Return whether batch tickets of paying workspaces wait, or did lately."""
+        if len(self.queues[Priority.PAYING_BATCH]):
+            self._paying_waited_at = now
+        return now - self._paying_waited_at < PAYING_WAIT_MEMORY_SECONDS
+
+    def holds_back(self, priority):
+        """Return whether tickets of a class wait for paying ones of other nodes."""
+        return priority is Priority.TRIAL_BATCH and self.is_paying_awaited
+
     def may_grant_batch(self, now):
         """Return whether batch leaves enough free slots for online tickets."""
         if self.waiting_online():
--- a/packages/decisions/sequoiaglade_decisions/routing/slots.py
+++ b/packages/decisions/sequoiaglade_decisions/routing/slots.py
@@ -74,6 +74,15 @@
             pool.estimate_others(now)
         return set(self.pool_by_target)
 
+    def observe_paying_batch(self, targets):
+        """Take over where paying batch waits at peers; return the changed targets."""
+        changed = set()
+        for name, pool in self.pool_by_target.items():
+            if pool.is_paying_awaited != (name in targets):
+                pool.is_paying_awaited = name in targets
+                changed.add(name)
+        return changed
+
     def forget_yielded(self, counts_by_endpoint, now):
         """Take off what peers have just yielded, before their gossip tells of it."""
         for endpoint_id, count in counts_by_endpoint.items():
--- a/packages/node/sequoiaglade_node/actors/dispatch.py
+++ b/packages/node/sequoiaglade_node/actors/dispatch.py
@@ -81,6 +81,15 @@
         now = time.monotonic()
         self._carry_out(self._dispatcher.observe_peers(counts_by_endpoint, now))
 
+    def observe_paying_batch(self, targets):
+        """Take over the targets for which paying batch tickets wait at peers."""
+        now = time.monotonic()
+        self._carry_out(self._dispatcher.observe_paying_batch(targets, now))
+
+    def paying_batch_targets(self):
+        """Return the targets for which own paying batch waits or did lately."""
+        return self._dispatcher.paying_batch_targets(time.monotonic())
+
     def yield_batch(self, target, count):
         """Preempt batch for a peer's online tickets; return slots by endpoint id."""
         now = time.monotonic()
--- a/packages/node/sequoiaglade_node/actors/membership.py
+++ b/packages/node/sequoiaglade_node/actors/membership.py
@@ -23,7 +23,7 @@
         """Mark this node as leaving."""
         self._leaving = True
 
-    def publish(self, report, in_flight_by_endpoint):
+    def publish(self, report, in_flight_by_endpoint, paying_batch_targets=()):
         """Return this node's own newest `PeerState` and the marks to send with it."""
         self._sequence += 1
         state = PeerState(
@@ -35,6 +35,7 @@
             report.confirmed_age,
             in_flight_by_endpoint,
             report.failed_age,
+            tuple(paying_batch_targets),
         )
         return state, self._members.marks(time.monotonic())
 
--- a/packages/node/sequoiaglade_node/peers/codec.py
+++ b/packages/node/sequoiaglade_node/peers/codec.py
@@ -11,6 +11,8 @@
 from sequoiaglade_protocol import gossip_pb2
 
 IN_FLIGHT_LIMIT = 12
+# Targets told in a message: a fleet serves a handful of models at a time.
+TARGETS_LIMIT = 8
 
 
 def encode_digest(state, marks):
@@ -59,6 +61,7 @@
         confirmed_age_ms=_milliseconds(state.confirmed_age),
         failed_age_ms=_milliseconds(state.failed_age),
         in_flight=in_flight,
+        paying_batch_targets=state.paying_batch_targets[:TARGETS_LIMIT],
     )
 
 
@@ -73,6 +76,7 @@
         _age(message, "confirmed_age_ms"),
         in_flight,
         _age(message, "failed_age_ms"),
+        tuple(message.paying_batch_targets),
     )
 
 
--- a/packages/node/sequoiaglade_node/peers/rounds.py
+++ b/packages/node/sequoiaglade_node/peers/rounds.py
@@ -28,7 +28,8 @@
         parts = self._parts
         in_flight = parts.dispatch.in_flight_by_endpoint().get()
         report = parts.configuration.report().get()
-        state, marks = parts.membership.publish(report, in_flight).get()
+        waiting = parts.dispatch.paying_batch_targets().get()
+        state, marks = parts.membership.publish(report, in_flight, waiting).get()
         return encode_digest(state, marks)
 
     def hear(self, digest):
--- a/packages/node/sequoiaglade_node/wiring/routing.py
+++ b/packages/node/sequoiaglade_node/wiring/routing.py
@@ -26,6 +26,11 @@
     parts.gossip_listeners.append(
         lambda live: parts.dispatch.observe_peers(_in_flight_totals(live))
     )
+    parts.gossip_listeners.append(
+        lambda live: parts.dispatch.observe_paying_batch(
+            {target for state in live for target in state.paying_batch_targets}
+        )
+    )
     servicer = NewsServicer(node_id, parts.dispatch)
     add = endpoint_news_pb2_grpc.add_EndpointNewsServicer_to_server
     parts.peer_services.append((add, servicer))
--- a/tests/features/routing/dispatch.feature
+++ b/tests/features/routing/dispatch.feature
@@ -58,6 +58,11 @@
     And a peer asks for 2 slots, and then 3 batch tickets end
     Then 1 waiting batch ticket is granted, and 3 more once the peer's requests end
 
+  Scenario: Trial batch waits while a peer's paying batch finds no slot
+    Given a dispatcher with 2 endpoints of 8 slots
+    When a peer's paying batch waits and 20 trial batch tickets come
+    Then no trial batch ticket is granted until the peer's paying batch has slots
+
   Scenario: Batch that may not be repeated runs on
     Given a dispatcher with 2 endpoints of 8 slots
     When 16 batch tickets that may not be repeated and 1 online request come
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -50,8 +50,8 @@
         names[f"stock-{index}"] = slots
     context.names = [name for name in names if name.startswith("writer")]
     context.dispatcher = Dispatcher("yard-a", Random(3))
-    document = make_document(names)
-    context.dispatcher.configure(make_snapshot(1, document), 0.0)
+    context.snapshot = make_snapshot(1, make_document(names))
+    context.dispatcher.configure(context.snapshot, 0.0)
 
 
 def ticket(ticket_id, workspace="hays", priority=Priority.PAYING_ONLINE, **options):
--- a/tests/features/steps/routing_yield_steps.py
+++ b/tests/features/steps/routing_yield_steps.py
@@ -1,9 +1,12 @@
 """Steps on batch tickets that yield to online ones, in the dispatcher."""
 
+from random import Random
+
 from behave import given, then, when
 from routing_steps import of_kind, ticket
 
 from sequoiaglade_decisions.routing import (
+    Dispatcher,
     Granted,
     Preempted,
     Priority,
@@ -88,6 +91,30 @@
     assert len(ended) == 1, ended
 
 
+@when("a peer's paying batch waits and {count:d} trial batch tickets come")
+def submit_beside_paying(context, count):
+    peer = Dispatcher("yard-b", Random(4))
+    peer.configure(context.snapshot, 0.0)
+    for number in range(FULL + 1):
+        peer.submit(ticket(f"p{number}", priority=Priority.PAYING_BATCH), 1.0)
+    context.effects = context.dispatcher.observe_paying_batch(
+        peer.paying_batch_targets(1.0), 1.0
+    )
+    for number in range(count):
+        trial = ticket(f"t{number}", "trial-a", Priority.TRIAL_BATCH)
+        context.effects += context.dispatcher.submit(trial, 1.0)
+
+
+@then("no trial batch ticket is granted until the peer's paying batch has slots")
+def check_held_back(context):
+    assert not of_kind(context.effects, Granted), context.effects
+    paying = ticket("b0", priority=Priority.PAYING_BATCH)
+    effects = context.dispatcher.submit(paying, 2.0)
+    assert [granted.ticket_id for granted in of_kind(effects, Granted)] == ["b0"]
+    effects = context.dispatcher.observe_paying_batch([], 3.0)
+    assert len(of_kind(effects, Granted)) == FULL - 1, effects
+
+
 @when("{count:d} batch tickets that may not be repeated and 1 online request come")
 def submit_unrepeatable(context, count):
     submit_batch(context, count, preemptible=False)
