Large fleets: one node of each group of endpoints places all requests there

Cause: in a fleet of some fifty nodes each meets few requests, and what it knows of the others' is a second or more old.

Change: the endpoints fall into groups, each scheduled by one of the larger nodes, named alike by all. Without an answer in 0.15 s the next node is asked, then the node decides by itself as before. Batch items are placed by the same call and stopped where a slot is needed. Small fleets (up to 13 nodes) are unchanged. Changes that the store tells one after the other are read together (0.4 s), since each watch of each node is a call.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -8,7 +8,9 @@
 from .endpoints import Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
 from .exclusive import Contacts
+from .groups import able_nodes, group_count, group_of, schedulers
 from .hashing import rank
+from .health import EndpointHealth
 from .jobs import Batch, Item, ItemEnd, JobSpec, Result, job_key
 from .nodes import JobNote, NodeState, NodeTable, job_holder
 from .orphans import Orphans
@@ -23,6 +25,7 @@
     Service,
     Workspace,
 )
+from .scheduling import GroupScheduler, Scheduled
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
 
 __all__ = [
@@ -32,12 +35,14 @@
     "Contacts",
     "Endpoint",
     "EndpointDirectory",
+    "EndpointHealth",
     "Event",
     "EventSplitter",
     "Fault",
     "FleetConfiguration",
     "FleetQuotas",
     "Full",
+    "GroupScheduler",
     "Item",
     "ItemEnd",
     "JobNote",
@@ -54,12 +59,17 @@
     "ResultPages",
     "Route",
     "RouteKind",
+    "Scheduled",
     "Service",
     "Workspace",
+    "able_nodes",
     "batch_allowance",
     "batch_targets",
+    "group_count",
+    "group_of",
     "job_holder",
     "job_key",
     "next_step",
     "rank",
+    "schedulers",
 ]
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -93,6 +93,10 @@
             if endpoint.service == service and not endpoint.is_draining
         ]
 
+    def services(self):
+        """Return the names of the services that have endpoints, sorted."""
+        return sorted({e.service for e in self._endpoint_by_id.values()})
+
     def endpoints(self):
         """Return all known endpoints as a list."""
         return list(self._endpoint_by_id.values())
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -32,7 +32,7 @@
     `load_by_endpoint` has pairs of online and batch requests in flight,
     `admitted_by_workspace` the requests admitted since the start. `batch_backlog` and
     `batch_running` count unfinished and running items; `crashes` are triples of
-    fingerprint, endpoint key and age in seconds.
+    fingerprint, endpoint key and age in seconds. `cores` is the power of its processor.
     """
 
     node_id: str
@@ -51,6 +51,7 @@
     jobs: tuple[JobNote, ...] = ()
     crashes: tuple = ()
     is_store_reachable: bool = True
+    cores: float = 1.0
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from .hashing import rank
+from .health import AVOID_SECONDS, EndpointHealth
 
 # Requests that may wait at an endpoint. One of 8 slots frees one about every 100 ms at
 # the load of the sites, and the objective is 300 ms.
@@ -22,16 +23,8 @@
 ALIKE_REQUESTS = 1
 # Endpoints looked at for a request in a large fleet.
 SAMPLE_SIZE = 2
-# How long an endpoint is avoided after its first failure in a row; doubled with each
-# further one, up to the maximum. An endpoint is back some seconds after a crash.
-AVOID_SECONDS = 0.5
-AVOID_MAX_SECONDS = 4.0
 # Slots assumed where neither the endpoint nor its service tells.
 DEFAULT_SLOTS = 8
-# Weight of the newest pause between events in an endpoint's average.
-PACE_WEIGHT = 0.1
-# An endpoint counts as slow by at most this factor.
-PACE_RATIO_MAX = 8.0
 
 
 class Placed(NamedTuple):
@@ -48,9 +41,18 @@
     has_endpoints: bool
 
 
-class _Health(NamedTuple):
-    failures: int
-    avoid_until: float
+class ReturnTimes:
+    """When refused callers may come back: later, the more were refused lately."""
+
+    def __init__(self):
+        self._refused_at = []
+
+    def next_seconds(self, now):
+        """Count a refusal; return after how many seconds its caller may return."""
+        recent = [at for at in self._refused_at if now - at < 1.0]
+        self._refused_at = [*recent, now]
+        seconds = RETURN_SECONDS + RETURN_SECONDS_EACH * len(recent)
+        return min(seconds, RETURN_SECONDS_MAX)
 
 
 class Loads:
@@ -73,9 +75,8 @@
         self._domain = failure_domain
         self._own_by_id = {}
         self._peers = {}
-        self._health_by_id = {}
-        self._pace_by_id = {}
-        self._refused_at = []
+        self.health = EndpointHealth()
+        self._return_times = ReturnTimes()
         self._busy_at = None
         self.is_fleet_large = False
 
@@ -113,27 +114,6 @@
     def _peer_load_seconds(self):
         return PEER_LOAD_SECONDS_LARGE if self.is_fleet_large else PEER_LOAD_SECONDS
 
-    def note_success(self, endpoint_id):
-        """Forget earlier failures of an endpoint that has answered."""
-        self._health_by_id.pop(endpoint_id, None)
-
-    def note_failure(self, endpoint_id, now):
-        """Avoid an endpoint that could not be reached or broke off."""
-        failures = self._health_by_id.get(endpoint_id, _Health(0, 0.0)).failures + 1
-        seconds = min(AVOID_SECONDS * 2 ** (failures - 1), AVOID_MAX_SECONDS)
-        self._health_by_id[endpoint_id] = _Health(failures, now + seconds)
-
-    def note_full(self, endpoint_id, now):
-        """Avoid for a moment an endpoint that refused for want of room."""
-        health = self._health_by_id.get(endpoint_id, _Health(0, 0.0))
-        until = max(health.avoid_until, now + AVOID_SECONDS / 4)
-        self._health_by_id[endpoint_id] = _Health(health.failures, until)
-
-    def note_pace(self, endpoint_id, seconds):
-        """Take the pause between two events of a stream."""
-        pace = self._pace_by_id.get(endpoint_id, seconds)
-        self._pace_by_id[endpoint_id] = pace + PACE_WEIGHT * (seconds - pace)
-
     def choose(self, endpoints, now, spread, excluded=frozenset(), headroom=0):
         """Return `Placed` or `Full` for an online request.
 
@@ -142,18 +122,11 @@
         since bytes to others cost more. `headroom` lowers the number of requests that
         may wait at an endpoint, for less urgent ones.
         """
-        open_ones = [
-            e
-            for e in endpoints
-            if e.endpoint_id not in excluded and self._is_open(e, now)
-        ]
-        if not open_ones:
-            open_ones = [e for e in endpoints if e.endpoint_id not in excluded]
         ranked = []
-        for endpoint in open_ones:
+        for endpoint in self.health.open_ones(endpoints, now, excluded):
             online, batch = self.counts(endpoint.endpoint_id, now)
             slots = endpoint.slots or DEFAULT_SLOTS
-            load = (online + batch) * self._pace_ratio(endpoint.endpoint_id)
+            load = (online + batch) * self.health.pace_ratio(endpoint.endpoint_id)
             tie = rank(spread, endpoint.endpoint_id)
             ranked.append((load / slots, tie, endpoint, online, batch, slots))
         if not ranked:
@@ -191,13 +164,7 @@
         _, _, endpoint, online, batch, slots = rows[0]
         if online < slots + QUEUE_ALLOWANCE - headroom:
             return Placed(endpoint.endpoint_id)
-        return Full(self._return_seconds(now), True)
-
-    def _return_seconds(self, now):
-        recent = [at for at in self._refused_at if now - at < 1.0]
-        self._refused_at = [*recent, now]
-        seconds = RETURN_SECONDS + RETURN_SECONDS_EACH * len(recent)
-        return min(seconds, RETURN_SECONDS_MAX)
+        return Full(self._return_times.next_seconds(now), True)
 
     def batch_nodes(self, endpoint_id, now):
         """Return the ids of peers with batch items at an endpoint, one an item."""
@@ -217,13 +184,15 @@
             by_rank = sorted(endpoints, key=lambda e: rank(spread, e.endpoint_id))
             endpoints = by_rank[:SAMPLE_SIZE]
         for endpoint in endpoints:
-            if not self._is_open(endpoint, now):
+            if not self.health.is_open(endpoint.endpoint_id, now):
                 continue
             online, batch = self.counts(endpoint.endpoint_id, now)
             slots = endpoint.slots or DEFAULT_SLOTS
             if online + batch + reserve >= slots:
                 continue
-            load = (online + batch) * self._pace_ratio(endpoint.endpoint_id) / slots
+            load = (
+                (online + batch) * self.health.pace_ratio(endpoint.endpoint_id) / slots
+            )
             load += (endpoint.failure_domain != self._domain) * ALIKE_REQUESTS / slots
             row = (load, rank(spread, endpoint.endpoint_id), endpoint.endpoint_id)
             if best is None or row < best:
@@ -233,21 +202,3 @@
     def is_busy(self, now):
         """Return whether a request found all endpoints full in the last second."""
         return bool(self._busy_at is not None and now - self._busy_at < 1.0)
-
-    def is_open(self, endpoint, now):
-        """Return whether an endpoint is not avoided after failures."""
-        return self._is_open(endpoint, now)
-
-    def _is_open(self, endpoint, now):
-        health = self._health_by_id.get(endpoint.endpoint_id)
-        return health is None or health.avoid_until <= now
-
-    def _pace_ratio(self, endpoint_id):
-        pace = self._pace_by_id.get(endpoint_id)
-        if pace is None or len(self._pace_by_id) < 2:
-            return 1.0
-        paces = sorted(self._pace_by_id.values())
-        typical = paces[len(paces) // 2]
-        if typical <= 0:
-            return 1.0
-        return min(max(pace / typical, 0.5), PACE_RATIO_MAX)
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -1,5 +1,6 @@
 """Runs items of held jobs at endpoints, beside online requests."""
 
+import random
 import threading
 import time
 from typing import Any, NamedTuple
@@ -20,7 +21,8 @@
     STOPPED,
     BatchShare,
     Ended,
-    PlaceBatch,
+    Place,
+    Running,
 )
 
 TICK_SECONDS = 0.1
@@ -50,6 +52,7 @@
         self._board = board
         self._runs = {}
         self._lock = threading.Lock()
+        self._full_until_by_service = {}
         self._log = structlog.get_logger()
         self.is_leaving = False
 
@@ -128,6 +131,8 @@
                 self._stop(run, f"{len(runs)} items run, the share is {share}")
             return
         count = len(runs)
+        if time.monotonic() < self._full_until_by_service.get(service, 0.0):
+            return
         while count < share and not self.is_leaving:
             if not self._start_one(service, rows):
                 return
@@ -144,8 +149,11 @@
         if row is None:
             return False
         item = row.item
-        placed = self._parts.coordinator.ask(PlaceBatch(service, item.item_id))
-        if placed is None:
+        placed = self._parts.placer.place(Place(service, item.item_id, is_batch=True))
+        if not isinstance(placed, Running):
+            if placed is not None:
+                seconds = placed.retry_after * (0.75 + 0.5 * random.random())
+                self._full_until_by_service[service] = now + seconds
             self._finish(job, item.item_id, ItemEnd.STOPPED, route)
             return False
         run = _Run(job, row, placed.endpoint, Attempt(), service)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -16,21 +16,26 @@
     NodeTable,
     Placed,
     Quarantine,
+    Scheduled,
     batch_allowance,
     batch_targets,
 )
 
 from . import messages
+from .desk import SchedulingDesk
 from .messages import (
     Admit,
+    AskScheduler,
     BatchPeers,
     BatchShare,
+    Begin,
     Configured,
     Ended,
     EndpointChanged,
     EndpointsListed,
     Heard,
     HeardShare,
+    HearReport,
     KnownNodes,
     Leave,
     Limited,
@@ -38,11 +43,12 @@
     LiveNodes,
     Paced,
     Place,
-    PlaceBatch,
     Publish,
     Published,
     Quarantined,
     Running,
+    Schedule,
+    TakeReports,
     View,
 )
 
@@ -79,6 +85,10 @@
             data_address=settings.listen.data,
             peer_address=settings.listen.peer,
             failure_domain=settings.failure_domain,
+            cores=settings.processor.share * settings.processor.cores,
+        )
+        self._desk = SchedulingDesk(
+            lambda: self._state, self._directory, self._nodes, self._loads
         )
 
     def on_receive(self, message):
@@ -89,12 +99,21 @@
                 return self._admit(message, now)
             case Place():
                 return self._place(message, now)
-            case PlaceBatch():
-                return self._place_batch(message, now)
+            case AskScheduler(service, spread):
+                return self._desk.question(service, spread, now)
+            case Schedule():
+                return self._schedule(message, now)
+            case Begin():
+                return self._begin_scheduled(message, now)
+            case TakeReports():
+                return self._desk.reports(now)
+            case HearReport(report):
+                return self._desk.hear(report, now)
             case Ended():
                 return self._end(message, now)
             case Paced(endpoint_id, seconds):
-                return self._loads.note_pace(endpoint_id, seconds)
+                self._desk.note_end(endpoint_id, "", seconds)
+                return self._loads.health.note_pace(endpoint_id, seconds)
             case Publish():
                 return self._publish(message, now)
             case Heard(states):
@@ -141,6 +160,8 @@
         return self._nodes.quota_share(now, least)
 
     def _place(self, message, now):
+        if message.is_batch:
+            return self._place_batch(message, now)
         endpoints = self._directory.usable(message.service, now)
         choice = self._loads.choose(
             endpoints, now, message.spread, message.excluded, message.headroom
@@ -160,12 +181,31 @@
             return None
         return self._begin(endpoint_id, False, True, now)
 
+    def _schedule(self, message, now):
+        """Return the placement, and the peer address of a node that is to yield."""
+        placement = self._desk.schedule(message, now)
+        address = None
+        if isinstance(placement, Scheduled) and placement.yielding_node is not None:
+            state = self._nodes.state(placement.yielding_node)
+            address = state.peer_address if state else self._settings.listen.peer
+        return placement, address
+
+    def _begin_scheduled(self, message, now):
+        endpoint = self._directory.get(message.endpoint_id, now)
+        if endpoint is None or endpoint.is_draining:
+            return None
+        is_batch = message.place.is_batch
+        return self._begin(message.endpoint_id, False, is_batch, now)
+
     def _batch_peers(self, endpoint_id, now):
+        if self._nodes.is_large:
+            return []
         states = map(self._nodes.state, self._loads.batch_nodes(endpoint_id, now))
         return [state.peer_address for state in states if state is not None]
 
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
+        self._desk.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
         endpoint = self._directory.get(endpoint_id, now)
         return Running(endpoint, preempts, in_flight)
@@ -173,19 +213,20 @@
     def _end(self, message, now):
         endpoint_id = message.endpoint_id
         self._loads.end(endpoint_id, message.is_batch)
+        self._desk.note_end(endpoint_id, message.outcome)
         match message.outcome:
             case messages.DONE:
-                self._loads.note_success(endpoint_id)
+                self._loads.health.note_success(endpoint_id)
             case messages.NOT_SENT:
                 self._note_failure(endpoint_id, now)
             case messages.REFUSED:
-                self._loads.note_full(endpoint_id, now)
+                self._loads.health.note_full(endpoint_id, now)
             case messages.BROKEN:
                 self._note_failure(endpoint_id, now)
                 self._note_crash(message, now)
 
     def _note_failure(self, endpoint_id, now):
-        self._loads.note_failure(endpoint_id, now)
+        self._loads.health.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
 
     def _note_crash(self, message, now):
@@ -249,9 +290,12 @@
         return news
 
     def _batch_share(self, message, now):
+        if self._nodes.is_large:
+            # Each item is placed by a scheduler, which knows what is free.
+            return message.backlog
         free_by_endpoint = {}
         for endpoint in self._directory.usable(message.service, now):
-            if self._loads.is_open(endpoint, now):
+            if self._loads.health.is_open(endpoint.endpoint_id, now):
                 online, _ = self._loads.counts(endpoint.endpoint_id, now)
                 free = (endpoint.slots or DEFAULT_SLOTS) - online
                 free_by_endpoint[endpoint.endpoint_id] = free
--- a/packages/gateway/sequoiaglade_gateway/knowledge/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/knowledge/watcher.py
@@ -13,6 +13,10 @@
 # How long the first call after a failure waits, in seconds: it is to show at once that
 # the store is back, also where nothing has changed.
 PROBE_SECONDS = 0.02
+# Pause after a call that told of changes, in seconds: changes that come one after the
+# other, as when a fleet starts, are read together. A fifth of the time in which a
+# change is due everywhere.
+GATHER_SECONDS = 0.4
 # Pause after a failed call, in seconds; changes are due everywhere within two.
 RETRY_SECONDS = 0.4
 
@@ -64,6 +68,8 @@
         for change in seen.changes:
             self._on_change(change)
         self._revision = max(seen.revision, self._revision)
+        if seen.changes:
+            self._stopped.wait(GATHER_SECONDS)
         return None
 
     def _note(self, failure):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -28,17 +28,80 @@
 
     service: str
     spread: str
-    excluded: frozenset
+    excluded: frozenset = frozenset()
     headroom: int = 0
+    is_batch: bool = False
 
 
-class PlaceBatch(NamedTuple):
-    """Ask for an endpoint for a batch item; answers `Running` or None."""
+class EndpointResult(NamedTuple):
+    """How a request ended; `pause_seconds` is the mean one between events, or 0."""
+
+    endpoint_id: str
+    outcome: str
+    pause_seconds: float = 0.0
+
+
+class LoadReport(NamedTuple):
+    """What a node has in flight, and what has ended since its last report.
+
+    `number` is the pair of the node's incarnation and a number that rises;
+    `counts_by_id` has pairs of online and batch requests by endpoint id.
+    """
+
+    node_id: str
+    number: tuple[int, int]
+    counts_by_id: dict
+    results: tuple[EndpointResult, ...] = ()
+
+
+class AskScheduler(NamedTuple):
+    """Ask who places a request; answers a `Question`, or None in a small fleet."""
 
     service: str
     spread: str
 
 
+class Question(NamedTuple):
+    """What to tell the nodes that schedule a group, the first one first.
+
+    `candidates` are pairs of node id and peer address.
+    """
+
+    candidates: list
+    group: int
+    group_count: int
+    report: LoadReport
+
+
+class Schedule(NamedTuple):
+    """Ask this node, as a scheduler, to place; answers `Scheduled` or `Full`."""
+
+    report: LoadReport
+    place: Place
+    group: int
+    group_count: int
+
+
+class Begin(NamedTuple):
+    """Count a request at a scheduled endpoint; answers `Running`.
+
+    Answers None if this node knows that the endpoint is to get no new work.
+    """
+
+    place: Place
+    endpoint_id: str
+
+
+class TakeReports(NamedTuple):
+    """Ask for the reports that are due; answers pairs of peer address and report."""
+
+
+class HearReport(NamedTuple):
+    """A peer told its loads to this node as a scheduler."""
+
+    report: LoadReport
+
+
 class Running(NamedTuple):
     """A request's endpoint, counted as in flight until `Ended` is told."""
 
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -25,6 +25,7 @@
 from .metrics import GatewayMetrics
 from .online import OnlineService, RoomWatcher
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
+from .placing import LoadReporter, Placer
 
 # Callers may keep an address for this many times the told period: the platform's pages.
 KEEP_FACTOR = 3
@@ -48,6 +49,7 @@
     online: Any
     batch: Any
     peers: Any
+    placer: Any
     room: Any
     writer: Any
 
@@ -148,9 +150,12 @@
         self._writer = parts.writer = ResultWriter(board, storage)
         parts.batch = BatchService(parts, board, storage, self._runner, self._adoption)
         client = stack.enter_context(PeerClient())
+        parts.placer = Placer(parts, client)
         self._gossip = Gossip(parts, client, board, self._runner, self._adoption.look)
         parts.peers = PeerCalls(client, self._gossip)
-        servicer = FleetServicer(self._gossip, parts.knowledge, board, parts.batch)
+        servicer = FleetServicer(
+            self._gossip, parts.knowledge, board, parts.batch, parts.placer
+        )
         start_peer_server(stack, parts.settings.listen.peer, servicer)
         parts.room = RoomWatcher(parts, client.ask_to_yield)
         for thread in (
@@ -159,6 +164,7 @@
             self._runner,
             self._writer,
             self._adoption,
+            LoadReporter(parts, client),
         ):
             stack.enter_context(thread)
 
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -164,7 +164,7 @@
         place = Place(
             work.service or "", work.call.request_id, self._excluded, work.priority
         )
-        placed = self._parts.coordinator.ask(place)
+        placed = self._parts.placer.place(place)
         if isinstance(placed, Full):
             return self._full(placed)
         self._running = placed
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -9,10 +9,19 @@
 from sequoiaglade_node.peers.tracing import open_channel
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
-from .codec import decode_results, encode_job
+from .codec import (
+    decode_placement,
+    decode_results,
+    encode_job,
+    encode_question,
+    encode_report,
+)
 
 # A peer answers within a few milliseconds; a caller waits for the answer.
 CALL_SECONDS = 0.6
+# A scheduler answers within some milliseconds; half of a request's objective of 300 ms
+# is to be left for another choice.
+SCHEDULE_SECONDS = 0.15
 # A peer writes to the store meanwhile.
 STORE_SECONDS = 1.5
 
@@ -68,6 +77,17 @@
             return Failure(FailureCode(reply.failure_code), reply.reason)
         return None
 
+    def schedule(self, address, question, place):
+        """Ask a node to place a request; return `Placed`, `Full` or None."""
+        request = encode_question(question, place)
+        reply = self._call(address, "Schedule", request, SCHEDULE_SECONDS, True)
+        return reply and decode_placement(reply)
+
+    def report(self, address, report):
+        """Tell a node that schedules of this node's loads; don't wait for it."""
+        stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+        stub.Report.future(encode_report(report), timeout=CALL_SECONDS)
+
     def ask_to_yield(self, address, endpoint_id):
         """Ask a peer to stop a batch item at an endpoint; don't wait for it."""
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -1,8 +1,19 @@
 """Node states as messages of the inner protocol."""
 
-from sequoiaglade_decisions.gateway import Item, JobNote, JobSpec, NodeState, Result
+from sequoiaglade_decisions.gateway import (
+    Full,
+    Item,
+    JobNote,
+    JobSpec,
+    NodeState,
+    Placed,
+    Result,
+    Scheduled,
+)
 from sequoiaglade_protocol import fleet_pb2
 
+from ..messages import EndpointResult, LoadReport, Place, Schedule
+
 MS_PER_SECOND = 1000
 
 
@@ -36,6 +47,7 @@
             for mark, key, age in state.crashes
         ],
         is_store_reachable=state.is_store_reachable,
+        cores=state.cores,
     )
 
 
@@ -72,9 +84,82 @@
             for row in message.crashes
         ),
         is_store_reachable=message.is_store_reachable,
+        cores=message.cores,
+    )
+
+
+def encode_report(report):
+    """Return the message for a `LoadReport`."""
+    return fleet_pb2.LoadReport(
+        node_id=report.node_id,
+        incarnation=report.number[0],
+        number=report.number[1],
+        loads=[
+            fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
+            for name, (online, batch) in report.counts_by_id.items()
+        ],
+        results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
+    )
+
+
+def decode_report(message):
+    """Return the `LoadReport` of a message."""
+    return LoadReport(
+        message.node_id,
+        (message.incarnation, message.number),
+        {load.endpoint_id: (load.online, load.batch) for load in message.loads},
+        tuple(
+            EndpointResult(row.endpoint_id, row.outcome, row.pause_seconds)
+            for row in message.results
+        ),
     )
 
 
+def encode_question(question, place):
+    """Return the message that asks a scheduler for a `Place`."""
+    return fleet_pb2.ScheduleRequest(
+        report=encode_report(question.report),
+        service=place.service,
+        group=question.group,
+        group_count=question.group_count,
+        spread=place.spread,
+        excluded_ids=place.excluded,
+        headroom=place.headroom,
+        is_batch=place.is_batch,
+    )
+
+
+def decode_question(message):
+    """Return the `Schedule` of a message."""
+    place = Place(
+        message.service,
+        message.spread,
+        frozenset(message.excluded_ids),
+        message.headroom,
+        message.is_batch,
+    )
+    report = decode_report(message.report)
+    return Schedule(report, place, message.group, message.group_count)
+
+
+def encode_placement(placement):
+    """Return the message for a `Scheduled` or `Full`."""
+    match placement:
+        case Full(retry_after, has_endpoints):
+            return fleet_pb2.ScheduleReply(
+                retry_after=retry_after, has_endpoints=has_endpoints
+            )
+        case Scheduled(endpoint_id):
+            return fleet_pb2.ScheduleReply(endpoint_id=endpoint_id)
+
+
+def decode_placement(message):
+    """Return the `Placed` or `Full` of a message."""
+    if message.endpoint_id:
+        return Placed(message.endpoint_id)
+    return Full(message.retry_after, message.has_endpoints)
+
+
 def encode_results(results):
     """Return the messages for a list of `Result`."""
     return [fleet_pb2.JobResult(**result._asdict()) for result in results]
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -3,17 +3,23 @@
 from sequoiaglade_node.peers.server import PeerServer
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
-from .codec import encode_results
+from .codec import (
+    decode_question,
+    decode_report,
+    encode_placement,
+    encode_results,
+)
 
 
 class FleetServicer(fleet_pb2_grpc.FleetServicer):
     """Answers the calls of the service `Fleet`."""
 
-    def __init__(self, gossip, knowledge, board, batch):
+    def __init__(self, gossip, knowledge, board, batch, placer):
         self._gossip = gossip
         self._knowledge = knowledge
         self._board = board
         self._batch = batch
+        self._placer = placer
 
     def Gossip(self, request, context):  # noqa: N802
         self._gossip.hear(request)
@@ -52,6 +58,13 @@
             failure_code=failure.code.value, reason=failure.reason
         )
 
+    def Schedule(self, request, context):  # noqa: N802
+        return encode_placement(self._placer.schedule(decode_question(request)))
+
+    def Report(self, request, context):  # noqa: N802
+        self._placer.hear(decode_report(request))
+        return fleet_pb2.ReportReply()
+
     def MakeRoom(self, request, context):  # noqa: N802
         self._batch.preempt(request.endpoint_id)
         return fleet_pb2.RoomReply()
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -34,6 +34,13 @@
     value_bytes: int = Field(default=1_048_576, ge=65_536)
 
 
+class Processor(_Part):
+    """The instance's processor: the part of the time that it is ours, and its cores."""
+
+    share: float = Field(default=1.0, gt=0, le=1)
+    cores: float = Field(default=1.0, gt=0)
+
+
 class GatewaySettings(_Part):
     """All settings of a gateway node.
 
@@ -53,6 +60,7 @@
     grace_seconds: float = Field(default=8.0, gt=0, le=3600)
     directory_seconds: float = Field(default=1.0, gt=0, le=60)
     limits: Limits = Limits()
+    processor: Processor = Processor()
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
 
 
