Ask the likely holders before a job is taken over; threads for calls that wait

Change: before a job is taken over, the accepting node and the one that all choose by hash are asked whether they hold it. Reads of a job without a known holder ask the accepting node before the store; holders in large fleets trust their contacts for 4 s instead of 1 s, since rounds take a second. Peers are served by 32 threads. Schedulers prefer endpoints in the asking node's failure domain. 'request placed' tells how long placing took.

--- a/packages/decisions/sequoiaglade_decisions/gateway/exclusive.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/exclusive.py
@@ -3,6 +3,8 @@
 # Peers take a node's jobs over once they have not heard of it for `SILENT_SECONDS`; a
 # node trusts itself for less than that, in seconds, to allow for calls under way.
 TRUST_SECONDS = 1.0
+# The same in a large fleet, where nodes are given up later and told less often.
+TRUST_SECONDS_LARGE = 4.0
 
 
 class Contacts:
@@ -37,4 +39,4 @@
 
     def is_in_touch(self, peer_ids, now):
         """Return whether any peer knows it, for fleets too large to tell all."""
-        return any(now - self.told_at(peer) <= TRUST_SECONDS for peer in peer_ids)
+        return any(now - self.told_at(p) <= TRUST_SECONDS_LARGE for p in peer_ids)
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -6,6 +6,10 @@
 from .health import AVOID_SECONDS, EndpointHealth
 from .placement import DEFAULT_SLOTS, QUEUE_ALLOWANCE, Full, ReturnTimes
 
+# An endpoint in the asking node's failure domain is taken if it has at most so many
+# requests more than the least loaded one: bytes to other domains are dearer, and as
+# many more slow an endpoint by a few per cent.
+NEAR_REQUESTS = 2
 # Nodes repeat their loads each second while they have any; what one said longer ago no
 # longer holds, in seconds.
 SILENT_SECONDS = 3.0
@@ -76,15 +80,24 @@
         """Return the pair of online and batch requests in flight at an endpoint."""
         return tuple(self._totals_by_id.get(endpoint_id, (0, 0)))
 
-    def choose(self, endpoints, node_id, now, spread, excluded=frozenset(), headroom=0):
+    def choose(
+        self,
+        endpoints,
+        node_id,
+        now,
+        spread,
+        excluded=frozenset(),
+        headroom=0,
+        domain="",
+    ):
         """Return `Scheduled` or `Full` for an online request of a node that reported.
 
         An endpoint with a free slot is taken, else one with a batch item, which has to
-        stop, else one whose queue is short.
+        stop, else one whose queue is short. `domain` is the node's failure domain.
         """
         ranked = [
-            (self._load(endpoint), rank(spread, endpoint.endpoint_id), endpoint)
-            for endpoint in self.health.open_ones(endpoints, now, excluded)
+            (self._load(e, domain), rank(spread, e.endpoint_id), e)
+            for e in self.health.open_ones(endpoints, now, excluded)
         ]
         if not ranked:
             return Full(AVOID_SECONDS, bool(endpoints))
@@ -95,13 +108,13 @@
             return Scheduled(endpoint_id)
         return self._choose_full(ranked, node_id, now, headroom)
 
-    def choose_for_batch(self, endpoints, node_id, now, reserve, spread):
+    def choose_for_batch(self, endpoints, node_id, now, reserve, spread, domain=""):
         """Return the id of the endpoint for a batch item of a node, or None.
 
         The endpoint has a slot free beyond `reserve` slots.
         """
         rows = [
-            (self._load(endpoint), rank(spread, endpoint.endpoint_id), endpoint)
+            (self._load(endpoint, domain), rank(spread, endpoint.endpoint_id), endpoint)
             for endpoint in endpoints
             if self.health.is_open(endpoint.endpoint_id, now)
             and self._free(endpoint) > reserve
@@ -135,10 +148,12 @@
                 return node_id
         return None
 
-    def _load(self, endpoint):
+    def _load(self, endpoint, domain):
         online, batch = self.counts(endpoint.endpoint_id)
-        ratio = self.health.pace_ratio(endpoint.endpoint_id)
-        return (online + batch) * ratio / (endpoint.slots or DEFAULT_SLOTS)
+        load = (online + batch) * self.health.pace_ratio(endpoint.endpoint_id)
+        if endpoint.failure_domain != domain:
+            load += NEAR_REQUESTS
+        return load / (endpoint.slots or DEFAULT_SLOTS)
 
     def _free(self, endpoint):
         online, batch = self.counts(endpoint.endpoint_id)
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import Orphans, ResultPages
+from sequoiaglade_decisions.gateway import Orphans, ResultPages, job_holder
 from sequoiaglade_decisions.outcomes import Failure
 from sequoiaglade_node.threads import OwnedThread
 
@@ -102,7 +102,25 @@
         chosen = self._orphans.choose(
             accepted_by_key, keys_by_node, ids, time.monotonic()
         )
-        return all([self.adopt(header_by_key[key]) for key in chosen])
+        asked = [s for s in live if not s.is_gone]
+        return all(
+            [
+                self.adopt(header_by_key[key])
+                for key in chosen
+                if not self._is_held_by_peer(header_by_key[key].spec, asked, ids)
+            ]
+        )
+
+    def _is_held_by_peer(self, spec, states, ids):
+        """Ask the nodes that may hold a job: in a large fleet their news is late."""
+        likely = {spec.accepted_by, job_holder(spec.key, None, {}, ids)}
+        for state in states:
+            if state.node_id not in likely:
+                continue
+            if self._parts.peers.holds_job(state.peer_address, spec.key):
+                self._log.info("job held by a peer", job=spec.key, peer=state.node_id)
+                return True
+        return False
 
     def adopt(self, header):
         """Hold the job of a header; return whether the store answered."""
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -228,6 +228,11 @@
         header = self._header_of(key)
         if isinstance(header, Failure):
             return header
+        # News of who holds a job is late in a large fleet; most often it is this node.
+        address = self._address_of(header.spec.accepted_by)
+        window = address and self._parts.peers.read_job(address, key, after)
+        if window:
+            return window
         if len(self._pages_by_key) > KEPT_PAGES:
             self._pages_by_key.clear()
         pages = self._pages_by_key.setdefault(key, ResultPages())
@@ -303,6 +308,13 @@
                 return state.peer_address
         return None
 
+    def _address_of(self, node_id):
+        """Return the peer address of a live peer, or None."""
+        for state in self._parts.coordinator.ask(LiveNodes()):
+            if state.node_id == node_id:
+                return state.peer_address
+        return None
+
     def _unread(self, call, key, failure):
         if failure.code is FailureCode.NOT_FOUND:
             return self._refuse(call, GatewayRefusal(404, f"no batch job {key}"))
--- a/packages/gateway/sequoiaglade_gateway/desk.py
+++ b/packages/gateway/sequoiaglade_gateway/desk.py
@@ -61,12 +61,20 @@
             if group_of(endpoint.endpoint_id, asked.group_count) == asked.group
         ]
         node_id = asked.report.node_id
+        asking = self._nodes.state(node_id) or self._own_state()
+        domain = asking.failure_domain
         if not place.is_batch:
             return self._scheduler.choose(
-                endpoints, node_id, now, place.spread, place.excluded, place.headroom
+                endpoints,
+                node_id,
+                now,
+                place.spread,
+                place.excluded,
+                place.headroom,
+                domain,
             )
         endpoint_id = self._scheduler.choose_for_batch(
-            endpoints, node_id, now, RESERVE_SLOTS, place.spread
+            endpoints, node_id, now, RESERVE_SLOTS, place.spread, domain
         )
         if endpoint_id is None:
             return Full(BATCH_RETRY_SECONDS, bool(endpoints))
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -61,6 +61,7 @@
         self.read_job = client.read_job
         self.read_item = client.read_item
         self.end_job = client.end_job
+        self.holds_job = client.holds_job
         self.store_job = client.store_job
         self.heard_share = gossip.heard_share
         self.is_exclusive = gossip.is_exclusive
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -67,6 +67,7 @@
         self._running = None
         self._excluded = frozenset()
         self._progress = Progress(0, 0)
+        self._placing_seconds = 0.0
         self._log = structlog.get_logger()
         self.last_event_id = work.call.last_event_id
         self.has_left = False
@@ -164,7 +165,9 @@
         place = Place(
             work.service or "", work.call.request_id, self._excluded, work.priority
         )
+        asked_at = time.monotonic()
         placed = self._parts.placer.place(place)
+        self._placing_seconds = time.monotonic() - asked_at
         if isinstance(placed, Full):
             return self._full(placed)
         self._running = placed
@@ -201,6 +204,8 @@
             workspace=work.workspace,
             endpoint_id=endpoint.endpoint_id,
             in_flight=self._running.in_flight,
+            placing_ms=round(self._placing_seconds * 1000),
+            waited_ms=round((time.monotonic() - work.arrived_at) * 1000),
             seconds_left=round(left, 3),
             configuration_version=work.version,
         )
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -58,6 +58,12 @@
             return None
         return reply.total, decode_results(reply.results)
 
+    def holds_job(self, address, key):
+        """Return whether a peer says that it holds a job; False without an answer."""
+        request = fleet_pb2.HoldsJobRequest(job_key=key)
+        reply = self._call(address, "HoldsJob", request)
+        return reply is not None and reply.is_held
+
     def read_item(self, address, key, item_id):
         """Return the bytes of an item of a job held by a peer, or None."""
         request = fleet_pb2.ReadItemRequest(job_key=key, item_id=item_id)
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -10,6 +10,10 @@
     encode_results,
 )
 
+# Calls that wait for the store must not hold up those that place requests: a job's read
+# or write may take a second each while the store is slow.
+PEER_THREADS = 32
+
 
 class FleetServicer(fleet_pb2_grpc.FleetServicer):
     """Answers the calls of the service `Fleet`."""
@@ -40,6 +44,10 @@
             is_held=True, total=total, results=encode_results(results)
         )
 
+    def HoldsJob(self, request, context):  # noqa: N802
+        is_held = self._board.get(request.job_key) is not None
+        return fleet_pb2.HoldsJobReply(is_held=is_held)
+
     def ReadItem(self, request, context):  # noqa: N802
         body = self._board.body(request.job_key, request.item_id)
         if body is None:
@@ -73,4 +81,4 @@
 def start_peer_server(stack, address, servicer):
     """Serve peers on `address` until `stack` is left."""
     service = (fleet_pb2_grpc.add_FleetServicer_to_server, servicer)
-    return stack.enter_context(PeerServer(address, [service]))
+    return stack.enter_context(PeerServer(address, [service], PEER_THREADS))
--- a/packages/node/sequoiaglade_node/peers/server.py
+++ b/packages/node/sequoiaglade_node/peers/server.py
@@ -16,8 +16,8 @@
     `services` are pairs of a generated ``add_..._to_server`` function and a servicer.
     """
 
-    def __init__(self, address, services):
-        pool = futures.ThreadPoolExecutor(PEER_THREADS, "peer")
+    def __init__(self, address, services, threads=PEER_THREADS):
+        pool = futures.ThreadPoolExecutor(threads, "peer")
         self._server = grpc.server(
             pool, options=[("grpc.so_reuseport", 0)], interceptors=server_interceptors()
         )
