Nodes tell only of crashes that they saw themselves, and for ten seconds

After a bad minute some sixty states of some hundred crashes each filled every message of gossip, and decoding them held up all else.

Change: a state tells of the node's own crashes, for 10 s, or for two minutes once the request is quarantined. New scenario; it could not run before (no mark of origin), and the old states held every crash heard.

--- a/tests/features/gateway/decisions.feature
+++ b/tests/features/gateway/decisions.feature
@@ -18,6 +18,11 @@
   Scenario: Events are cut the same however the bytes arrive
     Then any partition of a stream gives the same events
 
+  Scenario: News of crashes stays small after a bad minute
+    When 60 nodes each see 20 requests broken off and tell each other of them
+    Then each node tells of its own 20 for 10 seconds, and of none later
+    And a request that crashed two endpoints is told of for 2 minutes
+
   Scenario: Requests placed by several nodes with old news spread out
     When 7 nodes place 60 requests at 9 endpoints before they hear of each other
     Then no endpoint has more than 12 of them
--- a/tests/features/steps/gateway_decision_steps.py
+++ b/tests/features/steps/gateway_decision_steps.py
@@ -15,6 +15,7 @@
     Loads,
     NodeState,
     NodeTable,
+    Quarantine,
     Result,
     ResultPages,
     batch_targets,
@@ -192,3 +193,39 @@
 @then("no endpoint has more than 12 of them")
 def check_spread(context):
     assert max(context.placed.values()) <= 12, context.placed
+
+
+@when(
+    "{nodes:d} nodes each see {count:d} requests broken off and tell each other of them"
+)
+def tell_crashes(context, nodes, count):
+    context.count = count
+    context.quarantines = [Quarantine() for _ in range(nodes)]
+    for node, quarantine in enumerate(context.quarantines):
+        for number in range(count):
+            mark = f"{node}/{number}"
+            quarantine.note_crash(mark, f"e-{number}", 0.0, is_seen_here=True)
+    for _ in range(2):
+        told = [quarantine.crashes(1.0) for quarantine in context.quarantines]
+        for quarantine in context.quarantines:
+            for fingerprint, key, age in (row for rows in told for row in rows):
+                quarantine.note_crash(fingerprint, key, 1.0 - age)
+
+
+@then("each node tells of its own {count:d} for 10 seconds, and of none later")
+def check_told(context, count):
+    for quarantine in context.quarantines:
+        assert len(quarantine.crashes(9.0)) == count
+        assert quarantine.crashes(11.0) == []
+
+
+@then("a request that crashed two endpoints is told of for 2 minutes")
+def check_told_on(context):
+    first, second = context.quarantines[:2]
+    second.note_crash("0/0", "e-99", 2.0, is_seen_here=True)
+    assert second.holds("0/0", 3.0)
+    assert [row[:2] for row in second.crashes(60.0)] == [("0/0", "e-99")]
+    for fingerprint, key, age in second.crashes(60.0):
+        first.note_crash(fingerprint, key, 60.0 - age)
+    assert first.holds("0/0", 61.0)
+    assert second.crashes(123.0) == []
