--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -67,9 +67,11 @@
     def __init__(self, own_id):
         self._own_id = own_id
         self._heard = {}
+        self._latest_at = 0.0
 
     def hear(self, state, now):
         """Take a state; return whether it is newer than what was known."""
+        self._latest_at = max(self._latest_at, now)
         if state.node_id == self._own_id:
             return False
         known = self._heard.get(state.node_id)
@@ -90,7 +92,8 @@
     @property
     def is_large(self):
         """Whether news reaches all nodes only through others."""
-        return len(self._heard) > SMALL_FLEET
+        since = self._latest_at - FORGET_SECONDS
+        return sum(at >= since for _, at in self._heard.values()) > SMALL_FLEET
 
     def live(self, now, within=SILENT_SECONDS_LARGE):
         """Return the states of peers that were heard lately and have not left.
--- a/packages/gateway/sequoiaglade_gateway/desk.py
+++ b/packages/gateway/sequoiaglade_gateway/desk.py
@@ -115,16 +115,21 @@
             self._results = [*self._results[-RESULTS_MAX:], result]
 
     def reports(self, now):
-        """Return pairs of peer address and `LoadReport` that are due."""
+        """Return pairs of peer address and `LoadReport` that are due.
+
+        Returns None in a small fleet, which has no schedulers.
+        """
+        if not self._nodes.is_large:
+            return None
         self._scheduler.drop_silent(now)
         is_due = now - self._reported_at >= REPEAT_SECONDS and self._loads.own()
-        if not self._nodes.is_large or not (self._is_changed or is_due):
+        state_by_id, able = self._able(now)
+        if not able or not (self._is_changed or is_due):
             return []
         self._is_changed = False
         self._reported_at = now
         report = self._report(self._results)
         self._results = []
-        state_by_id, able = self._able(now)
         told = set()
         for service in self._directory.services():
             count = self._group_count(service, state_by_id, able, now)
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -97,7 +97,10 @@
 
 
 class TakeReports(NamedTuple):
-    """Ask for the reports that are due; answers pairs of peer address and report."""
+    """Ask for the reports that are due; answers pairs of peer address and report.
+
+    Answers None in a small fleet, which has no schedulers.
+    """
 
 
 class HearReport(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -15,6 +15,8 @@
 # Schedulers hear of ended requests after at most this long, in seconds: a small part of
 # the time that a request holds its slot.
 REPORT_SECONDS = 0.05
+# Pause between looks whether the fleet has become large, in seconds.
+IDLE_SECONDS = 1.0
 
 
 class Placer:
@@ -88,6 +90,9 @@
         self._client = client
 
     def _run(self):
-        while not self._stopped.wait(REPORT_SECONDS):
-            for address, report in self._parts.coordinator.ask(TakeReports()):
+        pause = REPORT_SECONDS
+        while not self._stopped.wait(pause):
+            reports = self._parts.coordinator.ask(TakeReports())
+            pause = IDLE_SECONDS if reports is None else REPORT_SECONDS
+            for address, report in reports or ():
                 self._client.report(address, report)
--- a/tests/features/gateway/scheduling.feature
+++ b/tests/features/gateway/scheduling.feature
@@ -23,6 +23,10 @@
   Scenario: A scheduler counts what nodes tell, in whatever order it comes
     Then for any order of reports and grants no endpoint is over its slots and queue
 
+  Scenario: A small fleet whose nodes are replaced does not become a large one
+    When 9 nodes are replaced one by one, 30 seconds apart
+    Then the fleet counts as small, and 14 nodes as a large one
+
   Scenario: The loss of one scheduler moves only its own groups
     Then each of 200 nodes may be lost and the groups of the others stay
 
