--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -22,7 +22,6 @@
 )
 
 from . import messages
-from .desk import SchedulingDesk
 from .messages import (
     Admit,
     AskScheduler,
@@ -51,6 +50,7 @@
     TakeReports,
     View,
 )
+from .scheduling import FleetScheduling
 
 # States of peers heard in this time are passed on to others, in seconds.
 RELAY_SECONDS = 1.0
@@ -87,7 +87,7 @@
             failure_domain=settings.failure_domain,
             cores=settings.processor.share * settings.processor.cores,
         )
-        self._desk = SchedulingDesk(
+        self._scheduling = FleetScheduling(
             lambda: self._state, self._directory, self._nodes, self._loads
         )
 
@@ -100,19 +100,19 @@
             case Place():
                 return self._place(message, now)
             case AskScheduler(service, spread):
-                return self._desk.question(service, spread, now)
+                return self._scheduling.question(service, spread, now)
             case Schedule():
                 return self._schedule(message, now)
             case Begin():
                 return self._begin_scheduled(message, now)
             case TakeReports():
-                return self._desk.reports(now)
+                return self._scheduling.reports(now)
             case HearReport(report):
-                return self._desk.hear(report, now)
+                return self._scheduling.hear(report, now)
             case Ended():
                 return self._end(message, now)
             case Paced(endpoint_id, seconds):
-                self._desk.note_end(endpoint_id, "", seconds)
+                self._scheduling.note_end(endpoint_id, "", seconds)
                 return self._loads.health.note_pace(endpoint_id, seconds)
             case Publish():
                 return self._publish(message, now)
@@ -183,7 +183,7 @@
 
     def _schedule(self, message, now):
         """Return the placement, and the peer address of a node that is to yield."""
-        placement = self._desk.schedule(message, now)
+        placement = self._scheduling.schedule(message, now)
         address = None
         if isinstance(placement, Scheduled) and placement.yielding_node is not None:
             state = self._nodes.state(placement.yielding_node)
@@ -205,7 +205,7 @@
 
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
-        self._desk.note_begin()
+        self._scheduling.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
         endpoint = self._directory.get(endpoint_id, now)
         return Running(endpoint, preempts, in_flight)
@@ -213,7 +213,7 @@
     def _end(self, message, now):
         endpoint_id = message.endpoint_id
         self._loads.end(endpoint_id, message.is_batch)
-        self._desk.note_end(endpoint_id, message.outcome)
+        self._scheduling.note_end(endpoint_id, message.outcome)
         match message.outcome:
             case messages.DONE:
                 self._loads.health.note_success(endpoint_id)
@@ -313,6 +313,7 @@
             },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
             "in_flight_by_endpoint": self._loads.own(),
+            "scheduler_by_group": self._scheduling.schedulers(now),
             "peers": [s.node_id for s in self._nodes.live(now)],
             "quota_share": self._share(now),
             "rate_burst_level_by_workspace": self._quotas.levels(),
--- a/packages/gateway/sequoiaglade_gateway/desk.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -24,7 +24,7 @@
 BATCH_RETRY_SECONDS = 0.3
 
 
-class SchedulingDesk:
+class FleetScheduling:
     """Owned by the coordinator, whose directory, nodes and loads it reads."""
 
     def __init__(self, own_state, directory, nodes, loads):
@@ -123,22 +123,34 @@
             return None
         self._scheduler.drop_silent(now)
         is_due = now - self._reported_at >= REPEAT_SECONDS and self._loads.own()
-        state_by_id, able = self._able(now)
-        if not able or not (self._is_changed or is_due):
+        if not (self._is_changed or is_due):
+            return []
+        told = set(self.schedulers(now).values())
+        if not told:
             return []
         self._is_changed = False
         self._reported_at = now
         report = self._report(self._results)
         self._results = []
-        told = set()
-        for service in self._directory.services():
-            count = self._group_count(service, state_by_id, able, now)
-            for group in range(count):
-                told.update(schedulers(service, group, able)[:1])
         if report.node_id in told:
             self.hear(report, now)
             told.remove(report.node_id)
-        return [(state_by_id[i].peer_address, report) for i in sorted(told)]
+        states = map(self._nodes.state, sorted(told))
+        return [(state.peer_address, report) for state in states]
+
+    def schedulers(self, now):
+        """Return the id of the node that schedules each group, by service and group.
+
+        Empty in a small fleet.
+        """
+        state_by_id, able = self._able(now)
+        if not self._nodes.is_large or not able:
+            return {}
+        return {
+            f"{service}/{group}": schedulers(service, group, able)[0]
+            for service in self._directory.services()
+            for group in range(self._group_count(service, state_by_id, able, now))
+        }
 
     def _report(self, results=()):
         self._number += 1
