--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -31,6 +31,9 @@
 # Items above the node's share that run on: shares follow news that is a little old,
 # and an item that is stopped for a moment's peak reads its prompt again.
 OVERRUN_ITEMS = 1
+# Items that were refused a slot are offered again spread over this part of the time, so
+# that nodes don't ask a scheduler all at once.
+RETRY_SPREAD = 0.5
 # Items of one node at once, whatever its share: each takes a thread.
 ITEMS_MAX = 64
 
@@ -159,8 +162,9 @@
         )
         if not isinstance(placed, Running):
             if placed is not None:
-                seconds = placed.retry_after * (0.75 + 0.5 * random.random())
-                self._full_until_by_service[service] = now + seconds
+                spread = 1 + RETRY_SPREAD * (random.random() - 0.5)
+                full_until = now + placed.retry_after * spread
+                self._full_until_by_service[service] = full_until
             self._finish(job, item.item_id, ItemEnd.STOPPED, route)
             return False
         run = _Run(job, row, placed.endpoint, Attempt(), service)
