--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -29,10 +29,7 @@
         is_leaving=state.is_leaving,
         is_gone=state.is_gone,
         configuration_version=state.configuration_version,
-        loads=[
-            fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
-            for name, (online, batch) in state.load_by_endpoint.items()
-        ],
+        loads=_encode_loads(state.load_by_endpoint),
         admitted=[
             fleet_pb2.AdmittedCount(workspace=name, count=count)
             for name, count in state.admitted_by_workspace.items()
@@ -63,9 +60,7 @@
         is_leaving=message.is_leaving,
         is_gone=message.is_gone,
         configuration_version=message.configuration_version,
-        load_by_endpoint={
-            load.endpoint_id: (load.online, load.batch) for load in message.loads
-        },
+        load_by_endpoint=_decode_loads(message.loads),
         admitted_by_workspace={row.workspace: row.count for row in message.admitted},
         batch_backlog=message.batch_backlog,
         batch_running=message.batch_running,
@@ -94,10 +89,7 @@
         node_id=report.node_id,
         incarnation=report.number[0],
         number=report.number[1],
-        loads=[
-            fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
-            for name, (online, batch) in report.counts_by_id.items()
-        ],
+        loads=_encode_loads(report.counts_by_id),
         results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
     )
 
@@ -107,7 +99,7 @@
     return LoadReport(
         message.node_id,
         (message.incarnation, message.number),
-        {load.endpoint_id: (load.online, load.batch) for load in message.loads},
+        _decode_loads(message.loads),
         tuple(
             EndpointResult(row.endpoint_id, row.outcome, row.pause_seconds)
             for row in message.results
@@ -214,3 +206,14 @@
             for item in message.items
         ),
     )
+
+
+def _encode_loads(counts_by_id):
+    return [
+        fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
+        for name, (online, batch) in counts_by_id.items()
+    ]
+
+
+def _decode_loads(messages):
+    return {load.endpoint_id: (load.online, load.batch) for load in messages}
