Log where job results are read from, and lost contact with peers

Cause: the logs did not tell the hypotheses on lost results apart: which gateway answered a read and from where, whether calls to a peer fail although it lives, and whether a gateway counts as the only holder of its jobs.

Change: a line 'results read' for each read with its source; 'peer unreachable' and 'peer reachable again' when gossip to an address begins to fail and succeeds again; 'held jobs may be adopted' and 'held jobs exclusive' when the belief changes; counters for gossip calls, reads by source, and reads of held jobs from memory or store. No decision changed.

--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -184,14 +184,21 @@
         return json_response(202, {})
 
     def _read_results(self, call, key, after):
+        source = "this node"
         window = self.held_window(key, after)
         if window is None:
+            source = "holder"
             window = self._read_from_peer(key, after)
         if window is None:
+            source = "store"
             window = self._read_from_store(key, after)
         if isinstance(window, Failure):
             return self._refuse_after_failure(call, key, window)
         total, results = window
+        self._log.info(
+            "results read", job=key, after=after, count=len(results), source=source
+        )
+        self._parts.metrics.count("results read", source)
         body = self._parts.dialect.results_body(total, after, results)
         return json_response(200, body)
 
@@ -206,7 +213,10 @@
         if job is None:
             return None
         is_current = job.is_synced and time.monotonic() > job.confirm_until
-        if not is_current or not self._parts.peers.is_exclusive():
+        if is_current and self._parts.peers.is_exclusive():
+            self._parts.metrics.count("held results read", "memory")
+        else:
+            self._parts.metrics.count("held results read", "store")
             failure = self._refresh_results(job)
             if failure is not None:
                 return None
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -59,6 +59,8 @@
         self._is_large = False
         self._peer_acks = PeerAcks()
         self._round_at = self._resumed_at = _now()
+        self._failing_since_by_address = {}
+        self._is_exclusive = True
         self._log = structlog.get_logger()
         self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
 
@@ -115,11 +117,14 @@
         digest = self.make_digest()
         sent_at = _now()
         send = lambda a: self._client.gossip(a, digest, CALL_SECONDS)  # noqa: E731
-        for reply in self._pool.map(send, targets):
+        for address, reply in zip(targets, self._pool.map(send, targets)):
+            self._log_reachability(address, reply is not None)
             if reply is not None:
                 # A digest begins with its sender's own state.
                 self._peer_acks.note_ack(reply.nodes[0].node_id, sent_at)
                 self.receive_digest(reply)
+        for address in set(self._failing_since_by_address) - {*addresses, *seeds}:
+            del self._failing_since_by_address[address]
         if not self._is_large:
             self._client.close_unused([*addresses, *seeds])
 
@@ -158,6 +163,7 @@
             # nodes from time to time.
             if lost and not self._is_large:
                 self._on_peer_lost()
+        self._log_exclusivity()
         newest = max(live, key=lambda s: s.configuration_version, default=None)
         cache = self._parts.store_cache
         if newest and newest.configuration_version > cache.version:
@@ -165,6 +171,30 @@
             if exported is not None:
                 cache.import_from_peer(*exported, source=newest.node_id)
 
+    def _log_reachability(self, address, is_reachable):
+        """Log when calls to a peer begin to fail, and when one succeeds again."""
+        failing_since = self._failing_since_by_address.get(address)
+        self._parts.metrics.count("gossip", "answered" if is_reachable else "failed")
+        if is_reachable and failing_since is not None:
+            del self._failing_since_by_address[address]
+            seconds = round(_now() - failing_since, 3)
+            self._log.info("peer reachable again", peer=address, after_seconds=seconds)
+        elif not is_reachable and failing_since is None:
+            self._failing_since_by_address[address] = _now()
+            self._log.info("peer unreachable", peer=address)
+
+    def _log_exclusivity(self):
+        """Log when a peer may have adopted the held jobs, and when none can have."""
+        is_exclusive = self.is_exclusive()
+        if is_exclusive != self._is_exclusive:
+            self._is_exclusive = is_exclusive
+            known = self._parts.coordinator.ask(KnownNodes())
+            self._log.info(
+                "held jobs exclusive" if is_exclusive else "held jobs may be adopted",
+                known_peers=len(known),
+                jobs=len(self._job_registry.jobs()),
+            )
+
     def _release_duplicate_jobs(self, state):
         """Release the jobs that a peer with a lower id holds as well."""
         peer_has_priority = state.node_id < self._parts.settings.node_id
