Failing test: a channel to a peer whose connection fell silent

The relay of the stand-ins can silence the open connections of a link: they forward nothing more and are not closed; new ones work. A call on a channel between nodes then times out each time, for good.

--- a/packages/standins/sequoiaglade_standins/relay.py
+++ b/packages/standins/sequoiaglade_standins/relay.py
@@ -53,6 +53,8 @@
         self._allowed_bytes = 0
         self._changed = asyncio.Event()
         self._writers = set()
+        # Number of silences; connections opened before the latest forward nothing.
+        self._silence_count = 0
 
     def inject_fault(self, fault):
         """Make a `Refuse`, `Stall` or `Drop` the current fault."""
@@ -62,6 +64,10 @@
         """End the current fault and forward everything again."""
         self._set_fault_threadsafe(None)
 
+    def silence_open_connections(self):
+        """Forward nothing more on the open connections, without closing them."""
+        self._run(self._silence())
+
     async def forward(self, reader, writer, target, greeting=b""):
         """Forward an accepted connection to the address `target` until it ends."""
         self._writers.add(writer)
@@ -80,11 +86,12 @@
         host, _, port = target.rpartition(":")
         target_reader, target_writer = await asyncio.open_connection(host, int(port))
         self._writers.add(target_writer)
+        count = self._silence_count
         try:
             writer.write(greeting)
             await asyncio.gather(
-                self._copy(reader, target_writer, is_response=False),
-                self._copy(target_reader, writer, is_response=True),
+                self._copy(reader, target_writer, count, is_response=False),
+                self._copy(target_reader, writer, count, is_response=True),
             )
         except OSError:
             _reset(target_writer)
@@ -93,8 +100,10 @@
             self._writers.discard(target_writer)
             target_writer.close()
 
-    async def _copy(self, reader, writer, is_response):
+    async def _copy(self, reader, writer, silence_count, is_response):
         while data := await reader.read(CHUNK_BYTES):
+            if self._silence_count > silence_count:
+                await asyncio.Event().wait()
             while data:
                 count = await self._wait_for_allowance(len(data), is_response)
                 if not count:
@@ -102,6 +111,8 @@
                 writer.write(data[:count])
                 await writer.drain()
                 data = data[count:]
+        if self._silence_count > silence_count:
+            await asyncio.Event().wait()
         writer.write_eof()
 
     async def _wait_for_allowance(self, wanted, is_response):
@@ -122,9 +133,15 @@
         return wanted
 
     def _set_fault_threadsafe(self, fault):
-        done = asyncio.run_coroutine_threadsafe(self._set_fault(fault), self._loop)
+        self._run(self._set_fault(fault))
+
+    def _run(self, coroutine):
+        done = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
         done.result(COMMAND_TIMEOUT_SECONDS)
 
+    async def _silence(self):
+        self._silence_count += 1
+
     async def _set_fault(self, fault):
         self._fault = fault
         self._allowed_bytes = getattr(fault, "after_bytes", 0)
--- /dev/null
+++ b/tests/features/membership/channels.feature
@@ -0,0 +1,11 @@
+Feature: Channels between nodes
+
+  Scenario: A channel works again after its connection fell silent
+    Given a peer server behind a link, and a channel on which calls succeed
+    When the open connections of the link fall silent
+    Then within 2 seconds a call on the channel succeeds
+
+  Scenario: A slow call on a channel is not interrupted when another one times out
+    Given a peer server behind a link, and a channel on which calls succeed
+    When a call of 1 second runs while shorter calls time out
+    Then the call of 1 second succeeds
