Replace the connection of a peer channel on which calls time out

What callers saw: results of batch jobs that they had read were missing in later reads (LOST), for as long as the gateways ran, after connections had fallen silent.

Cause: gRPC channels between nodes had no time-out of their own for a connection that passes nothing and is not reset. Every call timed out for the life of the process. Each gateway lost all peers, took over all jobs, and after 20 s without any known peer counted as the only holder of its jobs, so that reads were answered from memory while others listed results. gRPC's keep-alive did not help in a trial (a ping in an idle direction was counted as answered).

Change: RenewedChannel, used by gateways and by nodes of the product's own interface, replaces the connection when a call timed out and no other call on it was answered since that call began.

The scenario 'A channel works again after its connection fell silent' failed before and passes.

--- a/packages/node/sequoiaglade_node/peers/tracing.py
+++ b/packages/node/sequoiaglade_node/peers/tracing.py
@@ -10,6 +10,8 @@
 import grpc
 from opentelemetry import propagate, trace
 
+from .channels import RenewedChannel
+
 MAX_RECONNECT_BACKOFF_MS = 1000
 UNTRACED_CALLS = frozenset(("Gossip/Exchange", "Limits/Poll"))
 
@@ -19,10 +21,11 @@
 def open_channel(address):
     """Return a channel to a node, with a span per call if spans are exported.
 
-    After a lost connection it reconnects within `MAX_RECONNECT_BACKOFF_MS` plus jitter.
+    After a lost connection it reconnects within `MAX_RECONNECT_BACKOFF_MS` plus jitter;
+    a connection on which calls time out is replaced.
     """
     options = [("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_BACKOFF_MS)]
-    channel = grpc.insecure_channel(address, options)
+    channel = RenewedChannel(address, options)
     if not _is_exported():
         return channel
     return grpc.intercept_channel(channel, _ClientSpans())
