Clocks of held jobs, adoption and gossip are parameters

The coordinator and the registry took a clock; held jobs, the batch service, adoption and gossip read the system's clocks themselves.

They now take a clock with the former one as default. Gossip takes the executor of its calls as well, and a regular round is a method of its own, so that a test can run it without the thread. `adopt_orphans` becomes public for the same reason. No change of logic.

--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -30,11 +30,12 @@
 class JobAdopter(OwnedThread):
     """One thread that takes over jobs without a holder; a context manager."""
 
-    def __init__(self, parts, registry, storage):
+    def __init__(self, parts, registry, storage, clock=time.monotonic):
         super().__init__("adoption")
         self._parts = parts
         self._registry = registry
         self._storage = storage
+        self._clock = clock
         self._wakeup = threading.Event()
         self._noted_keys = queue.SimpleQueue()
         self._orphans = OrphanedJobs(parts.settings.node_id)
@@ -66,7 +67,7 @@
                 # After a suspension all peers seem lost until their states arrive.
                 self._stopped.wait(PEER_DISCOVERY_SECONDS)
             if is_due and not self.is_leaving:
-                is_due = not self._adopt_orphans()
+                is_due = not self.adopt_orphans()
             if is_due:
                 self._stopped.wait(RETRY_SECONDS)
                 continue
@@ -83,10 +84,10 @@
     def _live_peers(self):
         return self._parts.coordinator.ask(LiveNodes())
 
-    def _adopt_orphans(self):
+    def adopt_orphans(self):
         """Adopt the jobs chosen for this node; return whether the store answered."""
         while not self._noted_keys.empty():
-            self._orphans.note_unheld(self._noted_keys.get(), time.monotonic())
+            self._orphans.note_unheld(self._noted_keys.get(), self._clock())
         headers = self._storage.list_headers()
         if isinstance(headers, Failure):
             self._log.info("jobs not listed", reason=headers.reason)
@@ -104,9 +105,7 @@
             if not header.is_finished and header.spec.key not in self.ended_keys
         }
         accepted_by_key = {k: h.spec.accepted_by for k, h in header_by_key.items()}
-        chosen = self._orphans.choose(
-            accepted_by_key, keys_by_node, ids, time.monotonic()
-        )
+        chosen = self._orphans.choose(accepted_by_key, keys_by_node, ids, self._clock())
         held = self._confirmed_by_peers(
             [header_by_key[key].spec for key in chosen], ids
         )
@@ -150,7 +149,7 @@
             return False
         configuration = self._parts.store_cache.configuration
         route = configuration and configuration.match(spec.host, spec.path)
-        job = HeldJob(header, spec, route, pages)
+        job = HeldJob(header, spec, route, pages, self._clock)
         job.confirm_reads()
         self._registry.add(job)
         self._log.info(
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -20,8 +20,9 @@
 class HeldJob:
     """A job whose items this node runs or ran, with its listed results."""
 
-    def __init__(self, header, spec, route, pages=None):
+    def __init__(self, header, spec, route, pages=None, clock=time.monotonic):
         self.header = header
+        self._clock = clock
         self.batch = Batch(
             spec, spec.submitted_at + (route.due_seconds if route else 0)
         )
@@ -35,7 +36,7 @@
 
     def confirm_reads(self):
         """Make reads ask the store for a while, since another node may list results."""
-        self.confirm_until = time.monotonic() + LATE_WRITE_SECONDS
+        self.confirm_until = self._clock() + LATE_WRITE_SECONDS
 
     @property
     def key(self):
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -35,12 +35,13 @@
 class BatchService:
     """Accepts jobs, and answers reads of jobs that any node accepted."""
 
-    def __init__(self, parts, registry, storage, runner, adopter):
+    def __init__(self, parts, registry, storage, runner, adopter, clock=time.monotonic):
         self._parts = parts
         self._registry = registry
         self._storage = storage
         self._runner = runner
         self._adopter = adopter
+        self._clock = clock
         self._pages_by_key = {}
         self._header_by_key = {}
         self._log = structlog.get_logger()
@@ -163,7 +164,7 @@
             return done
         sizes = tuple(len(item.body) for item in spec.items)
         header = JobHeader(spec, sizes, False, done.revision)
-        self._registry.add(HeldJob(header, spec, route))
+        self._registry.add(HeldJob(header, spec, route, clock=self._clock))
         return None
 
     def store_for_peer(self, message):
@@ -212,7 +213,7 @@
         job = self._registry.get(key)
         if job is None:
             return None
-        is_current = job.is_synced and time.monotonic() > job.confirm_until
+        is_current = job.is_synced and self._clock() > job.confirm_until
         if is_current and self._parts.peers.is_exclusive():
             self._parts.metrics.count("held results read", "memory")
         else:
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -41,28 +41,45 @@
 CALL_SECONDS = 0.4
 
 
+def _boot_seconds():
+    """Return the seconds of a clock that includes the time of a suspended machine."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Gossip(OwnedThread):
     """One thread that runs the gossip rounds; a context manager.
 
     `on_peer_lost` is called when a peer is no longer live, in a small fleet only.
+    `clock` also advances while the machine is suspended. Calls to peers run in `pool`,
+    an executor that the gossip then owns.
     """
 
-    def __init__(self, parts, client, job_registry, runner, on_peer_lost):
+    def __init__(
+        self,
+        parts,
+        client,
+        job_registry,
+        runner,
+        on_peer_lost,
+        clock=_boot_seconds,
+        pool=None,
+    ):
         super().__init__("gossip")
         self._parts = parts
         self._client = client
         self._job_registry = job_registry
         self._runner = runner
         self._on_peer_lost = on_peer_lost
+        self._clock = clock
         self._live_ids = frozenset()
         self._is_busy = False
         self._is_large = False
         self._peer_acks = PeerAcks()
-        self._round_at = self._resumed_at = _now()
+        self._round_at = self._resumed_at = self._clock()
         self._failing_since_by_address = {}
         self._is_exclusive = True
         self._log = structlog.get_logger()
-        self._pool = concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
+        self._pool = pool or concurrent.futures.ThreadPoolExecutor(FANOUT, "gossip")
 
     def __exit__(self, *exc_info):
         super().__exit__(*exc_info)
@@ -97,8 +114,8 @@
         """Return whether no peer can have adopted the jobs that this node holds."""
         known = self._parts.coordinator.ask(KnownNodes())
         if self._is_large:
-            return self._peer_acks.is_acknowledged_by_any(known, _now())
-        return self._peer_acks.is_acknowledged_by_all(known, _now())
+            return self._peer_acks.is_acknowledged_by_any(known, self._clock())
+        return self._peer_acks.is_acknowledged_by_all(known, self._clock())
 
     def run_round(self, count=FANOUT):
         """Exchange digests with up to `count` peers, and perhaps with a seed."""
@@ -115,7 +132,7 @@
         if missing and (len(targets) < count or random.random() < SEED_PROBABILITY):
             targets.append(random.choice(missing))
         digest = self.make_digest()
-        sent_at = _now()
+        sent_at = self._clock()
         send = lambda a: self._client.gossip(a, digest, CALL_SECONDS)  # noqa: E731
         for address, reply in zip(targets, self._pool.map(send, targets)):
             self._log_reachability(address, reply is not None)
@@ -130,16 +147,20 @@
 
     def _run(self):
         while not self._stopped.wait(self._pause()):
-            self._detect_suspension()
-            self.run_round(LARGE_FANOUT if self._is_large else FANOUT)
-            self._check_peers()
+            self.run_due_round()
+
+    def run_due_round(self):
+        """Run a regular round and follow the changes that it brings."""
+        self._detect_suspension()
+        self.run_round(LARGE_FANOUT if self._is_large else FANOUT)
+        self._check_peers()
 
     def seconds_since_resume(self):
         """Return the seconds since the process last started or resumed."""
-        return _now() - self._resumed_at
+        return self._clock() - self._resumed_at
 
     def _detect_suspension(self):
-        now = _now()
+        now = self._clock()
         interval = now - self._round_at
         self._round_at = now
         if interval > SUSPENSION_SECONDS:
@@ -177,10 +198,10 @@
         self._parts.metrics.count("gossip", "answered" if is_reachable else "failed")
         if is_reachable and failing_since is not None:
             del self._failing_since_by_address[address]
-            seconds = round(_now() - failing_since, 3)
+            seconds = round(self._clock() - failing_since, 3)
             self._log.info("peer reachable again", peer=address, after_seconds=seconds)
         elif not is_reachable and failing_since is None:
-            self._failing_since_by_address[address] = _now()
+            self._failing_since_by_address[address] = self._clock()
             self._log.info("peer unreachable", peer=address)
 
     def _log_exclusivity(self):
@@ -210,8 +231,3 @@
                 self._log.info(
                     "job released to peer", job=summary.job_key, peer=state.node_id
                 )
-
-
-def _now():
-    """Return the seconds of a clock that includes the time of a suspended machine."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
