Failing tests: outdated reads after two gateways held a job

Hypothesis H2 of the incident of lost results, as plain scenarios: a gateway holds a job with one listed result and is cut off, suspended or frozen; another one adopts the job, lists two more and releases it as soon as it hears from the first, whose own view then has no second holder. It answers from memory with one result of three.

The gateways' parts are the real ones (coordinator, gossip, registry, storage, batch service, writer, adoption, servicer, message encoding), run step by step in one thread by `holder_simulation`; the store, the calls between gateways and the clocks are in memory, so that nothing depends on the machine's speed.

There are three causes:

- the release is not heard of (first three outlines' failures, and the adopter that is unknown to the first holder): nothing makes reads ask the store;
- the time in which reads ask the store ends without any having done so, and the pages are as old as before (relay after 10 s, both holders meet);
- a gateway that has forgotten all peers counts as the only holder.

With the ids the other way round the first holder releases the job itself, and reads go to the adopter; only the adopter that is unknown to it fails then as well.

--- /dev/null
+++ b/tests/features/gateway/holders.feature
@@ -0,0 +1,77 @@
+Feature: Reads of a job after its holder changed or a write took effect late
+
+  Gateways are simulated step by step, with simulated time, network and store. A result
+  that was read is returned by every later read that is answered.
+
+  Scenario Outline: The adopter releases the job before the first holder hears of it
+    Given gateways "a, b, c", and "<holder>" holds a job with 1 listed result
+    When "<holder>" is <trouble> until "<adopter>" has adopted the job and listed 2 more
+    And "<holder>" is back, and its gossip reaches "<adopter>" first
+    And gossip goes on for 2 seconds
+    Then reads at "<holder>, c, <adopter>" return 3 results
+
+    Examples:
+      | holder | adopter | trouble   |
+      | a      | b       | cut off   |
+      | a      | b       | suspended |
+      | a      | b       | frozen    |
+      | b      | a       | cut off   |
+      | b      | a       | suspended |
+      | b      | a       | frozen    |
+
+  Scenario Outline: The adopter's answer to the first holder's gossip is lost
+    Given gateways "a, b, c", and "<holder>" holds a job with 1 listed result
+    When "<holder>" is cut off until "<adopter>" has adopted the job and listed 2 more
+    And "<holder>" is back, and "<adopter>" receives its gossip, but the reply is lost
+    And gossip goes on for 2 seconds
+    Then reads at "<holder>, c, <adopter>" return 3 results
+
+    Examples:
+      | holder | adopter |
+      | a      | b       |
+      | b      | a       |
+
+  Scenario Outline: The adopter hears of the first holder from a third gateway
+    Given gateways "a, b, c", and "<holder>" holds a job with 1 listed result
+    When "<holder>" is cut off until "<adopter>" has adopted the job and listed 2 more
+    And "<holder>" is back, but has no contact to "<adopter>" for 3 seconds
+    And gossip goes on for <seconds> seconds
+    Then reads at "<holder>, c, <adopter>" return 3 results
+
+    Examples:
+      | holder | adopter | seconds |
+      | a      | b       | 2       |
+      | b      | a       | 2       |
+      | a      | b       | 10      |
+      | b      | a       | 10      |
+
+  Scenario Outline: The adopter started while the first holder was cut off
+    Given gateways "<gateways>", and "<holder>" holds a job with 1 listed result
+    When "<holder>" is cut off until a new gateway "<adopter>" has adopted the job and listed 2 more
+    And "<holder>" is back, but has no contact to "<adopter>" until the others have answered it
+    Then reads at "<holder>" return 3 results
+    When gossip goes on for 2 seconds
+    Then reads at "<holder>, c, <adopter>" return 3 results
+
+    Examples:
+      | gateways | holder | adopter |
+      | a, b, c  | a      | d       |
+      | b, c, d  | d      | a       |
+
+  Scenario Outline: Both holders meet, and no item ends at the remaining one
+    Given gateways "a, b, c", and "<holder>" holds a job with 1 listed result
+    When "<holder>" is cut off until "<adopter>" has adopted the job and listed 2 more
+    And "<holder>" is back, and the gossip of "<adopter>" reaches it first
+    And gossip goes on for 10 seconds
+    Then reads at "<holder>, c, <adopter>" return 3 results
+
+    Examples:
+      | holder | adopter |
+      | a      | b       |
+      | b      | a       |
+
+  Scenario: A holder without contact to its peers forgets them
+    Given gateways "a, b, c", and "a" holds a job with 1 listed result
+    When "a" is cut off until "b" has adopted the job and listed 2 more
+    And gossip goes on for 22 seconds
+    Then reads at "a, c, b" return 3 results
--- /dev/null
+++ b/tests/features/steps/holder_simulation.py
@@ -0,0 +1,373 @@
+"""Several gateways' batch jobs and gossip in one process, with simulated time.
+
+The gateways' parts are the real ones, without threads: a test calls each step. Network,
+store, clocks and the runs of items are simulated.
+"""
+
+import contextlib
+import io
+import json
+import random
+from types import SimpleNamespace
+
+import structlog
+from memory_store import MemoryStore, MemoryStoreAccess
+from sequoiaglade_gateway.batch import (
+    BatchService,
+    JobAdopter,
+    JobRegistry,
+    JobStorage,
+    ResultWriter,
+)
+from sequoiaglade_gateway.batch.adoption import (
+    PEER_DISCOVERY_SECONDS,
+    SWEEP_INTERVAL_SECONDS,
+)
+from sequoiaglade_gateway.coordinator import Coordinator
+from sequoiaglade_gateway.interface import ReadJob
+from sequoiaglade_gateway.messages import LiveNodes
+from sequoiaglade_gateway.node import Parts, PeerCalls
+from sequoiaglade_gateway.peers import FleetServicer, Gossip, PeerClient
+from sequoiaglade_gateway.settings import GatewaySettings
+
+from sequoiaglade_decisions.gateway import (
+    FleetConfiguration,
+    Item,
+    ItemOutcome,
+    ResultPages,
+    Route,
+    RouteKind,
+    job_holder,
+)
+
+HOST, PATH = "batch.example", "/jobs/"
+# Intervals of a gateway's steps while time passes.
+ROUND_SECONDS = 0.2
+# Clocks start late enough that times of 0.0 are long past.
+START_SECONDS = 1000.0
+
+
+class SimulatedPeerClient(PeerClient):
+    """Calls the servicers of other gateways directly."""
+
+    def __init__(self, simulation, address):
+        super().__init__()
+        self._simulation = simulation
+        self._own_address = address
+
+    def close_unused(self, used_addresses):
+        """Keep nothing open."""
+
+    def _call(self, address, name, request, seconds=0.0, is_quiet=False):
+        return self._simulation.call(self._own_address, address, name, request)
+
+
+class SequentialPool:
+    """An executor that runs each call in the calling thread."""
+
+    def map(self, function, arguments):
+        return [function(argument) for argument in arguments]
+
+    def shutdown(self, wait=True):
+        """End nothing."""
+
+
+class DirectCoordinator:
+    """Handles the coordinator's messages in the calling thread."""
+
+    def __init__(self, settings, incarnation, clock):
+        self._actor = Coordinator(settings, incarnation, clock)
+
+    def ask(self, message):
+        return self._actor.on_receive(message)
+
+    tell = ask
+
+
+class SimulatedGateway:
+    """A gateway's parts for batch jobs and gossip.
+
+    `is_running` is False while it is suspended or frozen. Its steady clock stands while
+    it is suspended, its boot clock never does.
+    """
+
+    def __init__(self, simulation, name, seeds):
+        self.name = name
+        self.address = f"{name}:1"
+        self._simulation = simulation
+        self.is_running = True
+        self.is_suspended = False
+        self.suspended_seconds = 0.0
+        self.store = MemoryStoreAccess(simulation.store, lambda: simulation.now)
+        parts = self._make_parts(simulation, seeds)
+        runner = SimpleNamespace(running_count=0, stop_job=lambda key: None)
+        clock = self._steady_seconds
+        self.registry = JobRegistry(clock)
+        storage = JobStorage(self.store, parts.settings.store.value_bytes)
+        self.adopter = JobAdopter(parts, self.registry, storage, clock)
+        self.writer = ResultWriter(self.registry, storage)
+        self.batch = BatchService(
+            parts, self.registry, storage, runner, self.adopter, clock
+        )
+        client = SimulatedPeerClient(simulation, self.address)
+        self.gossip = Gossip(
+            parts,
+            client,
+            self.registry,
+            runner,
+            self.note_peer_lost,
+            lambda: simulation.now,
+            SequentialPool(),
+        )
+        parts.peers = PeerCalls(client, self.gossip)
+        self.servicer = FleetServicer(
+            self.gossip, parts.store_cache, self.registry, self.batch, None
+        )
+        self._parts = parts
+        self._is_adoption_due = True
+        self._swept_at = simulation.now
+
+    def _make_parts(self, simulation, seeds):
+        parts = Parts()
+        listen = dict.fromkeys(("data", "readiness", "directory"), "127.0.0.1:1")
+        parts.settings = GatewaySettings(
+            node_id=self.name,
+            failure_domain="d",
+            listen={**listen, "peer": self.address},
+            store={"address": "127.0.0.1:2"},
+            seeds=seeds,
+        )
+        incarnation = int(simulation.now * 1000)
+        parts.coordinator = DirectCoordinator(
+            parts.settings, incarnation, self._steady_seconds
+        )
+        parts.dialect = SimpleNamespace(
+            read_items=lambda body: simulation.items,
+            results_body=lambda total, after, results: {
+                "total": total,
+                "results": [list(result) for result in results],
+            },
+        )
+        parts.metrics = SimpleNamespace(count=lambda event, outcome: None)
+        parts.store_cache = SimpleNamespace(
+            configuration=simulation.configuration, version=0, is_store_reachable=True
+        )
+        return parts
+
+    def _steady_seconds(self):
+        return self._simulation.now - self.suspended_seconds
+
+    def submit(self, job_id):
+        """Submit a job of the simulation's items."""
+        call = SimpleNamespace(request_id=job_id, host=HOST, path=PATH + job_id)
+        request = SimpleNamespace(stream=io.BytesIO())
+        with self._simulation.acting(self):
+            response = self.batch.submit(call, request, self._simulation.route, None)
+        assert response.status == 202, response
+
+    def read(self, job_id):
+        """Return the results as lists; None if the read is refused for now."""
+        call = SimpleNamespace(request_id="r", key=None, path=PATH + job_id)
+        with self._simulation.acting(self):
+            response = self.batch.handle(
+                ReadJob(job_id, 0), call, None, self._simulation.configuration
+            )
+        if response.status == 503:
+            return None
+        assert response.status == 200, response
+        return json.loads(b"".join(response.body))["results"]
+
+    def holds(self, key):
+        """Return whether this gateway holds a job."""
+        return self.registry.get(key) is not None
+
+    def finish_item(self, key):
+        """Finish the next item of a job that this gateway holds, if there is one."""
+        job = self.registry.get(key)
+        row = job and job.batch.start_next(self._steady_seconds())
+        if row is not None:
+            item_id = row.item.item_id
+            job.batch.add_event(item_id, 1, f"{item_id} at {self.name}")
+            job.batch.finish(item_id, ItemOutcome.DONE, 3, self._steady_seconds())
+
+    def write(self):
+        """Write the finished results."""
+        with self._simulation.acting(self):
+            self.writer.write_waiting()
+
+    def run_round(self):
+        """Run a gossip round."""
+        with self._simulation.acting(self):
+            self.gossip.run_due_round()
+
+    def note_peer_lost(self):
+        """Look for jobs without a holder in the next step."""
+        self._is_adoption_due = True
+
+    def run_adoption(self):
+        """Look for jobs without a holder, if that is due."""
+        if self.gossip.seconds_since_resume() < PEER_DISCOVERY_SECONDS:
+            return
+        with self._simulation.acting(self):
+            if self._simulation.now - self._swept_at >= SWEEP_INTERVAL_SECONDS:
+                self._swept_at = self._simulation.now
+                self._is_adoption_due = self._is_adoption_due or self._is_lowest()
+            if self._is_adoption_due:
+                self._is_adoption_due = not self.adopter.adopt_orphans()
+
+    def _is_lowest(self):
+        live = self._parts.coordinator.ask(LiveNodes())
+        return all(self.name < state.node_id for state in live)
+
+
+class HolderSimulation:
+    """Gateways by name, their store and network; a context manager.
+
+    `trace` has what the gateways logged, as triples of time, gateway and event. Calls
+    from one gateway to another fail if the pair of their names is in `cut_pairs`; the
+    reply is lost if the pair is in `lost_replies`. `calls` has the calls that reached a
+    gateway, as triples of caller, callee and name.
+    """
+
+    def __init__(self, names, item_count=5):
+        self.now = START_SECONDS
+        self.store = MemoryStore()
+        self.route = Route(
+            "jobs", HOST, PATH, RouteKind.BATCH, (("s", 1),), 4.0, 0.4, due_seconds=18.0
+        )
+        self.configuration = FleetConfiguration(1, (self.route,), (), ())
+        self.items = tuple(
+            Item(f"i-{number}", PATH, (), b"body", 100) for number in range(item_count)
+        )
+        self.cut_pairs = set()
+        self.lost_replies = set()
+        self.trace = []
+        self.calls = []
+        self.gateway_by_name = {}
+        self._acting = ""
+        self._stack = contextlib.ExitStack()
+        self._names = list(names)
+
+    def __enter__(self):
+        random.seed(1)
+        configuration = structlog.get_config()
+        self._stack.callback(structlog.configure, **configuration)
+        structlog.configure(processors=[self._record])
+        for name in self._names:
+            self.add(name)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def add(self, name):
+        """Start a gateway, in place of the one of this name if there is one."""
+        seeds = tuple(f"{seed}:1" for seed in self._names)
+        gateway = SimulatedGateway(self, name, seeds)
+        self.gateway_by_name[name] = gateway
+        return gateway
+
+    def holders(self, key):
+        """Return the running gateways that hold a job."""
+        return [gateway for gateway in self.running() if gateway.holds(key)]
+
+    def stored_results(self, key):
+        """Return what a gateway without contact to any peer reads, as lists."""
+        pages = ResultPages()
+        JobStorage(self.store, 0).read_pages(key, pages)
+        return [list(result) for result in pages.results]
+
+    def running(self):
+        """Return the gateways that run."""
+        return [g for g in self.gateway_by_name.values() if g.is_running]
+
+    @contextlib.contextmanager
+    def acting(self, gateway):
+        """Attribute log entries to a gateway."""
+        previous, self._acting = self._acting, gateway.name
+        try:
+            yield
+        finally:
+            self._acting = previous
+
+    def call(self, source, target, name, request):
+        """Return the reply of a peer call, or None if it failed."""
+        caller = self.gateway_by_name[source.partition(":")[0]]
+        called = self.gateway_by_name.get(target.partition(":")[0])
+        pair = caller.name, target.partition(":")[0]
+        if called is None or not called.is_running or pair in self.cut_pairs:
+            return None
+        self.calls.append((*pair, name))
+        with self.acting(called):
+            reply = getattr(called.servicer, name)(request, None)
+        return None if pair in self.lost_replies else reply
+
+    def cut(self, name, others=None):
+        """Let all calls between a gateway and others fail."""
+        for other in others or self.gateway_by_name:
+            self.cut_pairs |= {(name, other), (other, name)}
+
+    def heal(self, name, others=None):
+        """Let calls between a gateway and others succeed again."""
+        for other in others or self.gateway_by_name:
+            self.cut_pairs -= {(name, other), (other, name)}
+
+    def suspend(self, name, is_frozen=False):
+        """Let a gateway do nothing; its steady clock goes on if it is frozen."""
+        gateway = self.gateway_by_name[name]
+        gateway.is_running = False
+        gateway.is_suspended = not is_frozen
+
+    def resume(self, name):
+        """Let a gateway go on."""
+        gateway = self.gateway_by_name[name]
+        gateway.is_running, gateway.is_suspended = True, False
+
+    def pass_time(self, seconds):
+        """Advance the time without any step of a gateway."""
+        self.now += seconds
+        for gateway in self.gateway_by_name.values():
+            if gateway.is_suspended:
+                gateway.suspended_seconds += seconds
+        self.store.apply_due(self.now)
+
+    def run(self, seconds, writers=()):
+        """Advance the time while all gateways gossip and look for jobs."""
+        for _ in range(round(seconds / ROUND_SECONDS)):
+            self.pass_time(ROUND_SECONDS)
+            for gateway in self.running():
+                gateway.run_round()
+                gateway.run_adoption()
+                if gateway.name in writers:
+                    gateway.write()
+
+    def note(self, *step):
+        """Add a step of the test to the trace."""
+        self._append("--- " + " ".join(map(str, step)), {})
+
+    def _record(self, logger, method, entry):
+        self._append(entry.pop("event"), entry)
+        raise structlog.DropEvent
+
+    def _append(self, event, entry):
+        at = round(self.now - START_SECONDS, 2)
+        self.trace.append((at, self._acting, event, entry))
+
+    def trace_text(self):
+        """Return the trace, a line an event."""
+        return "\n".join(
+            f"{at:7.2f} {name or '-'} {event} "
+            + " ".join(f"{k}={v}" for k, v in entry.items())
+            for at, name, event, entry in self.trace
+        )
+
+
+def job_id_for(adopter, survivors):
+    """Return the id of a job that `adopter` takes over of the surviving gateways."""
+    numbers = range(10_000)
+    ids = (f"job-{number}" for number in numbers)
+    return next(
+        job_id
+        for job_id in ids
+        if job_holder(f".{job_id}", None, {}, survivors) == adopter
+    )
