Failing tests: writes of result pages that take effect late

Hypothesis H3 of the incident of lost results: the write of a page is answered by a time-out, the page is read back unchanged, and the holder counts its pages as current. Two seconds later the write takes effect. A gateway that can't reach the holder reads two results from the store; the holder then answers one from memory.

The second scenario has the same write by a former holder, five seconds late, after another gateway has adopted the job. Reads at the adopter ask the store for 8 s; none is made in them, and once it has forgotten the former holder it answers from the pages that it read at the adoption.

--- a/tests/features/gateway/holders.feature
+++ b/tests/features/gateway/holders.feature
@@ -75,3 +75,20 @@
     When "a" is cut off until "b" has adopted the job and listed 2 more
     And gossip goes on for 22 seconds
     Then reads at "a, c, b" return 3 results
+
+  Scenario: A write without an answer takes effect after its page was read back
+    Given gateways "a, b, c", and "a" holds a job with 1 listed result
+    When "a" writes a result, without an answer, and the write takes effect 2 seconds later
+    And gossip goes on for 2.2 seconds
+    Then a read at "c", which can't reach "a", returns 2 results
+    When gossip goes on for 1.2 seconds
+    Then reads at "a, c, b" return 2 results
+
+  Scenario: A former holder's write takes effect after the job was adopted
+    Given gateways "a, b, c", and "a" holds a job with 1 listed result
+    When "a" writes a result, without an answer, and the write takes effect 5 seconds later
+    And "a" is cut off until "b" has adopted the job and listed 0 more
+    And gossip goes on for 3 seconds
+    Then a read at "c", which can't reach "b", returns 2 results
+    When gossip goes on for 20 seconds without "a"
+    Then reads at "b, c" return 2 results
