Failing test: reads of a job under any interleaving of troubles

After each step the store is read as a gateway without contact to any peer does. A read that starts more than 1 s after another one has to return at least its results, or be refused.

--- a/tests/features/gateway/holders.feature
+++ b/tests/features/gateway/holders.feature
@@ -92,3 +92,6 @@
     Then a read at "c", which can't reach "b", returns 2 results
     When gossip goes on for 20 seconds without "a"
     Then reads at "b, c" return 2 results
+
+  Scenario: No later read of a job has fewer results, whatever happens to its holders
+    Then for any troubles of 3 gateways no read has fewer results than an earlier one
