Answer reads of a job from memory only after unbroken contact with all peers

What callers saw: results that they had read were missing in later reads (LOST).

Cause: a gateway answered reads of the jobs that it holds from memory as soon as all known peers had acknowledged a message within a second. After a gap in the contact that says nothing about the time of the gap: another gateway may have taken over the job, listed results and released the job on hearing of this gateway, in the same call, so that its reply no longer named the job. Peers that were lost were forgotten after 20 s, and a gateway without any known peer counted as the only one. The class of fault: a belief (no other holder) is kept across a time in which the evidence for it was missing.

Change: PeerAcks keeps since when the contact with each peer has been unbroken. PageValidity (a pure decision) lets reads be answered from memory only if the job was accepted within that time, or if the store was asked at least 8 s after its begin, when no write of another holder can take effect any more; the same after a second holder was seen. Lost peers count as possible holders for 600 s unless they left; a gateway that never met a peer but has seeds asks the store. A gossip reply names the jobs that the node releases on receiving the request. A job is not taken over if its holder was heard of again while it was read. A list with all results is final and is always answered from memory.

Why it works: while the contact with a peer is unbroken it has never considered this node lost.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -13,6 +13,7 @@
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
 from .orphans import OrphanedJobs
+from .page_validity import PageValidity
 from .pages import ResultPages
 from .peer_acks import PeerAcks
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
@@ -52,6 +53,7 @@
     "NodeState",
     "NodeTable",
     "OrphanedJobs",
+    "PageValidity",
     "PeerAcks",
     "Placed",
     "Quarantine",
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -16,6 +16,10 @@
 # may still serve requests: longer than the partitions in the platform's documentation.
 PEER_RETENTION_SECONDS = 20.0
 
+# A node that was lost may still run and hold jobs for this long: longer than partitions
+# last. Until then reads of jobs are not answered from memory alone.
+HOLDER_RETENTION_SECONDS = 600.0
+
 
 class JobSummary(NamedTuple):
     """Summary of a batch job that a node holds, as gossiped to its peers."""
@@ -121,6 +125,18 @@
             if now - at <= PEER_RETENTION_SECONDS and not state.is_gone
         ]
 
+    def possible_holders(self, now):
+        """Return the states of the peers that may hold jobs, lost ones included.
+
+        Peers that left or were lost for long are forgotten.
+        """
+        self._entry_by_id = {
+            node_id: entry
+            for node_id, entry in self._entry_by_id.items()
+            if now - entry[1] <= HOLDER_RETENTION_SECONDS
+        }
+        return [s for s, _ in self._entry_by_id.values() if not s.is_gone]
+
     def quota_share(self, now, min_count):
         """Return the fraction of the quotas that the live nodes may use together.
 
--- a/packages/decisions/sequoiaglade_decisions/gateway/peer_acks.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/peer_acks.py
@@ -1,5 +1,7 @@
 """Evidence that no other node has taken over the jobs that a node holds."""
 
+from typing import NamedTuple
+
 # Maximum age of an acknowledgement. Peers take over a node's jobs if its state was
 # not renewed for `PEER_TIMEOUT_SECONDS`; this limit is lower to allow for calls in
 # flight.
@@ -8,43 +10,81 @@
 ACK_AGE_MAX_SECONDS_LARGE = 4.0
 
 
+class _Contact(NamedTuple):
+    """Uninterrupted contact: no acknowledgement in it grew too old before the next."""
+
+    began_at: float
+    acknowledged_at: float
+
+
 class PeerAcks:
-    """When each peer last acknowledged a message of this node.
+    """When each peer last acknowledged a message of this node, and since when it has.
 
-    Times are of a clock that also advances while the machine is suspended. The
-    acknowledgements of a node that was frozen, suspended or partitioned are too old;
-    it has to query the store before it responds about the jobs that it holds.
+    Times are of a clock that also advances while the machine is suspended. A peer that
+    did not acknowledge this node for some time may have taken over its jobs and may
+    have released them again without this node's knowledge. So what this node knows of
+    the jobs it held before counts only from the begin of the current contact.
 
     >>> acks = PeerAcks()
-    >>> acks.note_ack("b", sent_at=10.0)
-    >>> acks.is_acknowledged_by_all(["b"], now=10.5)
-    True
-    >>> acks.is_acknowledged_by_all(["b"], now=11.5)
-    False
-    >>> acks.is_acknowledged_by_all(["b", "c"], now=10.5)
-    False
+    >>> acks.note_ack("b", sent_at=10.0, now=10.1)
+    >>> acks.note_ack("b", sent_at=10.5, now=10.6)
+    >>> acks.contact_since(["b"], now=11.0), acks.contact_since(["b"], now=11.6)
+    (10.1, None)
+    >>> acks.note_ack("b", sent_at=12.0, now=12.1)
+    >>> acks.contact_since(["b"], now=12.5), acks.contact_since(["b", "c"], now=12.5)
+    (12.1, None)
     """
 
     def __init__(self):
-        self._acknowledged_at_by_id = {}
+        self._contact_by_id = {}
+        self._any_contact = None
 
-    def note_ack(self, node_id, sent_at):
+    def note_ack(self, node_id, sent_at, now):
         """Record that a peer answered a message that was sent at `sent_at`."""
-        previous = self._acknowledged_at_by_id.get(node_id, sent_at)
-        self._acknowledged_at_by_id[node_id] = max(previous, sent_at)
+        previous = self._contact_by_id.get(node_id)
+        self._contact_by_id[node_id] = _extended(
+            previous, sent_at, now, ACK_AGE_MAX_SECONDS
+        )
+        self._any_contact = _extended(
+            self._any_contact, sent_at, now, ACK_AGE_MAX_SECONDS_LARGE
+        )
 
     def acknowledged_at(self, node_id):
         """Return when the last acknowledged message was sent, 0.0 if none was."""
-        return self._acknowledged_at_by_id.get(node_id, 0.0)
+        contact = self._contact_by_id.get(node_id)
+        return contact.acknowledged_at if contact else 0.0
 
-    def is_acknowledged_by_all(self, peer_ids, now):
-        """Return whether all peers recently acknowledged this node."""
-        return all(
-            now - self.acknowledged_at(peer) <= ACK_AGE_MAX_SECONDS for peer in peer_ids
-        )
+    def contact_since(self, peer_ids, now):
+        """Return since when all peers have acknowledged this node, None if not all do.
 
-    def is_acknowledged_by_any(self, peer_ids, now):
-        """Return whether any peer did, for fleets too large to contact all."""
-        return any(
-            now - self.acknowledged_at(p) <= ACK_AGE_MAX_SECONDS_LARGE for p in peer_ids
-        )
+        Without peers, the contact has lasted since time 0.0.
+        """
+        contacts = [self._contact_by_id.get(peer_id) for peer_id in peer_ids]
+        if not all(_is_recent(c, now, ACK_AGE_MAX_SECONDS) for c in contacts):
+            return None
+        return max((contact.began_at for contact in contacts), default=0.0)
+
+    def any_contact_since(self, now):
+        """Return since when some peer has acknowledged this node, None if none does.
+
+        For fleets too large to contact all peers.
+        """
+        if not _is_recent(self._any_contact, now, ACK_AGE_MAX_SECONDS_LARGE):
+            return None
+        return self._any_contact.began_at
+
+    def forget_except(self, peer_ids):
+        """Remove the entries of all other peers."""
+        for node_id in set(self._contact_by_id) - set(peer_ids):
+            del self._contact_by_id[node_id]
+
+
+def _extended(contact, sent_at, now, age_max):
+    if not _is_recent(contact, now, age_max):
+        return _Contact(now, sent_at)
+    acknowledged_at = max(contact.acknowledged_at, sent_at)
+    return contact._replace(acknowledged_at=acknowledged_at)
+
+
+def _is_recent(contact, now, age_max):
+    return contact is not None and now - contact.acknowledged_at <= age_max
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -140,6 +140,7 @@
         """Load and hold the job of a header; return whether the store answered."""
         spec = self._storage.read_spec(header)
         pages = ResultPages()
+        began_at = self._registry.clock()
         failure = spec if isinstance(spec, Failure) else None
         failure = failure or self._storage.read_pages(header.spec.key, pages)
         if failure is not None:
@@ -147,10 +148,15 @@
                 "job not adopted", job=header.spec.key, reason=failure.reason
             )
             return False
+        if any(spec.key in _job_keys(state) for state in self._live_peers()):
+            # The holder was heard of again while the job was read.
+            self._log.info("job held by a peer", job=spec.key)
+            return True
         configuration = self._parts.store_cache.configuration
         route = configuration and configuration.match(spec.host, spec.path)
-        job = HeldJob(header, spec, route, pages, self._clock)
-        job.confirm_reads()
+        job = HeldJob(header, spec, route, pages)
+        job.validity.note_confirmed(began_at)
+        job.validity.note_uncertain(self._registry.clock())
         self._registry.add(job)
         self._log.info(
             "job adopted",
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -6,11 +6,16 @@
 import threading
 import time
 
-from sequoiaglade_decisions.gateway import Batch, JobSummary, ResultPages, run_order
+from sequoiaglade_decisions.gateway import (
+    Batch,
+    JobSummary,
+    PageValidity,
+    ResultPages,
+    run_order,
+)
+
+from ..clocks import boot_seconds
 
-# Writes of a former or second holder of a job may take effect for this long: the store
-# may apply an unanswered write up to six seconds later.
-LATE_WRITE_SECONDS = 8.0
 # Initial value of the average run time of an item: the minimum over the sites.
 INITIAL_RUN_SECONDS = 1.0
 # Weight of the latest run in the moving average of run times.
@@ -18,25 +23,27 @@
 
 
 class HeldJob:
-    """A job whose items this node runs or ran, with its listed results."""
+    """A job whose items this node runs or ran, with its listed results.
+
+    `accepted_at` is when this node stored the job as a new one, None for a job that it
+    took over.
+    """
 
-    def __init__(self, header, spec, route, pages=None, clock=time.monotonic):
+    def __init__(self, header, spec, route, pages=None, accepted_at=None):
         self.header = header
-        self._clock = clock
         self.batch = Batch(
             spec, spec.submitted_at + (route.due_seconds if route else 0)
         )
         self.pages = pages or ResultPages()
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
-        # Whether `pages` match the store: no write is pending or unanswered.
-        self.is_synced = True
-        self.confirm_until = 0.0
+        self.validity = PageValidity(accepted_at)
         self.batch.note_listed(self.pages.results)
 
-    def confirm_reads(self):
-        """Make reads ask the store for a while, since another node may list results."""
-        self.confirm_until = self._clock() + LATE_WRITE_SECONDS
+    def is_current(self, contact_since):
+        """Return whether `pages` are those of the store; see `PageValidity`."""
+        is_complete = self.pages.count >= len(self.batch.spec.items)
+        return is_complete or self.validity.is_current(contact_since)
 
     @property
     def key(self):
@@ -45,11 +52,14 @@
 
 
 class JobRegistry:
-    """All held jobs; `lock` guards the registry and the state of its jobs."""
+    """All held jobs; `lock` guards the registry and the state of its jobs.
+
+    `clock` also advances while the machine is suspended.
+    """
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=boot_seconds):
         self.lock = threading.RLock()
-        self._clock = clock
+        self.clock = clock
         self._job_by_key = {}
         self._run_seconds = INITIAL_RUN_SECONDS
 
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -35,13 +35,12 @@
 class BatchService:
     """Accepts jobs, and answers reads of jobs that any node accepted."""
 
-    def __init__(self, parts, registry, storage, runner, adopter, clock=time.monotonic):
+    def __init__(self, parts, registry, storage, runner, adopter):
         self._parts = parts
         self._registry = registry
         self._storage = storage
         self._runner = runner
         self._adopter = adopter
-        self._clock = clock
         self._pages_by_key = {}
         self._header_by_key = {}
         self._log = structlog.get_logger()
@@ -159,12 +158,13 @@
         return [state.peer_address for state in peers[:STORING_PEERS_MAX]]
 
     def _store_locally(self, spec, route):
+        accepted_at = self._registry.clock()
         done = self._storage.write_job(spec)
         if isinstance(done, Failure):
             return done
         sizes = tuple(len(item.body) for item in spec.items)
         header = JobHeader(spec, sizes, False, done.revision)
-        self._registry.add(HeldJob(header, spec, route, clock=self._clock))
+        self._registry.add(HeldJob(header, spec, route, accepted_at=accepted_at))
         return None
 
     def store_for_peer(self, message):
@@ -213,8 +213,7 @@
         job = self._registry.get(key)
         if job is None:
             return None
-        is_current = job.is_synced and self._clock() > job.confirm_until
-        if is_current and self._parts.peers.is_exclusive():
+        if job.is_current(self._parts.peers.contact_since()):
             self._parts.metrics.count("held results read", "memory")
         else:
             self._parts.metrics.count("held results read", "store")
@@ -225,6 +224,7 @@
 
     def _refresh_results(self, job):
         pages = ResultPages()
+        began_at = self._registry.clock()
         with self._registry.lock:
             for number, page in enumerate(job.pages.pages()):
                 pages.put(number, *page)
@@ -235,6 +235,7 @@
             for number, page in enumerate(pages.pages()):
                 job.pages.put(number, *page)
             job.batch.note_listed(job.pages.results)
+            job.validity.note_confirmed(began_at)
         return None
 
     def _read_from_peer(self, key, after):
--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -56,7 +56,8 @@
             number, revision, content = job.pages.plan(job.batch.unlisted())
         if content is None:
             return self._mark_finished(job)
-        job.is_synced = False
+        job.validity.begin_write()
+        began_at = self._registry.clock()
         page = self._storage.write_page(job.key, number, revision, content)
         if isinstance(page, Failure):
             self._log.info(
@@ -68,13 +69,15 @@
             )
             # Another node or an unanswered write of this one may have changed the page.
             if page.code in (FailureCode.CONFLICT, FailureCode.UNKNOWN):
+                began_at = self._registry.clock()
                 page = self._storage.read_page(job.key, number)
         if isinstance(page, Failure):
             return False
         with self._registry.lock:
             job.pages.put(number, page.results, page.revision)
             job.batch.note_listed(page.results)
-            job.is_synced = True
+            job.validity.note_confirmed(began_at)
+            job.validity.end_write()
         self._log.info(
             "results listed", job=job.key, page=number, listed=job.pages.count
         )
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -35,14 +35,15 @@
     EventIntervalObserved,
     FindSchedulers,
     GetStatus,
+    HolderPeers,
     InFlightRequest,
-    KnownNodes,
     Leave,
     LiveNodeFraction,
     LiveNodes,
     LoadReportReceived,
     PeerStatesReceived,
     PlaceRequest,
+    PossibleHolders,
     Publish,
     Published,
     Quarantined,
@@ -122,8 +123,10 @@
                 return self._batch_peers(endpoint_id, now)
             case LiveNodes(within):
                 return self._nodes.live(now, within)
-            case KnownNodes():
-                return [state.node_id for state in self._nodes.known(now)]
+            case PossibleHolders():
+                known = [s.node_id for s in self._nodes.possible_holders(now)]
+                live = {state.node_id for state in self._nodes.live(now)}
+                return HolderPeers(known, [n for n in known if n not in live])
             case LiveNodeFraction():
                 return self._quota_share(now)
             case BatchShare():
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -230,8 +230,15 @@
     within: float = float("inf")
 
 
-class KnownNodes(NamedTuple):
-    """Asks for the ids of retained peers that have not left; the reply is a list."""
+class PossibleHolders(NamedTuple):
+    """Asks which peers may hold jobs; the reply is a `HolderPeers`."""
+
+
+class HolderPeers(NamedTuple):
+    """Ids of the peers that may hold jobs, and of those among them that are lost."""
+
+    known_ids: list
+    lost_ids: list
 
 
 class LiveNodeFraction(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -72,7 +72,7 @@
         self.holds_job = client.holds_job
         self.store_job = client.store_job
         self.live_node_fraction = gossip.live_node_fraction
-        self.is_exclusive = gossip.is_exclusive
+        self.contact_since = gossip.contact_since
         self.seconds_since_resume = gossip.seconds_since_resume
 
 
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 import random
-import time
 
 import structlog
 
@@ -10,11 +9,12 @@
 from sequoiaglade_node.threads import OwnedThread
 from sequoiaglade_protocol import fleet_pb2
 
+from ..clocks import boot_seconds
 from ..messages import (
-    KnownNodes,
     LiveNodeFraction,
     LiveNodes,
     PeerStatesReceived,
+    PossibleHolders,
     Publish,
 )
 from .codec import decode_state, encode_state
@@ -41,11 +41,6 @@
 CALL_SECONDS = 0.4
 
 
-def _boot_seconds():
-    """Return the seconds of a clock that includes the time of a suspended machine."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Gossip(OwnedThread):
     """One thread that runs the gossip rounds; a context manager.
 
@@ -61,7 +56,7 @@
         job_registry,
         runner,
         on_peer_lost,
-        clock=_boot_seconds,
+        clock=boot_seconds,
         pool=None,
     ):
         super().__init__("gossip")
@@ -110,19 +105,25 @@
         """Return the fraction of the known nodes that are live, this one included."""
         return self._parts.coordinator.ask(LiveNodeFraction())
 
-    def is_exclusive(self):
-        """Return whether no peer can have adopted the jobs that this node holds."""
-        known = self._parts.coordinator.ask(KnownNodes())
-        if self._is_large:
-            return self._peer_acks.is_acknowledged_by_any(known, self._clock())
-        return self._peer_acks.is_acknowledged_by_all(known, self._clock())
+    def contact_since(self):
+        """Return since when no peer can have adopted a job of this node.
+
+        None if a peer can. Times are those of `clock`.
+        """
+        peers = self._parts.coordinator.ask(PossibleHolders())
+        if not peers.known_ids and self._other_seeds():
+            return None
+        if not self._is_large:
+            return self._peer_acks.contact_since(peers.known_ids, self._clock())
+        if peers.lost_ids:
+            return None
+        return self._peer_acks.any_contact_since(self._clock())
 
     def run_round(self, count=FANOUT):
         """Exchange digests with up to `count` peers, and perhaps with a seed."""
         live = self._parts.coordinator.ask(LiveNodes())
         addresses = [state.peer_address for state in live]
-        own = self._parts.settings.listen.peer
-        seeds = [a for a in self._parts.settings.seeds if a != own]
+        seeds = self._other_seeds()
         random.shuffle(live)
         live.sort(key=lambda state: self._peer_acks.acknowledged_at(state.node_id))
         targets = [state.peer_address for state in live[:count]]
@@ -138,13 +139,17 @@
             self._log_reachability(address, reply is not None)
             if reply is not None:
                 # A digest begins with its sender's own state.
-                self._peer_acks.note_ack(reply.nodes[0].node_id, sent_at)
+                self._peer_acks.note_ack(reply.nodes[0].node_id, sent_at, self._clock())
                 self.receive_digest(reply)
         for address in set(self._failing_since_by_address) - {*addresses, *seeds}:
             del self._failing_since_by_address[address]
         if not self._is_large:
             self._client.close_unused([*addresses, *seeds])
 
+    def _other_seeds(self):
+        own = self._parts.settings.listen.peer
+        return [seed for seed in self._parts.settings.seeds if seed != own]
+
     def _run(self):
         while not self._stopped.wait(self._pause()):
             self.run_due_round()
@@ -206,13 +211,15 @@
 
     def _log_exclusivity(self):
         """Log when a peer may have adopted the held jobs, and when none can have."""
-        is_exclusive = self.is_exclusive()
+        is_exclusive = self.contact_since() is not None
         if is_exclusive != self._is_exclusive:
             self._is_exclusive = is_exclusive
-            known = self._parts.coordinator.ask(KnownNodes())
+            peers = self._parts.coordinator.ask(PossibleHolders())
+            self._peer_acks.forget_except(peers.known_ids)
             self._log.info(
                 "held jobs exclusive" if is_exclusive else "held jobs may be adopted",
-                known_peers=len(known),
+                known_peers=len(peers.known_ids),
+                lost=sorted(peers.lost_ids),
                 jobs=len(self._job_registry.jobs()),
             )
 
@@ -223,7 +230,7 @@
             job = self._job_registry.get(summary.job_key)
             if job is None:
                 continue
-            job.confirm_reads()
+            job.validity.note_uncertain(self._clock())
             both_run = summary.is_open and job.batch.is_open
             if both_run and peer_has_priority and not state.is_leaving:
                 self._job_registry.release(summary.job_key)
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -26,8 +26,11 @@
         self._placer = placer
 
     def Gossip(self, request, context):  # noqa: N802
+        # The reply names the jobs that this node releases on receiving the request, so
+        # that the peer learns of its results.
+        reply = self._gossip.make_digest()
         self._gossip.receive_digest(request)
-        return self._gossip.make_digest()
+        return reply
 
     def Knowledge(self, request, context):  # noqa: N802
         configuration, endpoints = self._store_cache.export_for_peer()
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -102,13 +102,11 @@
         parts = self._make_parts(simulation, seeds)
         runner = SimpleNamespace(running_count=0, stop_job=lambda key: None)
         clock = self._steady_seconds
-        self.registry = JobRegistry(clock)
+        self.registry = JobRegistry(lambda: simulation.now)
         storage = JobStorage(self.store, parts.settings.store.value_bytes)
         self.adopter = JobAdopter(parts, self.registry, storage, clock)
         self.writer = ResultWriter(self.registry, storage)
-        self.batch = BatchService(
-            parts, self.registry, storage, runner, self.adopter, clock
-        )
+        self.batch = BatchService(parts, self.registry, storage, runner, self.adopter)
         client = SimulatedPeerClient(simulation, self.address)
         self.gossip = Gossip(
             parts,
--- a/tests/features/steps/holders_steps.py
+++ b/tests/features/steps/holders_steps.py
@@ -122,7 +122,7 @@
     _end_trouble(context, holder, [adopter])
     for _ in range(ROUNDS_MAX):
         context.holder.run_round()
-        if context.holder.gossip.is_exclusive():
+        if context.holder.gossip.contact_since() is not None:
             break
     context.simulation.pass_time(0.1)
     context.simulation.heal(holder)
