Ask the store for results while an unanswered write may take effect

What callers could see: a result read through a gateway that asked the store was missing in later reads at the job's holder (LOST).

Cause: when the write of a page was not answered, the holder read the page back and then counted its copy as current. The store may apply such a write up to six seconds later.

A write that the store refused had no effect and leaves the copy as it was, so that reads go on while the store is away.

--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -67,10 +67,14 @@
                 revision=revision,
                 reason=page.reason,
             )
-            # Another node or an unanswered write of this one may have changed the page.
-            if page.code in (FailureCode.CONFLICT, FailureCode.UNKNOWN):
-                began_at = self._registry.clock()
-                page = self._storage.read_page(job.key, number)
+            if page.code is FailureCode.UNAVAILABLE:
+                job.validity.end_write()
+                return False
+            # Another node may write this page, or an unanswered write of this one may
+            # still take effect, also after the page was read.
+            began_at = self._registry.clock()
+            job.validity.note_uncertain(began_at)
+            page = self._storage.read_page(job.key, number)
         if isinstance(page, Failure):
             return False
         with self._registry.lock:
