--- a/tests/features/gateway/holders.feature
+++ b/tests/features/gateway/holders.feature
@@ -76,6 +76,19 @@
     And gossip goes on for 22 seconds
     Then reads at "a, c, b" return 3 results
 
+  Scenario: Lost contact among all gateways for 2 seconds moves no job
+    Given gateways "a, b, c, d, e", and "b" holds a job with 1 listed result
+    When all gateways lose contact with each other for 2.4 seconds
+    And gossip goes on for 4 seconds
+    Then no gateway has adopted the job
+
+  Scenario: A gateway that loses most others for good takes over their jobs
+    Given gateways "a, b, c, d, e", and "b" holds a job with 1 listed result
+    When gateways "b, c, d, e" are stopped for good
+    And gossip goes on for 12 seconds
+    Then reads at "a" return 1 results
+    And "a" holds the job
+
   Scenario: A write without an answer takes effect after its page was read back
     Given gateways "a, b, c", and "a" holds a job with 1 listed result
     When "a" writes a result, without an answer, and the write takes effect 2 seconds later
--- a/tests/features/steps/holders_steps.py
+++ b/tests/features/steps/holders_steps.py
@@ -9,13 +9,13 @@
 ROUNDS_MAX = 50
 
 
-def _names(text):
+def names_in(text):
     return [name.strip() for name in text.split(",")]
 
 
 @given('gateways "{names}", and "{holder}" holds a job with 1 listed result')
 def given_holder(context, names, holder):
-    context.simulation = context.stack.enter_context(HolderSimulation(_names(names)))
+    context.simulation = context.stack.enter_context(HolderSimulation(names_in(names)))
     context.stack.callback(_print_trace, context)
     context.simulation.run(1.0)
     context.holder = context.simulation.gateway_by_name[holder]
@@ -25,7 +25,7 @@
     print(context.simulation.trace_text())
 
 
-def _submit(context, adopter):
+def submit(context, adopter):
     """Submit the job, with an id that `adopter` takes over by hash, once."""
     if hasattr(context, "job_id"):
         return
@@ -49,7 +49,7 @@
 )
 def adopt(context, holder, trouble, adopter, count):
     simulation = context.simulation
-    _submit(context, adopter)
+    submit(context, adopter)
     simulation.run(0.4)
     match trouble:
         case "cut off":
@@ -69,7 +69,7 @@
     "listed {count:d} more"
 )
 def adopt_by_new(context, holder, adopter, count):
-    _submit(context, adopter)
+    submit(context, adopter)
     context.simulation.cut(holder)
     context.simulation.add(adopter)
     context.simulation.cut(holder, [adopter])
@@ -166,7 +166,7 @@
     "{seconds:g} seconds later"
 )
 def write_late(context, holder, seconds):
-    _submit(context, "b")
+    submit(context, "b")
     context.simulation.run(0.4)
     context.holder.store.late_seconds.append(seconds)
     _list_results(context.holder, context.key, 1)
@@ -174,7 +174,7 @@
 
 @then('reads at "{names}" return {count:d} results')
 def check_reads(context, names, count):
-    found = {name: _read(context, name) for name in _names(names)}
+    found = {name: _read(context, name) for name in names_in(names)}
     counts = {name: None if r is None else len(r) for name, r in found.items()}
     assert all(n == count for n in counts.values()), counts
 
