Wait before taking over jobs after losing contact with most peers

What callers saw: items of jobs ran several times, and jobs changed hands, after all connections had fallen silent though every gateway was alive.

Cause: each gateway took over the jobs of all peers as soon as it had not heard of them for 1.5 s. If most are lost at the same moment, the own links or all connections have more likely failed than the peers.

Change: IsolationGuard, a pure decision: a node that is in contact with less than half of the known nodes, itself included, waits 4 s before it takes over jobs. By then silent connections are replaced. Survivors of a real loss of most nodes take over after it.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -12,7 +12,7 @@
 from .health import EndpointHealth
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
-from .orphans import OrphanedJobs
+from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
 from .pages import ResultPages
 from .peer_acks import PeerAcks
@@ -45,6 +45,7 @@
     "FleetQuotas",
     "Full",
     "GroupScheduler",
+    "IsolationGuard",
     "Item",
     "ItemOutcome",
     "JobSpec",
--- a/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
@@ -9,6 +9,38 @@
 # A node takes over a job that it noted as unheld after this long: by then several
 # gossip rounds would have reported a holder.
 NOTED_TAKEOVER_SECONDS = 0.6
+# A node that has lost contact with most others waits this long before it takes over
+# jobs: connections that fell silent are replaced by then.
+ISOLATION_WAIT_SECONDS = 4.0
+
+
+class IsolationGuard:
+    """Decides whether a node that lost contact with others may take over jobs.
+
+    If most peers are lost at the same time, this node's own links, or all connections,
+    have more likely failed than the peers. Their jobs then still have holders.
+
+    >>> guard = IsolationGuard()
+    >>> guard.may_adopt(live_count=7, known_count=8, now=10.0)
+    True
+    >>> [guard.may_adopt(0, 8, now) for now in (11.0, 14.0, 15.0)]
+    [False, False, True]
+    """
+
+    def __init__(self):
+        self._isolated_since = None
+
+    def may_adopt(self, live_count, known_count, now):
+        """Return whether jobs may be taken over.
+
+        `known_count` is the number of known peers, `live_count` of those in contact.
+        """
+        if 2 * (live_count + 1) >= known_count + 1:
+            self._isolated_since = None
+            return True
+        if self._isolated_since is None:
+            self._isolated_since = now
+        return now - self._isolated_since >= ISOLATION_WAIT_SECONDS
 
 
 class OrphanedJobs:
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -6,11 +6,16 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import OrphanedJobs, ResultPages, job_holder
+from sequoiaglade_decisions.gateway import (
+    IsolationGuard,
+    OrphanedJobs,
+    ResultPages,
+    job_holder,
+)
 from sequoiaglade_decisions.outcomes import Failure
 from sequoiaglade_node.threads import OwnedThread
 
-from ..messages import LiveNodes
+from ..messages import LiveNodes, PossibleHolders
 from .registry import HeldJob
 
 # A node and its peers exchange their first states within this time of its start.
@@ -39,6 +44,7 @@
         self._wakeup = threading.Event()
         self._noted_keys = queue.SimpleQueue()
         self._orphans = OrphanedJobs(parts.settings.node_id)
+        self._isolation = IsolationGuard()
         self._log = structlog.get_logger()
         self.ended_keys = set()
         self.is_leaving = False
@@ -85,7 +91,12 @@
         return self._parts.coordinator.ask(LiveNodes())
 
     def adopt_orphans(self):
-        """Adopt the jobs chosen for this node; return whether the store answered."""
+        """Adopt the jobs chosen for this node; return False to try again soon."""
+        peers = self._parts.coordinator.ask(PossibleHolders())
+        known, lost = len(peers.known_ids), len(peers.lost_ids)
+        if not self._isolation.may_adopt(known - lost, known, self._clock()):
+            self._log.info("no jobs adopted while isolated", lost=lost, known=known)
+            return False
         while not self._noted_keys.empty():
             self._orphans.note_unheld(self._noted_keys.get(), self._clock())
         headers = self._storage.list_headers()
