Shorter contact in large fleets, and a guard for frozen holders there

In a fleet too large to contact all peers, jobs are taken over once a holder's state is six seconds old at a peer, and states are relayed for up to three. An acknowledgement may therefore be three seconds old, not four, to prove that no job was taken over; nodes contact each other once a second.

--- a/packages/decisions/sequoiaglade_decisions/gateway/peer_acks.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/peer_acks.py
@@ -7,7 +7,7 @@
 # flight.
 ACK_AGE_MAX_SECONDS = 1.0
 # The same in a large fleet, where peers time out later and are contacted less often.
-ACK_AGE_MAX_SECONDS_LARGE = 4.0
+ACK_AGE_MAX_SECONDS_LARGE = 3.0
 
 
 class _Contact(NamedTuple):
--- a/tests/features/gateway/holders.feature
+++ b/tests/features/gateway/holders.feature
@@ -82,6 +82,12 @@
     And gossip goes on for 4 seconds
     Then no gateway has adopted the job
 
+  Scenario: A holder in a large fleet that freezes for 5 seconds keeps its job
+    Given gateways "a, b, c, d, e, f, g, h, i, j, k, l, m, n, o", and "b" holds a job with 1 listed result
+    When "b" is frozen for 5 seconds
+    And gossip goes on for 4 seconds
+    Then no gateway has adopted the job
+
   Scenario: A gateway that loses most others for good takes over their jobs
     Given gateways "a, b, c, d, e", and "b" holds a job with 1 listed result
     When gateways "b, c, d, e" are stopped for good
--- a/tests/features/steps/holder_isolation_steps.py
+++ b/tests/features/steps/holder_isolation_steps.py
@@ -16,6 +16,15 @@
         simulation.heal(name)
 
 
+@when('"{name}" is frozen for {seconds:g} seconds')
+def freeze(context, name, seconds):
+    submit(context, "a")
+    context.simulation.run(0.4)
+    context.simulation.suspend(name, is_frozen=True)
+    context.simulation.run(seconds)
+    context.simulation.resume(name)
+
+
 @when('gateways "{names}" are stopped for good')
 def stop_for_good(context, names):
     submit(context, "a")
