Log the version of endpoints, and which stream a request takes up

Cause: the logs did not show the software version of an endpoint, nor that a request takes up another stream, so that the hypotheses on mixed versions could not be told apart.

No decision changed.

--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -11,7 +11,8 @@
     """An endpoint that serves requests of one service.
 
     `born` is its start time in Unix milliseconds, 0 if unknown. An endpoint that
-    restarts may keep its id, but its `born` changes.
+    restarts may keep its id, but its `born` changes. `version` is that of its software,
+    empty if unknown.
     """
 
     endpoint_id: str
@@ -21,6 +22,7 @@
     slots: int
     is_draining: bool = False
     born: int = 0
+    version: str = ""
 
 
 class EndpointDirectory:
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -177,6 +177,7 @@
             item_id=item.item_id,
             job=job.key,
             endpoint_id=placed.endpoint.endpoint_id,
+            endpoint_version=placed.endpoint.version,
             in_flight=placed.in_flight,
             after_event=progress.last_event_id,
         )
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -9,7 +9,8 @@
     `headers` are the pairs to forward to an endpoint, without the key and without the
     headers that the gateway sets itself. `deadline` is how many seconds the caller
     waits (None if the request doesn't state it), `last_event_id` the id of the last
-    event that the caller has received.
+    event that the caller has received. `resumes` is the id of the request that began
+    the stream which this one takes up, empty for a new stream.
     """
 
     request_id: str
@@ -20,6 +21,7 @@
     key: str | None
     deadline: float | None
     last_event_id: int
+    resumes: str = ""
 
     @property
     def path(self):
