--- /dev/null
+++ b/tests/features/gateway/versions.feature
@@ -0,0 +1,35 @@
+Feature: Endpoints of several software versions serve side by side
+
+  What two versions write does not fit together.
+
+  Scenario: A broken stream goes on at the version that began it
+    Given 1 gateway and runners of "v1 that breaks, v1, v2 that breaks, v2, v2"
+    When 12 callers request streams that may be resumed from gateway 0
+    Then every stream is complete, each with the events of one version
+
+  Scenario: A stream whose gateway was killed goes on at its version
+    Given 3 gateways and slow runners of "v1, v1, v2, v2"
+    When 8 callers request streams that may be resumed from gateway 0
+    And gateway 0 is killed while they run
+    And each caller takes its stream up at gateway 1 or 2
+    Then every stream is complete, each with the events of one version
+
+  Scenario: A stream of a version that no longer serves is refused at once
+    Given 2 gateways and slow runners of "v1, v2"
+    When 4 callers request streams that may be resumed from gateway 0
+    And gateway 0 is killed while they run
+    And the entries of all runners of "v2" are removed
+    And each caller takes its stream up at gateway 1
+    Then the streams of "v1" are complete, those of "v2" were refused within 0.5 seconds
+
+  Scenario: A stream that nobody knows is refused while several versions serve
+    Given 1 gateway and runners of "v1, v2"
+    And both versions have served for longer than a stream takes
+    When a caller takes an unknown stream up at gateway 0
+    Then it is refused with 503 and as not run
+
+  Scenario: An item's output is of one version
+    Given 1 gateway and runners of "v1 that breaks, v2"
+    When a job of 8 items is submitted at gateway 0
+    Then within 15 seconds all items are completed at gateway 0
+    And the output of each item is of one version
--- /dev/null
+++ b/tests/features/steps/gateway_version_steps.py
@@ -0,0 +1,166 @@
+"""Steps for endpoints of several software versions on the emulated platform."""
+
+import re
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from behave import given, then, when
+from emulator import RunnerPlan
+from gateway_calls import SLOW, start
+
+# Longer than any stream of these scenarios, as the gateway's decision assumes.
+STREAM_SECONDS = 6.5
+EVENT = re.compile(r"id: (\d+)\ndata: piece-\d+(?: of (\S+))?\n\n")
+
+
+class CallerStream(NamedTuple):
+    """A stream as its caller received it, over all of its requests."""
+
+    request_id: str
+    events: list
+    is_complete: bool
+    last_status: int
+    last_seconds: float
+
+    @property
+    def versions(self):
+        """The versions that wrote the events."""
+        return {version for _, version in self.events}
+
+
+def parse_events(text):
+    """Return the complete events of a body as pairs of id and version."""
+    return [(int(m[1]), m[2] or "v1") for m in EVENT.finditer(text)]
+
+
+def _plans(text, plan):
+    plans = []
+    for part in text.split(", "):
+        version, _, fault = part.partition(" that ")
+        breaks_after = 2 if fault else 0
+        plans.append(plan._replace(version=version, breaks_after=breaks_after))
+    return plans
+
+
+@given('{nodes:d} gateway and runners of "{versions}"')
+def given_versions(context, nodes, versions):
+    start(context, nodes, _plans(versions, RunnerPlan()))
+
+
+@given('{nodes:d} gateways and slow runners of "{versions}"')
+def given_slow_versions(context, nodes, versions):
+    start(context, nodes, _plans(versions, SLOW))
+
+
+@given("both versions have served for longer than a stream takes")
+def given_served(context):
+    time.sleep(STREAM_SECONDS)
+
+
+def _send(context, node, stream=None):
+    """Request a stream, or take one up; return the `CallerStream`."""
+    request_id = uuid.uuid4().hex[:16]
+    events, headers = [], []
+    if stream is not None:
+        events = stream.events
+        headers = [("Resumes", stream.request_id)]
+        headers += [("Last-Event-Id", str(events[-1][0]))] if events else []
+    path = "/resume/" + (stream.request_id if stream else request_id)
+    began_at = time.monotonic()
+    response = context.gateways.send(path, node, request_id=request_id, headers=headers)
+    seconds = time.monotonic() - began_at
+    first_id = stream.request_id if stream else request_id
+    if response is None or response.status != 200:
+        status = response.status if response else 0
+        return CallerStream(first_id, events, False, status, seconds)
+    events = events + parse_events(response.body.decode())
+    return CallerStream(first_id, events, response.is_complete, 200, seconds)
+
+
+@when("{count:d} callers request streams that may be resumed from gateway {node:d}")
+def request_streams(context, count, node):
+    pool = context.stack.enter_context(ThreadPoolExecutor(count))
+    context.pending = [pool.submit(_send, context, node) for _ in range(count)]
+
+
+@when("gateway 0 is killed while they run")
+def kill_while_running(context):
+    time.sleep(0.6)
+    context.gateways.nodes[0].kill()
+
+
+@when('the entries of all runners of "{version}" are removed')
+def remove_version(context, version):
+    for runner in context.gateways.runners:
+        if runner.plan.version == version:
+            runner.deregister()
+    time.sleep(1.0)
+
+
+@when("each caller takes its stream up at gateway {first:d} or {second:d}")
+def take_up(context, first, second):
+    nodes = (first, second)
+    broken = [pending.result() for pending in context.pending]
+    assert all(s.events and not s.is_complete for s in broken), broken
+    assert {v for s in broken for v in s.versions} == {"v1", "v2"}, broken
+    with ThreadPoolExecutor(len(broken)) as pool:
+        context.streams = list(
+            pool.map(
+                lambda row: _send(context, nodes[row[0] % 2], row[1]),
+                enumerate(broken),
+            )
+        )
+
+
+@when("each caller takes its stream up at gateway {node:d}")
+def take_up_at(context, node):
+    take_up(context, node, node)
+
+
+@when("a caller takes an unknown stream up at gateway {node:d}")
+def take_up_unknown(context, node):
+    unknown = CallerStream("0" * 16, [(1, "v1"), (2, "v1")], False, 200, 0.0)
+    context.streams = [_send(context, node, unknown)]
+
+
+@then("every stream is complete, each with the events of one version")
+def check_streams(context):
+    streams = getattr(context, "streams", None)
+    streams = streams or [pending.result() for pending in context.pending]
+    count = context.gateways.runners[0].plan.event_count
+    for stream in streams:
+        ids = [number for number, _ in stream.events]
+        assert ids == list(range(1, count + 1)) and stream.is_complete, stream
+        assert len(stream.versions) == 1, stream
+    assert len({v for s in streams for v in s.versions}) > 1, streams
+
+
+@then(
+    'the streams of "{first}" are complete, those of "{second}" were refused within '
+    "{seconds:g} seconds"
+)
+def check_refused_streams(context, first, second, seconds):
+    for stream in context.streams:
+        assert len(stream.versions) == 1, stream
+        if first in stream.versions:
+            assert stream.is_complete, stream
+        else:
+            assert stream.last_status == 503 and stream.last_seconds < seconds, stream
+
+
+@then("it is refused with 503 and as not run")
+def check_unknown(context):
+    (stream,) = context.streams
+    assert stream.last_status == 503, stream
+    assert not any(runner.runs for runner in context.gateways.runners)
+
+
+@then("the output of each item is of one version")
+def check_output(context):
+    _, body = context.gateways.results(context.job_id)
+    for row in body["Results"]:
+        lines = row["Output"].split("\n")
+        versions = {line.partition(" of ")[2] for line in lines}
+        assert len(lines) == 6 and len(versions) == 1, row
