A stream goes on only at the software version that began it

Cause: the rest of a broken stream was placed like a new request. The version of an endpoint was not read, and neither was the header by which a caller names the request that began the stream; after a gateway was killed nobody knew at which version its streams had begun.

Change: a placement may be restricted to a version. Within one answer it is that of the endpoint that sent the first event. A gateway keeps for 60 s at which version each request for a stream that may be resumed is sent, and tells all live peers (three chosen by hash in a large fleet) before the request is sent, while the service has several versions. A caller that takes a stream up gets the version that this gateway or a peer knows. If none knows it, or the version no longer has endpoints that take requests, it is refused at once with 503 as not run; with one version there is nothing to ask. Weighed: choosing the version of a new stream by hash of its id, which needs no memory, but confines each request to a part of the endpoints and fails when endpoints change meanwhile.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -28,6 +28,7 @@
 )
 from .scheduling import GroupScheduler, Scheduled
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
+from .stream_versions import StreamVersions, stream_keepers
 
 __all__ = [
     "DEFAULT_SLOTS",
@@ -64,6 +65,7 @@
     "RouteKind",
     "Scheduled",
     "Service",
+    "StreamVersions",
     "Workspace",
     "batch_allowance",
     "batch_targets",
@@ -76,4 +78,5 @@
     "run_order",
     "schedulers",
     "stable_hash",
+    "stream_keepers",
 ]
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -87,15 +87,26 @@
         self._drop_removed(now)
         return self._endpoint_by_id.get(endpoint_id)
 
-    def usable(self, service, now):
-        """Return the endpoints of `service` that accept new requests, as a list."""
+    def usable(self, service, now, version=None):
+        """Return the endpoints of `service` that accept new requests, as a list.
+
+        With a `version`, only those with this software version.
+        """
         self._drop_removed(now)
         return [
             endpoint
             for endpoint in self._endpoint_by_id.values()
-            if endpoint.service == service and not endpoint.is_draining
+            if endpoint.service == service
+            and not endpoint.is_draining
+            and version in (None, endpoint.version)
         ]
 
+    def versions(self, service, now):
+        """Return the software versions of all endpoints of `service`, as a set."""
+        self._drop_removed(now)
+        endpoints = self._endpoint_by_id.values()
+        return {e.version for e in endpoints if e.service == service}
+
     def services(self):
         """Return the names of the services that have endpoints, sorted."""
         return sorted({e.service for e in self._endpoint_by_id.values()})
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -19,6 +19,7 @@
     Scheduled,
     batch_allowance,
     batch_targets,
+    stream_keepers,
 )
 
 from . import messages
@@ -34,6 +35,7 @@
     EndpointsListed,
     EventIntervalObserved,
     FindSchedulers,
+    FindStreamKeepers,
     GetStatus,
     HolderPeers,
     InFlightRequest,
@@ -50,6 +52,7 @@
     QuotaExceeded,
     RequestEnded,
     Schedule,
+    StreamKeepers,
 )
 from .scheduling import FleetScheduling
 
@@ -115,6 +118,8 @@
             case EventIntervalObserved(endpoint_id, seconds):
                 self._scheduling.note_end(endpoint_id, "", seconds)
                 return self._loads.health.note_pace(endpoint_id, seconds)
+            case FindStreamKeepers():
+                return self._find_stream_keepers(message, now)
             case Publish():
                 return self._publish(message, now)
             case PeerStatesReceived(states):
@@ -165,7 +170,7 @@
     def _place(self, message, now):
         if message.is_batch:
             return self._place_batch(message, now)
-        endpoints = self._directory.usable(message.service, now)
+        endpoints = self._directory.usable(message.service, now, message.version)
         choice = self._loads.choose(
             endpoints, now, message.spread, message.excluded, message.headroom
         )
@@ -176,7 +181,7 @@
                 return self._begin(endpoint_id, preempts, False, now)
 
     def _place_batch(self, message, now):
-        endpoints = self._directory.usable(message.service, now)
+        endpoints = self._directory.usable(message.service, now, message.version)
         endpoint_id = self._loads.choose_for_batch(
             endpoints, now, RESERVE_SLOTS, message.spread
         )
@@ -206,6 +211,14 @@
         states = map(self._nodes.state, self._loads.batch_nodes(endpoint_id, now))
         return [state.peer_address for state in states if state is not None]
 
+    def _find_stream_keepers(self, message, now):
+        live = {state.node_id: state for state in self._nodes.live(now)}
+        ids = [self._state.node_id, *sorted(live)]
+        keepers = stream_keepers(message.request_id, ids, self._nodes.is_large)
+        addresses = [live[n].peer_address for n in keepers if n in live]
+        versions = self._directory.versions(message.service, now)
+        return StreamKeepers(addresses, versions)
+
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
         self._scheduling.note_begin()
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -32,7 +32,8 @@
     The reply is None if this node finds no slot for a batch item. `spread` is a
     text of the request by which requests are hashed over endpoints. `headroom` is how
     many fewer requests than usual may queue at an endpoint. `is_late` states that a
-    batch item can no longer be completed by its due time.
+    batch item can no longer be completed by its due time. `version` restricts the
+    choice to endpoints of that software version; None allows all.
     """
 
     service: str
@@ -41,6 +42,7 @@
     headroom: int = 0
     is_batch: bool = False
     is_late: bool = False
+    version: str | None = None
 
 
 class EndpointResult(NamedTuple):
@@ -241,6 +243,20 @@
     lost_ids: list
 
 
+class FindStreamKeepers(NamedTuple):
+    """Asks which peers keep the version of a stream; the reply is a `StreamKeepers`."""
+
+    request_id: str
+    service: str
+
+
+class StreamKeepers(NamedTuple):
+    """Peer addresses of a stream's keepers, and the versions of its service."""
+
+    addresses: list
+    versions: set
+
+
 class LiveNodeFraction(NamedTuple):
     """Asks for the fraction of the known nodes that are live; the reply is a number."""
 
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -29,7 +29,7 @@
 from .coordinator import Coordinator
 from .messages import GetStatus, Leave, LiveNodes
 from .metrics import GatewayMetrics
-from .online import BatchPreemptor, OnlineService
+from .online import BatchPreemptor, OnlineService, StreamDirectory
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
 from .store_cache import KindWatcher, StoreCache
@@ -59,6 +59,7 @@
     peers: Any
     placer: Any
     preemptor: Any
+    streams: Any
     writer: Any
 
 
@@ -166,12 +167,18 @@
         )
         client = stack.enter_context(PeerClient())
         parts.placer = Placer(parts, client)
+        parts.streams = StreamDirectory(parts, client)
         self._gossip = Gossip(
             parts, client, registry, self._runner, self._job_adopter.wake
         )
         parts.peers = PeerCalls(client, self._gossip)
         servicer = FleetServicer(
-            self._gossip, parts.store_cache, registry, parts.batch, parts.placer
+            self._gossip,
+            parts.store_cache,
+            registry,
+            parts.batch,
+            parts.placer,
+            parts.streams,
         )
         start_peer_server(stack, parts.settings.listen.peer, servicer)
         parts.preemptor = BatchPreemptor(parts, client.request_preemption)
--- a/packages/gateway/sequoiaglade_gateway/online/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/online/__init__.py
@@ -2,5 +2,6 @@
 
 from .preemption import BatchPreemptor
 from .service import OnlineService
+from .streams import StreamDirectory
 
-__all__ = ["BatchPreemptor", "OnlineService"]
+__all__ = ["BatchPreemptor", "OnlineService", "StreamDirectory"]
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -85,6 +85,8 @@
         self._placement_seconds = 0.0
         self._log = structlog.get_logger()
         self.last_event_id = request.call.last_event_id
+        # The version that began the stream; None before its first event.
+        self._version = None
         self.is_client_disconnected = False
         self.first_event_seconds = None
 
@@ -114,6 +116,10 @@
 
     def open(self):
         """Return a `StartedStream`, `CompleteResponse` or `GatewayRefusal`."""
+        if self.last_event_id and self._version is None:
+            self._version = self._find_version()
+            if self._version is None:
+                return self._give_up(503, "no node knows the stream to be taken up")
         while True:
             outcome = self._try_once()
             if not isinstance(outcome, CallFault):
@@ -188,6 +194,7 @@
             request.call.request_id,
             self._excluded,
             request.priority,
+            version=self._version,
         )
         started_at = time.monotonic()
         placed = self._parts.placer.place(place)
@@ -203,8 +210,16 @@
             self.end_attempt(outcome)
         elif isinstance(outcome, CompleteResponse):
             self.end_attempt()
+        else:
+            self._version = placed.endpoint.version
         return outcome
 
+    def _find_version(self):
+        request = self.request
+        return self._parts.streams.find_version(
+            request.call.resumes, request.service or ""
+        )
+
     def _send(self, endpoint):
         request = self.request
         seconds_left = request.end_at - time.monotonic()
@@ -240,6 +255,10 @@
             seconds_left=round(seconds_left, 3),
             configuration_version=request.version,
         )
+        if request.route.is_resumable and not self.last_event_id:
+            self._parts.streams.note(
+                request.call.request_id, endpoint.service, endpoint.version
+            )
         with self._parts.preemptor.watching(endpoint.endpoint_id):
             answer = open_call(
                 endpoint_request,
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -94,6 +94,28 @@
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
         stub.Report.future(encode_report(report), timeout=CALL_SECONDS)
 
+    def note_stream(self, address, request_id, version):
+        """Tell a peer the version of a stream, without waiting for the reply."""
+        stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+        note = fleet_pb2.StreamNote(request_id=request_id, version=version)
+        stub.NoteStream.future(note, timeout=CALL_SECONDS)
+
+    def find_stream(self, addresses, request_id):
+        """Return the version of a stream that one of the peers knows, or None."""
+        request = fleet_pb2.FindStreamRequest(request_id=request_id)
+        futures = []
+        for address in addresses:
+            stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+            futures.append(stub.FindStream.future(request, timeout=SCHEDULE_SECONDS))
+        for future in futures:
+            try:
+                reply = future.result()
+            except (grpc.RpcError, grpc.FutureCancelledError):
+                continue
+            if reply.is_known:
+                return reply.version
+        return None
+
     def request_preemption(self, address, endpoint_id):
         """Ask a peer to stop a batch item at an endpoint, without waiting for it."""
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -18,12 +18,13 @@
 class FleetServicer(fleet_pb2_grpc.FleetServicer):
     """Implements the gRPC service `Fleet`."""
 
-    def __init__(self, gossip, store_cache, job_registry, batch, placer):
+    def __init__(self, gossip, store_cache, job_registry, batch, placer, streams):
         self._gossip = gossip
         self._store_cache = store_cache
         self._job_registry = job_registry
         self._batch = batch
         self._placer = placer
+        self._streams = streams
 
     def Gossip(self, request, context):  # noqa: N802
         # The reply names the jobs that this node releases on receiving the request, so
@@ -76,6 +77,16 @@
         self._placer.receive_report(decode_report(request))
         return fleet_pb2.ReportReply()
 
+    def NoteStream(self, request, context):  # noqa: N802
+        self._streams.receive_note(request.request_id, request.version)
+        return fleet_pb2.StreamNoteReply()
+
+    def FindStream(self, request, context):  # noqa: N802
+        version = self._streams.known_version(request.request_id)
+        if version is None:
+            return fleet_pb2.FindStreamReply()
+        return fleet_pb2.FindStreamReply(is_known=True, version=version)
+
     def MakeRoom(self, request, context):  # noqa: N802
         self._batch.preempt(request.endpoint_id)
         return fleet_pb2.RoomReply()
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -37,11 +37,15 @@
     def place(self, place):
         """Return the `InFlightRequest` for a `PlaceRequest`, or `Full`.
 
+        A request for one software version is placed by this node, since the group that
+        a scheduler places in may have no endpoint of that version.
         If no scheduler answers or finds an endpoint, or if it chooses one that is
         draining or removed according to this node, this node places the request by its
         own state. Return None if it then finds no slot for a batch item.
         """
         coordinator = self._parts.coordinator
+        if place.version is not None:
+            return coordinator.ask(place)
         query = coordinator.ask(FindSchedulers(place.service, place.spread))
         if query is None:
             return coordinator.ask(place)
