--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -41,7 +41,7 @@
 )
 
 HOST, PATH = "batch.example", "/jobs/"
-# Intervals of a gateway's steps while time passes.
+# Interval of a gateway's rounds while time passes.
 ROUND_SECONDS = 0.2
 # Clocks start late enough that times of 0.0 are long past.
 START_SECONDS = 1000.0
@@ -302,12 +302,12 @@
 
     def cut(self, name, others=None):
         """Let all calls between a gateway and others fail."""
-        for other in others or self.gateway_by_name:
+        for other in self.gateway_by_name if others is None else others:
             self.cut_pairs |= {(name, other), (other, name)}
 
     def heal(self, name, others=None):
         """Let calls between a gateway and others succeed again."""
-        for other in others or self.gateway_by_name:
+        for other in self.gateway_by_name if others is None else others:
             self.cut_pairs -= {(name, other), (other, name)}
 
     def suspend(self, name, is_frozen=False):
@@ -329,15 +329,13 @@
                 gateway.suspended_seconds += seconds
         self.store.apply_due(self.now)
 
-    def run(self, seconds, writers=()):
+    def run(self, seconds, round_seconds=ROUND_SECONDS):
         """Advance the time while all gateways gossip and look for jobs."""
-        for _ in range(round(seconds / ROUND_SECONDS)):
-            self.pass_time(ROUND_SECONDS)
+        for _ in range(round(seconds / round_seconds)):
+            self.pass_time(round_seconds)
             for gateway in self.running():
                 gateway.run_round()
                 gateway.run_adoption()
-                if gateway.name in writers:
-                    gateway.write()
 
     def note(self, *step):
         """Add a step of the test to the trace."""
--- a/tests/features/steps/memory_store.py
+++ b/tests/features/steps/memory_store.py
@@ -66,6 +66,7 @@
         self._store = store
         self._clock = clock
         self.is_reachable = True
+        self.call_count = 0
         # Delays until the next writes of result pages take effect, unanswered.
         self.late_seconds = []
 
@@ -90,6 +91,7 @@
         return self._call(self._store.write, kind, name, revision, value)
 
     def _call(self, method, *arguments):
+        self.call_count += 1
         if not self.is_reachable:
             return Failure(FailureCode.UNAVAILABLE, "the store is cut off")
         return method(*arguments)
