Known red: items that no longer start after an exception before their run

An item is marked as running before its placement. If the placement raises, or if no thread can be started for the run, nothing takes the mark back: the item is never started again, though all endpoints have room, and its job never ends. Where the thread is missing, the endpoint's slot also counts as taken for as long as the process lives.

--- a/tests/features/gateway/unlucky_items.feature
+++ b/tests/features/gateway/unlucky_items.feature
@@ -30,3 +30,14 @@
 
   Scenario: Items start again after any burst of crashes, in small and large fleets
     Then 4 seconds after any of 1000 bursts of crashes all items can be started
+
+  Scenario: An item whose placement raised an exception starts again
+    Given an item runner whose next placement raises an exception
+    When a job of 2 items is held
+    Then within 5 seconds it has 2 completed items
+
+  Scenario: An item whose thread could not be started starts again
+    Given an item runner that cannot start threads for 2 items
+    When a job of 2 items is held
+    Then within 5 seconds it has 2 completed items
+    And no request counts as in flight
--- /dev/null
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -0,0 +1,131 @@
+"""Steps for an item runner of its own, without a node, on an emulated runner."""
+
+import threading
+from types import SimpleNamespace
+from unittest import mock
+
+from behave import given, then, when
+from emulator import EmulatedRunner, EmulatedStore
+from emulator.fleet import wait_until
+from fleet_adapter.dialect import PlatformDialect
+from gateway_calls import SLOW
+from sequoiaglade_gateway.batch import ItemRunner, JobRegistry
+from sequoiaglade_gateway.batch.registry import HeldJob
+from sequoiaglade_gateway.batch.storage import JobHeader
+from sequoiaglade_gateway.coordinator import Coordinator
+from sequoiaglade_gateway.messages import EndpointsListed, GetStatus
+from sequoiaglade_gateway.settings import GatewaySettings, Listeners
+
+from sequoiaglade_decisions.gateway import (
+    Endpoint,
+    FleetConfiguration,
+    Item,
+    JobSpec,
+    Route,
+    RouteKind,
+)
+
+HOST, SERVICE = "kiosk.example", "writer"
+ROUTE = Route(
+    "batch", HOST, "/batch/", RouteKind.BATCH, ((SERVICE, 1),), 5.0, 0.3, attempts=3
+)
+
+
+class _Placer:
+    """Places requests by the coordinator, after a fault that happens once."""
+
+    def __init__(self, coordinator, fault):
+        self._coordinator = coordinator
+        self._fault = fault
+
+    def place(self, place):
+        fault, self._fault = self._fault, None
+        if fault is not None:
+            fault()
+        return self._coordinator.ask(place)
+
+
+class _ThreadLimit:
+    """Makes the next `count` threads of items fail to start."""
+
+    def __init__(self, count):
+        self._count = count
+        self._start = threading.Thread.start
+
+    def start(self, thread):
+        if thread.name == "item" and self._count:
+            self._count -= 1
+            raise RuntimeError("can't start new thread")
+        self._start(thread)
+
+
+def start_item_runner(context, fault=None):
+    stack = context.stack
+    store = stack.enter_context(EmulatedStore())
+    context.endpoint = stack.enter_context(
+        EmulatedRunner(store, "runner-0", SERVICE, SLOW)
+    )
+    address = context.endpoint.address
+    parts = SimpleNamespace(
+        settings=GatewaySettings(
+            node_id="gateway-0",
+            failure_domain="d",
+            listen=dict.fromkeys(Listeners.model_fields, address),
+            store={"address": store.address},
+        ),
+        dialect=PlatformDialect(),
+        store_cache=SimpleNamespace(
+            configuration=FleetConfiguration(1, (ROUTE,), (), ())
+        ),
+        writer=SimpleNamespace(wake=lambda: None),
+    )
+    parts.coordinator = Coordinator.start(parts.settings, 1)
+    stack.callback(parts.coordinator.stop)
+    endpoint = Endpoint("runner-0", SERVICE, address, "d", SLOW.slots)
+    parts.coordinator.tell(EndpointsListed([endpoint]))
+    parts.placer = _Placer(parts.coordinator, fault)
+    context.coordinator = parts.coordinator
+    context.registry = JobRegistry()
+    context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
+
+
+def hold_job(context, count):
+    items = tuple(Item(f"item-{n}", "/batch/x", (), b"", 1) for n in range(count))
+    spec = JobSpec("job", "yard", HOST, "/batch/job", 0.0, "gateway-0", items)
+    job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, ROUTE)
+    context.registry.add(job)
+    return job
+
+
+@given("an item runner whose next placement raises an exception")
+def given_failing_placement(context):
+    start_item_runner(context, mock.Mock(side_effect=OSError("no placement")))
+
+
+@given("an item runner that cannot start threads for {count:d} items")
+def given_thread_limit(context, count):
+    limit = _ThreadLimit(count)
+    context.stack.enter_context(
+        mock.patch.object(threading.Thread, "start", lambda thread: limit.start(thread))
+    )
+    start_item_runner(context)
+
+
+@when("a job of {count:d} items is held")
+@when("a job of {count:d} item is held")
+def hold(context, count):
+    context.held_job = hold_job(context, count)
+
+
+@then("within {seconds:d} seconds it has {count:d} completed items")
+@then("within {seconds:d} seconds it has {count:d} completed item")
+def check_done(context, seconds, count):
+    batch = context.held_job.batch
+    wait_until(lambda: not batch.unfinished_count, seconds, "all items are completed")
+    assert [result.is_completed for result in batch.unlisted()] == [True] * count
+
+
+@then("no request counts as in flight")
+def check_counts(context):
+    counts = lambda: context.coordinator.ask(GetStatus())["in_flight_by_endpoint"]  # noqa: E731
+    wait_until(lambda: not counts(), 1.0, "no request is in flight")
