Items start again after an exception before their run

Callers would see a job that never ends: one item is listed neither as completed nor as given up. Cause: `start_next` marks an item as running, and only the end of its run or a refused placement took the mark back. An exception of the placement, or a thread that could not be started, left the mark, and in the second case the endpoint's slot too.

The mark is now taken back when the placement raises, and a run whose thread cannot start ends like a stopped one, which also ends its count at the endpoint. The end of a run moves to `_end_run` for that.

--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -154,14 +154,11 @@
         if progress is None:
             return False
         item = progress.item
-        placed = self._parts.placer.place(
-            PlaceRequest(
-                service,
-                item.item_id,
-                is_batch=True,
-                is_late=self._registry.sort_key()(job)[0],
-            )
-        )
+        try:
+            placed = self._place(service, job, item)
+        except Exception:
+            self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
+            raise
         if not isinstance(placed, InFlightRequest):
             if placed is not None:
                 factor = 1 + RETRY_JITTER * (random.random() - 0.5)
@@ -183,11 +180,19 @@
         thread = threading.Thread(
             target=self._run_item, args=(run, route), name="item", daemon=True
         )
-        thread.start()
+        try:
+            thread.start()
+        except RuntimeError as error:
+            self._end_run(run, route, ItemOutcome.STOPPED, STOPPED, str(error))
+            return False
         return True
 
+    def _place(self, service, job, item):
+        is_late = self._registry.sort_key()(job)[0]
+        request = PlaceRequest(service, item.item_id, is_batch=True, is_late=is_late)
+        return self._parts.placer.place(request)
+
     def _run_item(self, run, route):
-        item_id = run.progress.item.item_id
         item_outcome, outcome, reason = (
             ItemOutcome.BROKEN,
             BROKEN,
@@ -199,19 +204,23 @@
             if item_outcome is ItemOutcome.DONE and is_whole:
                 self._registry.record_run(time.monotonic() - started_at)
         finally:
-            endpoint_id = run.endpoint.endpoint_id
-            self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
-            with self._lock:
-                del self._runs[(run.job.key, item_id)]
-            self._finish(run.job, item_id, item_outcome, route)
-            self._log.info(
-                "item run ended",
-                item_id=item_id,
-                job=run.job.key,
-                endpoint_id=endpoint_id,
-                end=item_outcome.value,
-                reason=reason,
-            )
+            self._end_run(run, route, item_outcome, outcome, reason)
+
+    def _end_run(self, run, route, item_outcome, outcome, reason):
+        item_id = run.progress.item.item_id
+        endpoint_id = run.endpoint.endpoint_id
+        self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
+        with self._lock:
+            del self._runs[(run.job.key, item_id)]
+        self._finish(run.job, item_id, item_outcome, route)
+        self._log.info(
+            "item run ended",
+            item_id=item_id,
+            job=run.job.key,
+            endpoint_id=endpoint_id,
+            end=item_outcome.value,
+            reason=reason,
+        )
 
     def _sort_key(self):
         job_sort_key = self._registry.sort_key()
