Known red: an item with two runs at one node is never started again

A job that was released to a peer while a run of it started, and that this node adopts again before that run ends, starts the same item a second time if there is room beside the first run. The runs are kept by job and item: the end of the first removes the entry of the second, and the end of the second raises KeyError before the item's mark as running is taken back. The item is never started again and its job never ends.

A burst of crashes together with a lost gateway is what brings this about: jobs change hands while runs start and break.

--- a/tests/features/gateway/unlucky_items.feature
+++ b/tests/features/gateway/unlucky_items.feature
@@ -41,3 +41,9 @@
     When a job of 2 items is held
     Then within 5 seconds it has 2 completed items
     And no request counts as in flight
+
+  Scenario: A job that is adopted again while a run of it lasts completes
+    Given an item runner whose job is released to a peer during the first placement
+    When a job of 1 item is held
+    And it is adopted again beside a job of 4 items while its item runs
+    Then within 8 seconds it has 1 completed item
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -29,6 +29,7 @@
 ROUTE = Route(
     "batch", HOST, "/batch/", RouteKind.BATCH, ((SERVICE, 1),), 5.0, 0.3, attempts=3
 )
+ITEM_SECONDS = SLOW.event_count * SLOW.event_seconds
 
 
 class _Placer:
@@ -89,9 +90,9 @@
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
-def hold_job(context, count):
+def hold_job(context, count, job_id="job"):
     items = tuple(Item(f"item-{n}", "/batch/x", (), b"", 1) for n in range(count))
-    spec = JobSpec("job", "yard", HOST, "/batch/job", 0.0, "gateway-0", items)
+    spec = JobSpec(job_id, "yard", HOST, "/batch/job", 0.0, "gateway-0", items)
     job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, ROUTE)
     context.registry.add(job)
     return job
@@ -111,12 +112,28 @@
     start_item_runner(context)
 
 
+@given("an item runner whose job is released to a peer during the first placement")
+def given_released(context):
+    def release():
+        context.registry.release(context.held_job.key)
+        context.item_runner.stop_job(context.held_job.key)
+
+    start_item_runner(context, release)
+
+
 @when("a job of {count:d} items is held")
 @when("a job of {count:d} item is held")
 def hold(context, count):
     context.held_job = hold_job(context, count)
 
 
+@when("it is adopted again beside a job of {count:d} items while its item runs")
+def adopt_again(context, count):
+    wait_until(lambda: context.endpoint.running, ITEM_SECONDS, "the item runs")
+    context.held_job = hold_job(context, len(context.held_job.batch.spec.items))
+    hold_job(context, count, "other")
+
+
 @then("within {seconds:d} seconds it has {count:d} completed items")
 @then("within {seconds:d} seconds it has {count:d} completed item")
 def check_done(context, seconds, count):
