Two runs of an item at one node end independently

Callers would see a job that never ends, although all endpoints have room. Cause: the running items were kept by job and item, which is not unique while an earlier run of a job that was released and adopted again still lasts. They are now kept by their attempt, in the order of their start as before; so each run removes its own entry, and jobs that end or are released stop all of their runs.

The list of runs is also copied under the lock where it was iterated without it, while other threads removed entries.

--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -53,7 +53,7 @@
         super().__init__("item runner")
         self._parts = parts
         self._registry = registry
-        self._runs = {}
+        self._run_by_attempt = {}
         self._lock = threading.Lock()
         self._retry_at_by_service = {}
         self._log = structlog.get_logger()
@@ -66,12 +66,16 @@
     @property
     def running_count(self):
         """Number of running items."""
-        return len(self._runs)
+        return len(self._run_by_attempt)
 
     def preempt(self, endpoint_id):
         """Stop the least urgent item at an endpoint; return whether one ran there."""
         with self._lock:
-            runs = [r for r in self._runs.values() if _is_running_at(r, endpoint_id)]
+            runs = [
+                run
+                for run in self._run_by_attempt.values()
+                if _is_running_at(run, endpoint_id)
+            ]
             if not runs:
                 return False
             least_urgent = max(runs, key=self._sort_key())
@@ -80,15 +84,19 @@
 
     def stop_job(self, key):
         """Stop all items of a job that has ended or is held by a peer."""
-        for run in list(self._runs.values()):
+        for run in self._current_runs():
             if run.job.key == key:
                 self._stop(run, "the job has ended or is held by a peer")
 
     def stop_all(self):
         """Stop all items."""
-        for run in list(self._runs.values()):
+        for run in self._current_runs():
             self._stop(run, "the node stops")
 
+    def _current_runs(self):
+        with self._lock:
+            return list(self._run_by_attempt.values())
+
     def _stop(self, run, reason):
         self._log.info(
             "item stopped",
@@ -127,7 +135,7 @@
         backlog = sum(job.batch.unfinished_count for job, _ in rows)
         share = self._parts.coordinator.ask(BatchShare(service, backlog))
         share = min(share, RUNNING_ITEMS_MAX)
-        runs = [run for run in self._runs.values() if run.service == service]
+        runs = [run for run in self._current_runs() if run.service == service]
         if len(runs) > share + OVERRUN_ITEMS_MAX:
             runs.sort(key=self._sort_key())
             for run in runs[share + OVERRUN_ITEMS_MAX :]:
@@ -168,7 +176,7 @@
             return False
         run = _ItemRun(job, progress, placed.endpoint, Attempt(), service)
         with self._lock:
-            self._runs[(job.key, item.item_id)] = run
+            self._run_by_attempt[run.attempt] = run
         self._log.info(
             "item placed",
             item_id=item.item_id,
@@ -211,7 +219,7 @@
         endpoint_id = run.endpoint.endpoint_id
         self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
         with self._lock:
-            del self._runs[(run.job.key, item_id)]
+            del self._run_by_attempt[run.attempt]
         self._finish(run.job, item_id, item_outcome, route)
         self._log.info(
             "item run ended",
