Known red: late items wait for refused items of other endpoints

In a large fleet a scheduler gives late items no slot while items that can still finish on time are refused. It keeps one time of refusal for all its groups and services. As long as one service has items and no slot, say after its endpoints were lost, late items of all others get none, whatever room their endpoints have. After a burst of crashes items are late, so this delays them without end.

The scenario offers a late item 20 times beside refusals at another endpoint; it gets no slot in any of them.

--- a/tests/features/gateway/scheduling.feature
+++ b/tests/features/gateway/scheduling.feature
@@ -15,6 +15,10 @@
     When a scheduler has refused an item and a slot becomes free
     Then a late item does not get it, and an item that can finish on time does
 
+  Scenario: A late item gets a slot while items of other endpoints are refused
+    When a scheduler with a full and a free endpoint refuses items of the full one
+    Then a late item of the free endpoint gets a slot each time
+
   Scenario: A backlog does not make all later items late
     When 20 slots that run 4 items per second get as many and stop for 20 seconds
     Then 9 in 10 items submitted 20 seconds later finish within 18 seconds
--- a/tests/features/steps/gateway_scheduling_steps.py
+++ b/tests/features/steps/gateway_scheduling_steps.py
@@ -122,6 +122,30 @@
     context.scheduler.report("n0", (1, 9), {}, 0.2)
 
 
+@when("a scheduler with a full and a free endpoint refuses items of the full one")
+def refuse_elsewhere(context):
+    scheduler = GroupScheduler()
+    full = [Endpoint("full", "busy", "", "d", 2)]
+    free = [Endpoint("free", "idle", "", "d", 2)]
+    scheduler.report("n0", (1, 1), {"full": (2, 0)}, 0.0)
+    context.choices = []
+    for number in range(20):
+        now = 0.1 * number
+        scheduler.report("n1", (1, number), {}, now)
+        refused = scheduler.choose_for_batch(full, "n0", now, RESERVED_SLOTS, "in time")
+        assert refused is None, refused
+        context.choices.append(
+            scheduler.choose_for_batch(
+                free, "n1", now, RESERVED_SLOTS, "late", is_late=True
+            )
+        )
+
+
+@then("a late item of the free endpoint gets a slot each time")
+def check_late_elsewhere(context):
+    assert set(context.choices) == {"free"}, context.choices
+
+
 def _offer(context, node_id, now, is_late=False):
     return context.scheduler.choose_for_batch(
         context.endpoints, node_id, now, RESERVED_SLOTS, node_id, is_late=is_late
