Late items wait only for items of the same endpoints

Late items of a large fleet got no slot at free endpoints while a scheduler refused items of another service or group. An item is hashed to its group, so a late item takes no slot that a refused one could use, except at an endpoint that joined the group since the refusal.

--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -1,6 +1,5 @@
 """Placement of all nodes' requests at the endpoints of a group by a single node."""
 
-import math
 from typing import NamedTuple
 
 from .hashing import stable_hash
@@ -53,7 +52,7 @@
         self._totals_by_id = {}
         self.health = EndpointHealth()
         self._retry_after = RetryAfter()
-        self._batch_refused_at = -math.inf
+        self._batch_refused_at_by_endpoint = {}
 
     def report(self, node_id, number, counts_by_id, now):
         """Replace a node's pairs of online and batch counts by endpoint id.
@@ -71,7 +70,10 @@
             self._add_to_totals(endpoint_id, online, batch)
 
     def drop_stale_reports(self, now):
-        """Drop the loads of nodes without a report for `REPORT_LIFETIME_SECONDS`."""
+        """Drop the loads of nodes without a report for `REPORT_LIFETIME_SECONDS`.
+
+        Also drop refusals of batch items that no longer delay late items.
+        """
         stale = [
             node_id
             for node_id, report in self._report_by_node.items()
@@ -79,6 +81,11 @@
         ]
         for node_id in stale:
             self._remove_report(node_id)
+        self._batch_refused_at_by_endpoint = {
+            endpoint_id: refused_at
+            for endpoint_id, refused_at in self._batch_refused_at_by_endpoint.items()
+            if now - refused_at < BATCH_RETRY_SECONDS
+        }
 
     def counts(self, endpoint_id):
         """Return the pair of online and batch requests in flight at an endpoint."""
@@ -118,10 +125,8 @@
         """Return the id of the endpoint for a batch item of a node, or None.
 
         The endpoint has at least one free slot beyond `reserve` slots. A late item gets
-        none while items that can still finish on time are refused.
+        none at endpoints where items that can still finish on time are refused.
         """
-        if is_late and now - self._batch_refused_at < BATCH_RETRY_SECONDS:
-            return None
         rows = [
             (
                 self._weighted_load(endpoint, domain),
@@ -131,10 +136,12 @@
             for endpoint in endpoints
             if self.health.is_available(endpoint.endpoint_id, now)
             and self._free_slots(endpoint) > reserve
+            and not (is_late and self._has_refused_batch(endpoint.endpoint_id, now))
         ]
         if not rows:
             if not is_late:
-                self._batch_refused_at = now
+                ids = [endpoint.endpoint_id for endpoint in endpoints]
+                self._batch_refused_at_by_endpoint.update(dict.fromkeys(ids, now))
             return None
         endpoint_id = min(rows, key=lambda row: row[:2])[2].endpoint_id
         self._count_placement(node_id, endpoint_id, True)
@@ -167,6 +174,10 @@
                 return node_id
         return None
 
+    def _has_refused_batch(self, endpoint_id, now):
+        refused_at = self._batch_refused_at_by_endpoint.get(endpoint_id)
+        return refused_at is not None and now - refused_at < BATCH_RETRY_SECONDS
+
     def _weighted_load(self, endpoint, domain):
         online, batch = self.counts(endpoint.endpoint_id)
         load = (online + batch) * self.health.pace_ratio(endpoint.endpoint_id)
