--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -53,7 +53,7 @@
         super().__init__("item runner")
         self._parts = parts
         self._registry = registry
-        self._runs = {}
+        self._run_by_attempt = {}
         self._lock = threading.Lock()
         self._retry_at_by_service = {}
         self._log = structlog.get_logger()
@@ -66,12 +66,16 @@
     @property
     def running_count(self):
         """Number of running items."""
-        return len(self._runs)
+        return len(self._run_by_attempt)
 
     def preempt(self, endpoint_id):
         """Stop the least urgent item at an endpoint; return whether one ran there."""
         with self._lock:
-            runs = [r for r in self._runs.values() if _is_running_at(r, endpoint_id)]
+            runs = [
+                run
+                for run in self._run_by_attempt.values()
+                if _is_running_at(run, endpoint_id)
+            ]
             if not runs:
                 return False
             least_urgent = max(runs, key=self._sort_key())
@@ -80,15 +84,19 @@
 
     def stop_job(self, key):
         """Stop all items of a job that has ended or is held by a peer."""
-        for run in list(self._runs.values()):
+        for run in self._current_runs():
             if run.job.key == key:
                 self._stop(run, "the job has ended or is held by a peer")
 
     def stop_all(self):
         """Stop all items."""
-        for run in list(self._runs.values()):
+        for run in self._current_runs():
             self._stop(run, "the node stops")
 
+    def _current_runs(self):
+        with self._lock:
+            return list(self._run_by_attempt.values())
+
     def _stop(self, run, reason):
         self._log.info(
             "item stopped",
@@ -127,7 +135,7 @@
         backlog = sum(job.batch.unfinished_count for job, _ in rows)
         share = self._parts.coordinator.ask(BatchShare(service, backlog))
         share = min(share, RUNNING_ITEMS_MAX)
-        runs = [run for run in self._runs.values() if run.service == service]
+        runs = [run for run in self._current_runs() if run.service == service]
         if len(runs) > share + OVERRUN_ITEMS_MAX:
             runs.sort(key=self._sort_key())
             for run in runs[share + OVERRUN_ITEMS_MAX :]:
@@ -154,14 +162,11 @@
         if progress is None:
             return False
         item = progress.item
-        placed = self._parts.placer.place(
-            PlaceRequest(
-                service,
-                item.item_id,
-                is_batch=True,
-                is_late=self._registry.sort_key()(job)[0],
-            )
-        )
+        try:
+            placed = self._place(service, job, item)
+        except Exception:
+            self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
+            raise
         if not isinstance(placed, InFlightRequest):
             if placed is not None:
                 factor = 1 + RETRY_JITTER * (random.random() - 0.5)
@@ -171,7 +176,7 @@
             return False
         run = _ItemRun(job, progress, placed.endpoint, Attempt(), service)
         with self._lock:
-            self._runs[(job.key, item.item_id)] = run
+            self._run_by_attempt[run.attempt] = run
         self._log.info(
             "item placed",
             item_id=item.item_id,
@@ -184,11 +189,19 @@
         thread = threading.Thread(
             target=self._run_item, args=(run, route), name="item", daemon=True
         )
-        thread.start()
+        try:
+            thread.start()
+        except RuntimeError as error:
+            self._end_run(run, route, ItemOutcome.STOPPED, STOPPED, str(error))
+            return False
         return True
 
+    def _place(self, service, job, item):
+        is_late = self._registry.sort_key()(job)[0]
+        request = PlaceRequest(service, item.item_id, is_batch=True, is_late=is_late)
+        return self._parts.placer.place(request)
+
     def _run_item(self, run, route):
-        item_id = run.progress.item.item_id
         item_outcome, outcome, reason = (
             ItemOutcome.BROKEN,
             BROKEN,
@@ -200,19 +213,23 @@
             if item_outcome is ItemOutcome.DONE and is_whole:
                 self._registry.record_run(time.monotonic() - started_at)
         finally:
-            endpoint_id = run.endpoint.endpoint_id
-            self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
-            with self._lock:
-                del self._runs[(run.job.key, item_id)]
-            self._finish(run.job, item_id, item_outcome, route)
-            self._log.info(
-                "item run ended",
-                item_id=item_id,
-                job=run.job.key,
-                endpoint_id=endpoint_id,
-                end=item_outcome.value,
-                reason=reason,
-            )
+            self._end_run(run, route, item_outcome, outcome, reason)
+
+    def _end_run(self, run, route, item_outcome, outcome, reason):
+        item_id = run.progress.item.item_id
+        endpoint_id = run.endpoint.endpoint_id
+        self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
+        with self._lock:
+            del self._run_by_attempt[run.attempt]
+        self._finish(run.job, item_id, item_outcome, route)
+        self._log.info(
+            "item run ended",
+            item_id=item_id,
+            job=run.job.key,
+            endpoint_id=endpoint_id,
+            end=item_outcome.value,
+            reason=reason,
+        )
 
     def _sort_key(self):
         job_sort_key = self._registry.sort_key()
