Leave a silent endpoint only for a place reserved elsewhere

Cause: a request that may be repeated was given up after 1 s without a byte on every attempt, the last one too, and before it was known whether another endpoint has room.

Change: silence_step decides after 1 s of silence, and every 0.25 s then: move if the request may run once more and a place has just been reserved, else wait. The place is a free slot or that of a batch item; from 1.7 s on also one in a queue, since an endpoint that is silent so long may be dead and callers give up after 2 s or more. The old call is closed before the request is sent to the reserved place, and a place that is not used is released with the exchange. If the new endpoint refuses, the request looks for a place until its time ends, and may go back. An endpoint that goes on is charged no failure; one that is left is charged as before. Each silence has a log line and a count by step.

Reads wait below the buffer of the connection (PatientSocket): the time-out of a socket that is read through makes its file unusable, so that waiting on would lose the stream. Batch items keep their limit of 2 s.

Why it works: nothing but the end of the request's time or of the caller ends a wait without a place elsewhere.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -27,10 +27,19 @@
 )
 from .scheduling import GroupScheduler, Scheduled
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
+from .silence import (
+    SILENCE_CHECK_SECONDS,
+    SILENT_AFTER_SECONDS,
+    SilenceStep,
+    move_headroom,
+    silence_step,
+)
 
 __all__ = [
     "DEFAULT_SLOTS",
     "RESERVE_SLOTS",
+    "SILENCE_CHECK_SECONDS",
+    "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
     "Endpoint",
@@ -61,6 +70,7 @@
     "RouteKind",
     "Scheduled",
     "Service",
+    "SilenceStep",
     "Workspace",
     "batch_allowance",
     "batch_targets",
@@ -69,8 +79,10 @@
     "group_of",
     "job_holder",
     "job_key",
+    "move_headroom",
     "next_step",
     "run_order",
     "schedulers",
+    "silence_step",
     "stable_hash",
 ]
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -24,6 +24,7 @@
     PlaceRequest,
     RequestEnded,
 )
+from ..patient_socket import FixedPatience
 
 TICK_SECONDS = 0.1
 # An item's stream counts as stalled after this time without an event.
@@ -229,7 +230,7 @@
             self._endpoint_request(run),
             self._parts.dialect,
             run.attempt,
-            STALL_SECONDS,
+            FixedPatience(STALL_SECONDS),
             1.0,
         )
         if run.attempt.is_aborted:
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -4,11 +4,13 @@
 from typing import NamedTuple
 
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from sequoiaglade_decisions.gateway import Fault
 from sequoiaglade_endpoints.connections import TrackedConnection
 
+from .patient_socket import PatientSocket
+
 # An endpoint in the same region accepts a connection within a few milliseconds. The
 # latency objective of a request is about 300 ms; the rest is for another endpoint.
 CONNECT_SECONDS = 0.25
@@ -71,7 +73,7 @@
             yield from _body_chunks(self._response)
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
-        except TimeoutError:
+        except (TimeoutError, ReadTimeoutError):
             self.fault = CallFault(Fault.BROKEN, "the stream stalled")
         except (HTTPError, OSError, ValueError) as error:
             self.fault = CallFault(Fault.BROKEN, f"the stream was interrupted: {error}")
@@ -88,11 +90,11 @@
     request_id: str
 
 
-def open_call(request, dialect, attempt, stall_seconds, remaining_seconds):
+def open_call(request, dialect, attempt, patience, remaining_seconds):
     """Send a request; return `CompleteResponse`, `EventStreamResponse` or `CallFault`.
 
-    `stall_seconds` limits each wait for data, `remaining_seconds` the wait for the
-    connection. A fault `NOT_SENT` states that no byte was sent.
+    `patience` is the `Patience` with a silent endpoint, `remaining_seconds` limits the
+    wait for the connection. A fault `NOT_SENT` states that no byte was sent.
     """
     host, _, port = request.address.rpartition(":")
     connection = TrackedConnection(
@@ -107,8 +109,7 @@
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
-    connection.timeout = stall_seconds
-    connection.sock.settimeout(stall_seconds)
+    connection.sock = PatientSocket(connection.sock, patience)
     return _exchange(connection, request, dialect, attempt)
 
 
@@ -128,7 +129,7 @@
         )
         response = connection.getresponse()
         return _read_head(connection, response, request, dialect, attempt)
-    except TimeoutError:
+    except (TimeoutError, ReadTimeoutError):
         reason = f"{request.address} did not answer in time"
     except (HTTPError, OSError, ValueError) as error:
         reason = f"the call to {request.address} was interrupted: {error}"
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -37,13 +37,13 @@
     RequestEnded,
 )
 from .refusals import GatewayRefusal, refusal_response
+from .silence import CLOCK_MARGIN_SECONDS, AttemptPatience, ReservedPlace
 from .stream import EventRelay
 
-# A stream that can be resumed elsewhere counts as stalled after this time without an
-# event. The slowest endpoints that the sites describe need a third of it.
-STALL_SECONDS = 1.0
-# Endpoints' deadlines differ from this node's by less than this.
-CLOCK_MARGIN_SECONDS = 0.05
+# Retry-After of a refusal whose cause states none.
+RETRY_AFTER_SECONDS = 0.25
+# Interval at which a request that has left a silent endpoint looks for a new place.
+PLACE_INTERVAL_SECONDS = 0.1
 
 
 class AdmittedRequest(NamedTuple):
@@ -81,6 +81,8 @@
         self._attempt = Attempt()
         self._in_flight = None
         self._excluded = frozenset()
+        self._reserved = self._stack.enter_context(ReservedPlace(parts))
+        self._has_moved = False
         self._counts = AttemptCounts(0, 0)
         self._placement_seconds = 0.0
         self._log = structlog.get_logger()
@@ -182,16 +184,11 @@
         self._parts.metrics.count("ended", outcome)
 
     def _try_once(self):
-        request = self.request
-        place = PlaceRequest(
-            request.service or "",
-            request.call.request_id,
-            self._excluded,
-            request.priority,
-        )
-        started_at = time.monotonic()
-        placed = self._parts.placer.place(place)
-        self._placement_seconds = time.monotonic() - started_at
+        placed = self._reserved.take()
+        if placed is not None:
+            self._has_moved = True
+        else:
+            placed = self._place()
         if isinstance(placed, Full):
             return self._refuse_full(placed)
         self._in_flight = placed
@@ -205,6 +202,32 @@
             self.end_attempt()
         return outcome
 
+    def _place(self):
+        while True:
+            request = self.request
+            place = PlaceRequest(
+                request.service or "",
+                request.call.request_id,
+                self._excluded,
+                request.priority,
+            )
+            started_at = time.monotonic()
+            placed = self._parts.placer.place(place)
+            self._placement_seconds = time.monotonic() - started_at
+            if not isinstance(placed, Full) or not self._may_await_place():
+                return placed
+            time.sleep(PLACE_INTERVAL_SECONDS)
+            self._excluded = frozenset()
+
+    def _may_await_place(self):
+        """Return whether to look for a place again.
+
+        A request that has left a silent endpoint for a place that refused it is not
+        worse off than before: it can also go back.
+        """
+        is_over = time.monotonic() + PLACE_INTERVAL_SECONDS > self.request.end_at
+        return self._has_moved and not is_over and not self.is_client_disconnected
+
     def _send(self, endpoint):
         request = self.request
         seconds_left = request.end_at - time.monotonic()
@@ -223,9 +246,14 @@
             request.body,
             request.call.request_id,
         )
-        stall_seconds = seconds_left + CLOCK_MARGIN_SECONDS
-        if request.route.is_repeatable and request.route.attempts > 1:
-            stall_seconds = min(stall_seconds, STALL_SECONDS)
+        patience = AttemptPatience(
+            self._parts,
+            request,
+            endpoint.endpoint_id,
+            self._counts.run_count + 1,
+            self._excluded,
+            self._reserved,
+        )
         self._log.info(
             "request placed",
             request_id=request.call.request_id,
@@ -242,7 +270,7 @@
                 endpoint_request,
                 self._parts.dialect,
                 self._attempt,
-                stall_seconds,
+                patience,
                 seconds_left,
             )
             return self._classify(answer)
@@ -298,7 +326,7 @@
         if status == 502 and time.monotonic() >= self.request.end_at:
             status = 504
         if status == 503 and retry_after is None:
-            retry_after = STALL_SECONDS / 4
+            retry_after = RETRY_AFTER_SECONDS
         self._log.info(
             "request given up",
             request_id=self.request.call.request_id,
--- a/tests/features/gateway/quiet_runners.feature
+++ b/tests/features/gateway/quiet_runners.feature
@@ -116,3 +116,14 @@
     And items run at all runners, which fall silent for 1.5 seconds
     Then within 10 seconds all items are completed at gateway 0
     And no item ran twice
+
+  Scenario: Bytes on both sides of a silence arrive unchanged
+    Given a connection whose reads and writes are patient
+    When the peer sends a response with silences within its head and its chunks
+    Then the body is complete
+    And each silence was reported
+    When a large request is sent while the peer reads nothing for a while
+    Then the peer receives it unchanged
+
+  Scenario: A reserved place that is not used is released
+    Then a reserved place is released once, unless an attempt has taken it
--- a/tests/features/steps/quiet_runner_steps.py
+++ b/tests/features/steps/quiet_runner_steps.py
@@ -1,17 +1,26 @@
 """Steps with runners that fall silent."""
 
+import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
 import urllib3
 from behave import given, then, when
 from emulator import RunnerPlan
 from emulator.fleet import HOST, wait_until
 from gateway_calls import SLOW, runs, start
+from sequoiaglade_gateway.messages import STOPPED, InFlightRequest, RequestEnded
+from sequoiaglade_gateway.online.silence import ReservedPlace
+from sequoiaglade_gateway.patient_socket import PatientSocket
+
+from sequoiaglade_decisions.gateway import Endpoint, Full
 
 # A stream has several events, and more to come, this long after its run has begun.
 MID_STREAM_SECONDS = 0.35
 DEADLINE_SECONDS = 5.0
+# More than the buffers of a connection hold.
+LARGE_BODY = bytes(range(256)) * 32_768
 
 
 @given("1 gateway and 2 runners with 1 slot and long streams")
@@ -157,3 +166,90 @@
     assert context.answered_at - context.sent_at < seconds, (
         context.answered_at - context.sent_at
     )
+
+
+class _CountingPatience:
+    first_seconds = 0.05
+
+    def __init__(self):
+        self.silences = []
+
+    def next_seconds(self, silent_seconds):
+        self.silences.append(silent_seconds)
+        return 1.0
+
+
+@given("a connection whose reads and writes are patient")
+def given_patient_connection(context):
+    own, context.peer = map(context.stack.enter_context, socket.socketpair())
+    context.patience = _CountingPatience()
+    context.connection = urllib3.connection.HTTPConnection("127.0.0.1")
+    context.connection.sock = PatientSocket(own, context.patience)
+    context.pool = context.stack.enter_context(ThreadPoolExecutor())
+
+
+def send_with_silences(peer, parts):
+    for part in parts:
+        peer.sendall(part)
+        time.sleep(0.1)
+
+
+@when("the peer sends a response with silences within its head and its chunks")
+def respond_with_silences(context):
+    context.connection.request("GET", "/", preload_content=False)
+    parts = (
+        b"HTTP/1.1 200 OK\r\nTransfer-",
+        b"Encoding: chunked\r\n\r\n6",
+        b"\r\nabc",
+        b"def\r\n3\r\nghi\r\n0\r\n\r\n",
+    )
+    sent = context.pool.submit(send_with_silences, context.peer, parts)
+    response = context.connection.getresponse()
+    context.body = b"".join(response.read_chunked())
+    sent.result()
+
+
+@then("the body is complete")
+def check_body(context):
+    assert context.body == b"abcdefghi", context.body
+
+
+@then("each silence was reported")
+def check_silences(context):
+    assert context.patience.silences == [_CountingPatience.first_seconds] * 3
+
+
+@when("a large request is sent while the peer reads nothing for a while")
+def send_large_request(context):
+    context.peer.recv(65_536)
+    sent = context.pool.submit(context.connection.request, "POST", "/", LARGE_BODY)
+    time.sleep(0.2)
+    with context.peer.makefile("rb") as file:
+        while file.readline() != b"\r\n":
+            pass
+        context.received = file.read(len(LARGE_BODY))
+    sent.result()
+
+
+@then("the peer receives it unchanged")
+def check_received(context):
+    assert context.received == LARGE_BODY, len(context.received)
+    assert len(context.patience.silences) > 3, context.patience.silences
+
+
+@then("a reserved place is released once, unless an attempt has taken it")
+def check_reserved_place(context):
+    endpoint = Endpoint("e-1", "s", "", "d", 8)
+    place = InFlightRequest(endpoint, False, 1)
+    for placed, is_taken, released in (
+        (place, False, [mock.call(RequestEnded("e-1", False, STOPPED))]),
+        (place, True, []),
+        (Full(0.3, True), False, []),
+    ):
+        parts = mock.Mock()
+        parts.placer.place.return_value = placed
+        with ReservedPlace(parts) as reserved:
+            assert reserved.reserve(None) is (placed is place)
+            if is_taken:
+                assert reserved.take() is place
+        assert parts.coordinator.tell.call_args_list == released, placed
