Known red: new requests go to a silent runner

Since a silent endpoint is only left for a reserved place, it is no longer avoided as one that failed.

--- a/tests/features/steps/quiet_runner_steps.py
+++ b/tests/features/steps/quiet_runner_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from emulator import RunnerPlan
 from emulator.fleet import HOST, wait_until
-from gateway_calls import SLOW, runs, start
+from gateway_calls import SLOW, ask_together, runs, start
 from sequoiaglade_gateway.messages import STOPPED, InFlightRequest, RequestEnded
 from sequoiaglade_gateway.online.silence import ReservedPlace
 from sequoiaglade_gateway.patient_socket import PatientSocket
@@ -80,7 +80,7 @@
     context.runner.fall_silent()
 
 
-@when("its runner falls silent for {seconds:f} seconds")
+@when("its runner falls silent for {seconds:g} seconds")
 def fall_silent_for(context, seconds):
     context.runner.fall_silent(seconds)
 
@@ -117,6 +117,14 @@
     context.answered_at = time.monotonic()
 
 
+@then("{seconds:f} seconds later {count:d} requests run at the other runner")
+def check_avoided(context, seconds, count):
+    time.sleep(seconds)
+    ask_together(context, count, 0)
+    assert len(context.runner.runs) == 1, context.runner.runs
+    assert len(runs(context)) == 1 + count, runs(context)
+
+
 @when('a caller of "{path}" disconnects after {seconds:f} seconds')
 def disconnect_while_waiting(context, path, seconds):
     fleet = context.gateways
