Avoid a silent endpoint for new requests while it is silent

What callers saw: before it was measured, nothing; with streams that wait at silent endpoints, new requests would wait there too.

Cause: an endpoint that is waited for reports no failure, and one that holds few requests looks free to the placement until its slots are used up.

Change: a request that waits for a silent endpoint reports it every 0.25 s, to the node's coordinator and with the load reports to the schedulers of a large fleet; the endpoint is avoided for 0.5 s after each report. Its count of failures is unchanged, and if no other endpoint is available it still gets requests.

The path through the schedulers of a large fleet has no scenario of its own.

--- a/packages/decisions/sequoiaglade_decisions/gateway/health.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/health.py
@@ -6,6 +6,9 @@
 # consecutive failure up to the maximum. A crashed endpoint restarts within seconds.
 AVOID_SECONDS = 0.5
 AVOID_MAX_SECONDS = 4.0
+# Time for which an endpoint is avoided after each report of a silence; reports are
+# repeated within half of it while the silence lasts.
+SILENCE_AVOID_SECONDS = 0.5
 # Weight of the newest interval in the moving average of an endpoint's pace.
 PACE_WEIGHT = 0.1
 # Bounds of an endpoint's pace relative to a typical one.
@@ -47,9 +50,20 @@
 
     def note_full(self, endpoint_id, now):
         """Avoid an endpoint briefly that refused a request for lack of capacity."""
-        avoidance = self._avoidance(endpoint_id)
-        until = max(avoidance.until, now + AVOID_SECONDS / 4)
-        self._avoidance_by_id[endpoint_id] = _Avoidance(avoidance.failures, until)
+        self._avoid(endpoint_id, now + AVOID_SECONDS / 4)
+
+    def note_silence(self, endpoint_id, now):
+        """Avoid an endpoint briefly at which a request waits for data.
+
+        It is not a failure: the endpoint may go on at any time.
+
+        >>> health = EndpointHealth()
+        >>> health.note_silence("a", now=0.0)
+        >>> health.note_failure("a", now=0.0)
+        >>> health.is_available("a", now=0.4), health.is_available("a", now=0.5)
+        (False, True)
+        """
+        self._avoid(endpoint_id, now + SILENCE_AVOID_SECONDS)
 
     def note_pace(self, endpoint_id, seconds):
         """Add the interval between two events of a stream to the endpoint's pace."""
@@ -78,5 +92,10 @@
         ratio = pace / self._typical_pace
         return min(max(ratio, PACE_RATIO_MIN), PACE_RATIO_MAX)
 
+    def _avoid(self, endpoint_id, until):
+        avoidance = self._avoidance(endpoint_id)
+        until = max(avoidance.until, until)
+        self._avoidance_by_id[endpoint_id] = _Avoidance(avoidance.failures, until)
+
     def _avoidance(self, endpoint_id):
         return self._avoidance_by_id.get(endpoint_id, _Avoidance(0, 0.0))
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -31,6 +31,7 @@
     ConfigurationChanged,
     EndpointChanged,
     EndpointListReachable,
+    EndpointSilent,
     EndpointsListed,
     EventIntervalObserved,
     FindSchedulers,
@@ -111,6 +112,9 @@
                 return self._scheduling.receive_report(report, now)
             case RequestEnded():
                 return self._end(message, now)
+            case EndpointSilent(endpoint_id):
+                self._scheduling.note_end(endpoint_id, messages.SILENT)
+                return self._loads.health.note_silence(endpoint_id, now)
             case EventIntervalObserved(endpoint_id, seconds):
                 self._scheduling.note_end(endpoint_id, "", seconds)
                 return self._loads.health.note_pace(endpoint_id, seconds)
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -152,6 +152,12 @@
     fingerprint: str = ""
 
 
+class EndpointSilent(NamedTuple):
+    """A request has waited for data from an endpoint for a while."""
+
+    endpoint_id: str
+
+
 class EventIntervalObserved(NamedTuple):
     """The mean interval between the events of a stream, in seconds."""
 
@@ -263,3 +269,4 @@
 REFUSED = "refused"
 BROKEN = "broken"
 STOPPED = "stopped"
+SILENT = "silent"
--- a/packages/gateway/sequoiaglade_gateway/online/silence.py
+++ b/packages/gateway/sequoiaglade_gateway/online/silence.py
@@ -12,7 +12,13 @@
     silence_step,
 )
 
-from ..messages import STOPPED, InFlightRequest, PlaceRequest, RequestEnded
+from ..messages import (
+    STOPPED,
+    EndpointSilent,
+    InFlightRequest,
+    PlaceRequest,
+    RequestEnded,
+)
 from ..patient_socket import PeerSilentError
 
 # Endpoints' deadlines differ from this node's by less than this.
@@ -77,15 +83,15 @@
         if wait_seconds <= 0:
             raise PeerSilentError("the time of the request is over")
         step = silence_step(request.route, self._run_count, seconds_left)
-        may_move = step is SilenceStep.FIND_PLACE
-        if may_move:
+        if step is SilenceStep.FIND_PLACE:
             has_place = self._reserve(silent_seconds)
             step = silence_step(request.route, self._run_count, seconds_left, has_place)
         if step is SilenceStep.MOVE or silent_seconds <= SILENT_AFTER_SECONDS:
             self._report(step, silent_seconds)
         if step is SilenceStep.MOVE:
             raise PeerSilentError(f"silent for {silent_seconds:.1f} s")
-        return min(wait_seconds, SILENCE_CHECK_SECONDS) if may_move else wait_seconds
+        self._parts.coordinator.tell(EndpointSilent(self._endpoint_id))
+        return min(wait_seconds, SILENCE_CHECK_SECONDS)
 
     def _reserve(self, silent_seconds):
         request = self._request
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -109,6 +109,8 @@
                         health.note_failure(result.endpoint_id, now)
                 case messages.REFUSED:
                     health.note_full(result.endpoint_id, now)
+                case messages.SILENT:
+                    health.note_silence(result.endpoint_id, now)
             if result.pause_seconds:
                 health.note_pace(result.endpoint_id, result.pause_seconds)
 
@@ -117,7 +119,7 @@
         self._has_changes = True
 
     def note_end(self, endpoint_id, outcome, pause_seconds=0.0):
-        """Note how a request ended, for the next report."""
+        """Note how a request ended, or that it waits, for the next report."""
         if self._nodes.is_large:
             self._has_changes = True
             result = EndpointResult(endpoint_id, outcome, pause_seconds)
