--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -28,11 +28,20 @@
 )
 from .scheduling import GroupScheduler, Scheduled
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
+from .silence import (
+    SILENCE_CHECK_SECONDS,
+    SILENT_AFTER_SECONDS,
+    SilenceStep,
+    move_headroom,
+    silence_step,
+)
 from .stream_versions import StreamVersions, stream_keepers
 
 __all__ = [
     "DEFAULT_SLOTS",
     "RESERVE_SLOTS",
+    "SILENCE_CHECK_SECONDS",
+    "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
     "Endpoint",
@@ -65,6 +74,7 @@
     "RouteKind",
     "Scheduled",
     "Service",
+    "SilenceStep",
     "StreamVersions",
     "Workspace",
     "batch_allowance",
@@ -74,9 +84,11 @@
     "group_of",
     "job_holder",
     "job_key",
+    "move_headroom",
     "next_step",
     "run_order",
     "schedulers",
+    "silence_step",
     "stable_hash",
     "stream_keepers",
 ]
