Known red: gateways whose connections fell silent never meet again

Callers see that results which had been returned are missing from a later read.

Change: two scenarios with three gateways, whose connections among each other fall silent while a job runs.

--- a/tests/features/steps/gateway_silence_steps.py
+++ b/tests/features/steps/gateway_silence_steps.py
@@ -2,9 +2,33 @@
 
 import contextlib
 import socket
+import time
 
-from behave import then, when
+from behave import given, then, when
+from emulator import RunnerPlan
+from emulator.fleet import wait_until
 from emulator.links import Link
+from gateway_calls import SLOW, start
+
+# A read may cross the listing of a result at another gateway.
+READ_AGE_SECONDS = 1.0
+
+
+@given(
+    "{nodes:d} gateways and {count:d} slow runners whose connections can fall silent"
+)
+@given("{nodes:d} gateway and {count:d} slow runners whose connections can fall silent")
+def given_slow_links(context, nodes, count):
+    start(context, nodes, [SLOW] * count, has_links=True)
+
+
+@given(
+    "3 gateways and 2 runners of {slots:d} slots and {seconds:d} seconds an item,"
+    " with links"
+)
+def given_long_items(context, slots, seconds):
+    plan = RunnerPlan(slots=slots, event_count=6, event_seconds=seconds / 6)
+    start(context, 3, [plan] * 2, has_links=True)
 
 
 @when("a connection through a link falls silent")
@@ -46,3 +70,70 @@
 @then("a connection that is opened later passes data")
 def check_new_connection(context):
     open_through_link(context)
+
+
+@when('all connections among "{kind}" fall silent')
+def silence(context, kind):
+    assert context.gateways.links.silence(kind), f"no connection to {kind} was open"
+
+
+@when("a result is listed")
+def wait_for_result(context):
+    wait_until(lambda: results(context, 0), 10.0, "a result is listed")
+
+
+def results(context, node):
+    """Return a job's results, or None if the gateway refused to tell them."""
+    status, body = context.gateways.results(context.job_id, node)
+    assert status in (200, 503), (status, body)
+    return body["Results"] if status == 200 else None
+
+
+@then("{seconds:d} seconds later every gateway lists the addresses of all gateways")
+def check_directories(context, seconds):
+    time.sleep(seconds)
+    fleet = context.gateways
+    expected = sorted(node.data for node in fleet.nodes)
+    listed = [fleet.addresses(number) for number in range(len(fleet.nodes))]
+    assert listed == [expected] * len(fleet.nodes), listed
+
+
+@then("within {seconds:d} seconds exactly one gateway holds the job")
+def check_one_holder(context, seconds):
+    wait_until(lambda: len(holders(context)) == 1, seconds, "one gateway holds the job")
+
+
+def holders(context):
+    fleet = context.gateways
+    return [
+        number
+        for number in range(len(fleet.nodes))
+        for job in fleet.status(number)["jobs"]
+        if job["job_key"].endswith(context.job_id)
+    ]
+
+
+@then(
+    "for {seconds:d} seconds no gateway returns fewer results than any did"
+    " a second before"
+)
+def check_never_taken_back(context, seconds):
+    nodes = range(len(context.gateways.nodes))
+    reads, refused = [], 0
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        for node in nodes:
+            began_at = time.monotonic()
+            found = results(context, node)
+            if found is None:
+                refused += 1
+                continue
+            earlier = [r for at, r in reads if at < began_at - READ_AGE_SECONDS]
+            longest = max(earlier, key=len, default=[])
+            assert found[: len(longest)] == longest, (
+                f"gateway {node} returned {len(found)} results,"
+                f" {len(longest)} were read more than a second before"
+            )
+            reads.append((time.monotonic(), found))
+        time.sleep(0.1)
+    assert len(reads) > refused, (len(reads), refused)
