Guard jobs and streams against silent connections to store and runners

Change: four scenarios that pass on the current code and stay as guards: jobs are accepted by both gateways within 5 s after connections to the store fell silent; a resumable stream goes on at another runner; a stream that may not be repeated ends, having run once; the items of a job finish, none listed twice.

Not covered: that a configuration is in force soon after a watch of 20 s fell silent. The product relies on keep-alive probes of TCP there, and the forwarder's kernel answers them.

--- a/tests/features/gateway/silence.feature
+++ b/tests/features/gateway/silence.feature
@@ -19,3 +19,30 @@
     And a result is listed
     And all connections among "gateways" fall silent
     Then for 32 seconds no gateway returns fewer results than any did a second before
+
+  Scenario: Jobs are accepted soon after connections to the store fell silent
+    Given 2 gateways and 1 runner whose connections can fall silent
+    When a job of 4 items is submitted at gateway 0
+    And a result is listed
+    And all connections among "store" fall silent
+    Then within 5 seconds a job is accepted at every gateway
+    And within 8 seconds all items are completed at every gateway
+
+  Scenario: A resumable stream goes on after connections to runners fell silent
+    Given 1 gateway and 2 slow runners whose connections can fall silent
+    When connections to runners fall silent while a caller streams "/resume/1"
+    Then the response has the events 1 to 12 within 5 seconds
+
+  Scenario: A stream that may not be repeated ends after its connection fell silent
+    Given 1 gateway and 2 slow runners whose connections can fall silent
+    When connections to runners fall silent while a caller streams "/once/1"
+    Then the response is incomplete
+    And it ended within 6 seconds, and the runners received one request in total
+
+  Scenario: Items of a job finish after connections to runners fell silent
+    Given 2 gateways and 2 slow runners whose connections can fall silent
+    When a job of 20 items is submitted at gateway 0
+    And an item runs
+    And all connections among "runners" fall silent
+    Then within 15 seconds all items are completed at every gateway
+    And no item is listed twice
--- a/tests/features/steps/gateway_silence_steps.py
+++ b/tests/features/steps/gateway_silence_steps.py
@@ -3,12 +3,13 @@
 import contextlib
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from emulator import RunnerPlan
 from emulator.fleet import wait_until
 from emulator.links import Link
-from gateway_calls import SLOW, start
+from gateway_calls import SLOW, runs, start
 
 # A read may cross the listing of a result at another gateway.
 READ_AGE_SECONDS = 1.0
@@ -22,6 +23,11 @@
     start(context, nodes, [SLOW] * count, has_links=True)
 
 
+@given("2 gateways and 1 runner whose connections can fall silent")
+def given_links(context):
+    start(context, 2, [RunnerPlan()], has_links=True)
+
+
 @given(
     "3 gateways and 2 runners of {slots:d} slots and {seconds:d} seconds an item,"
     " with links"
@@ -82,6 +88,11 @@
     wait_until(lambda: results(context, 0), 10.0, "a result is listed")
 
 
+@when("an item runs")
+def wait_for_run(context):
+    wait_until(lambda: runs(context), 5.0, "an item runs")
+
+
 def results(context, node):
     """Return a job's results, or None if the gateway refused to tell them."""
     status, body = context.gateways.results(context.job_id, node)
@@ -137,3 +148,34 @@
             reads.append((time.monotonic(), found))
         time.sleep(0.1)
     assert len(reads) > refused, (len(reads), refused)
+
+
+@when('connections to runners fall silent while a caller streams "{path}"')
+def silence_stream(context, path):
+    fleet = context.gateways
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(fleet.send, path, 0)
+        wait_until(lambda: runs(context), 3.0, "the request runs")
+        # Some of its events have passed by then.
+        time.sleep(0.4)
+        silenced_at = time.monotonic()
+        silence(context, "runners")
+        context.answers = [answer.result()]
+    context.silent_seconds = time.monotonic() - silenced_at
+
+
+@then("the response has the events 1 to {count:d} within {seconds:d} seconds")
+def check_resumed_stream(context, count, seconds):
+    (answer,) = context.answers
+    assert answer.is_complete, answer
+    assert answer.events == list(range(1, count + 1)), answer
+    assert any(run.after_event for run in runs(context)), runs(context)
+    assert context.silent_seconds < seconds, context.silent_seconds
+
+
+@then(
+    "it ended within {seconds:d} seconds, and the runners received one request in total"
+)
+def check_ended_stream(context, seconds):
+    assert context.silent_seconds < seconds, context.silent_seconds
+    assert len(runs(context)) == 1, runs(context)
