--- /dev/null
+++ b/tests/features/gateway/endless.feature
@@ -0,0 +1,88 @@
+Feature: Responses of endpoints that never end
+
+  Scenario Outline: Streams go on elsewhere when an endpoint sends <place> without end
+    Given 1 gateway and 2 runners of which 1 sends <place> without end
+    When 32 callers request "/resume/" at once
+    Then all callers get the events 1 to 6
+    And each endless response was closed within 16 MB and 4 seconds, and logged
+    And the gateway's resident memory grew by less than 20 MB
+    And no request is in flight
+
+    Examples:
+      | place                |
+      | status line          |
+      | header line          |
+      | headers              |
+      | interim responses    |
+      | chunk size           |
+      | chunk extension      |
+      | large chunk          |
+      | first event          |
+      | later event          |
+      | comments             |
+      | events without an id |
+      | repeated events      |
+      | trailers             |
+      | body                 |
+      | chunked body         |
+
+  Scenario Outline: Streams go on elsewhere when an endpoint drips <place> without end
+    Given 1 gateway and 2 runners of which 1 drips <place> without end
+    When 32 callers request "/resume/" at once
+    Then all callers get the events 1 to 6
+    And each endless response was closed within 16 MB and 4 seconds, and logged
+    And no request is in flight
+
+    Examples:
+      | place             |
+      | status line       |
+      | interim responses |
+      | chunk extension   |
+      | first event       |
+      | later event       |
+      | comments          |
+
+  Scenario Outline: A request that may not be repeated fails once on <place> without end
+    Given 1 gateway and 1 runner that sends <place> without end
+    When 16 callers request "/once/" at once
+    Then all callers get an error that states how the request ended
+    And no request ran twice
+    And each endless response was closed within 16 MB and 4 seconds, and logged
+    And the gateway's resident memory grew by less than 20 MB
+    And no request is in flight
+
+    Examples:
+      | place             |
+      | status line       |
+      | interim responses |
+      | first event       |
+      | later event       |
+      | body              |
+      | chunked body      |
+
+  Scenario: Bytes after the end of a complete stream are ignored
+    Given 1 gateway and 1 runner that sends after the end without end
+    When 16 callers request "/once/" at once
+    Then all callers get the events 1 to 6
+    And each endless response was closed within 16 MB and 4 seconds
+    And no request is in flight
+
+  Scenario Outline: Items run elsewhere when an endpoint <sends> <place> without end
+    Given 1 gateway and 2 runners of which 1 <sends> <place> without end
+    When a job of 12 items is submitted at gateway 0
+    Then within 20 seconds all items are completed at gateway 0
+    And every result has the data of events 1 to 6
+    And each endless response was closed within 16 MB and 6 seconds, and logged
+    And the gateway's resident memory grew by less than 20 MB
+    And no request is in flight
+
+    Examples:
+      | sends | place             |
+      | sends | interim responses |
+      | sends | first event       |
+      | sends | comments          |
+      | sends | numbered events   |
+      | sends | body              |
+      | drips | status line       |
+      | drips | later event       |
+      | drips | body              |
