Treat an invalid head as an interrupted call

The count in flight was released, but as that of a call that succeeded, so that the endpoint was not avoided.

Cause: http.client raises HTTPException for such heads. urllib3 translates it for calls through its pools; open_call uses a connection directly and caught only OSError, ValueError and urllib3's errors, so the exception passed through the exchange.

Change: it is a call without a usable response, as an interrupted one, and the request goes on at another endpoint where its route allows that.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -1,5 +1,6 @@
 """HTTP calls to endpoints, each on its own connection."""
 
+import http.client
 import socket
 from typing import NamedTuple
 
@@ -130,6 +131,8 @@
         return _read_head(connection, response, request, dialect, attempt)
     except TimeoutError:
         reason = f"{request.address} did not answer in time"
+    except http.client.HTTPException as error:
+        reason = f"{request.address} sent an invalid head: {error!r}"
     except (HTTPError, OSError, ValueError) as error:
         reason = f"the call to {request.address} was interrupted: {error}"
     _close(connection, response, attempt)
