Split event streams in linear time and memory

Cause: the splitter copied and searched all that it had buffered for each chunk, and copied the rest of a chunk for each event in it. An event of a megabyte in chunks of a byte, or a chunk of thousands of comments, took time that grows with the square of the bytes. Each comment of three bytes became an object of some hundred bytes.

Change: bytes are appended to one buffer, searched once, and cut once a chunk. Consecutive events without an id are one Event: the relay uses only their bytes, and items skip them. Ids, data and bytes are the same as before, as 'any split of a stream into chunks yields the same events' checks.

--- a/packages/decisions/sequoiaglade_decisions/gateway/events.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/events.py
@@ -1,13 +1,19 @@
 """Parsing of server-sent events from an endpoint's stream."""
 
+import re
 from typing import NamedTuple
 
 # A stream with an event of more bytes than this is treated as broken.
 EVENT_BYTES_MAX = 1_048_576
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+_EVENT_END_BYTES_MAX = 4
 
 
 class Event(NamedTuple):
-    """An event: its id or None, its data lines, and its bytes as received."""
+    """An event: its id or None, its data lines, and its bytes as received.
+
+    Consecutive events without an id, such as comments, may be one `Event`.
+    """
 
     event_id: int | None
     data: tuple[str, ...]
@@ -27,7 +33,7 @@
     """
 
     def __init__(self):
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def has_partial_event(self):
@@ -41,24 +47,26 @@
 
     def feed(self, data):
         """Append bytes; return the events that they complete, a list of `Event`."""
-        buffer = self._partial + data
+        search_start = max(0, len(self._partial) - _EVENT_END_BYTES_MAX + 1)
+        self._partial += data
         events = []
-        while True:
-            end, size = _find_end(buffer)
-            if end < 0:
-                break
-            events.append(_parse(buffer[: end + size]))
-            buffer = buffer[end + size :]
-        self._partial = buffer
+        listed_end = start = 0
+        for match in _EVENT_END.finditer(self._partial, search_start):
+            event = _parse(bytes(self._partial[start : match.end()]))
+            if event.event_id is not None:
+                events += self._unnumbered(listed_end, start)
+                events.append(event)
+                listed_end = match.end()
+            start = match.end()
+        events += self._unnumbered(listed_end, start)
+        # A buffer whose match object is still referenced can't be resized.
+        self._partial = self._partial[start:]
         return events
 
-
-def _find_end(buffer):
-    lf_end = buffer.find(b"\n\n")
-    crlf_end = buffer.find(b"\r\n\r\n")
-    if lf_end < 0 or 0 <= crlf_end < lf_end:
-        return crlf_end, 4
-    return lf_end, 2
+    def _unnumbered(self, start, end):
+        if start == end:
+            return []
+        return [Event(None, (), bytes(self._partial[start:end]))]
 
 
 def _parse(raw):
