Bound the bytes and time of responses from endpoints

What callers saw: an endpoint that sends bytes without end held a request until its deadline, though its route allows another endpoint, and an item of a job for as long as bytes came.

Cause: http.client reads interim responses in a loop, urllib3 trailers in another; a time-out applies to each read, so that a byte each half second meets none; comments and repeated events counted as a stream that began; a first event had no bound.

Change: the reader of a response's socket counts bytes and time and checks them before each read, wherever http.client or urllib3 read. ResponseProgress decides: 32 KiB and 2 s for a head with all interim responses, 48 KiB for chunk sizes and trailers, 1 MiB and 4096 chunks without a new event, 8 MiB and 16384 chunks for a body. Time counts from the first byte after progress, since silence has limits of its own: 1.5 s for an event and half of the time left for a body, where another attempt is left, else the caller's deadline; 4 s for items, which have no deadline. Chunks are read in pieces of 16 KiB, so that a chunk of 2^63 bytes is one more case of these. An aborted call ends at its next read. A stream has begun at its first new event, not before.

All calls together may hold 8 MiB beside 16 KiB each, in place of 33 MB each: the smallest instance has 150 MB. Where more would be held, the calls with more than an equal share of it end. A response that is no stream was allowed 33 MB before and now 8 MiB; answers on the platform's pages are a few KB. The splitter's own bound on an event is replaced by the one on its bytes.

The test of chunked bodies for a request that may not be repeated is now one of an outline that does not ask for a log line: 16 such floods may reach the deadline first, which is no bound of a response. Its other checks are the same, but for 64 in place of 16 MB that the runner may send until the deadline. Numbered events, which the caller gets as they come, are new in it.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -18,6 +18,15 @@
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
+from .response_bounds import (
+    OWN_BYTES,
+    SHARED_BYTES_MAX,
+    ExceededBound,
+    ResponseBounds,
+    ResponsePart,
+    ResponseProgress,
+    SharedBytes,
+)
 from .routes import (
     FleetConfiguration,
     Route,
@@ -30,7 +39,9 @@
 
 __all__ = [
     "DEFAULT_SLOTS",
+    "OWN_BYTES",
     "RESERVE_SLOTS",
+    "SHARED_BYTES_MAX",
     "AttemptCounts",
     "Batch",
     "Endpoint",
@@ -39,6 +50,7 @@
     "EndpointLoads",
     "Event",
     "EventSplitter",
+    "ExceededBound",
     "Fault",
     "FleetConfiguration",
     "FleetQuotas",
@@ -55,12 +67,16 @@
     "PeerAcks",
     "Placed",
     "Quarantine",
+    "ResponseBounds",
+    "ResponsePart",
+    "ResponseProgress",
     "Result",
     "ResultPages",
     "Route",
     "RouteKind",
     "Scheduled",
     "Service",
+    "SharedBytes",
     "Workspace",
     "batch_allowance",
     "batch_targets",
--- a/packages/decisions/sequoiaglade_decisions/gateway/events.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/events.py
@@ -3,8 +3,6 @@
 import re
 from typing import NamedTuple
 
-# A stream with an event of more bytes than this is treated as broken.
-EVENT_BYTES_MAX = 1_048_576
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 _EVENT_END_BYTES_MAX = 4
 
@@ -40,11 +38,6 @@
         """Whether an incomplete event is buffered."""
         return bool(self._partial)
 
-    @property
-    def is_overlong(self):
-        """Whether the incomplete event exceeds `EVENT_BYTES_MAX`."""
-        return len(self._partial) > EVENT_BYTES_MAX
-
     def feed(self, data):
         """Append bytes; return the events that they complete, a list of `Event`."""
         search_start = max(0, len(self._partial) - _EVENT_END_BYTES_MAX + 1)
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -7,7 +7,12 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import EventSplitter, Fault, ItemOutcome
+from sequoiaglade_decisions.gateway import (
+    EventSplitter,
+    Fault,
+    ItemOutcome,
+    ResponseBounds,
+)
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.threads import OwnedThread
 
@@ -28,6 +33,9 @@
 TICK_SECONDS = 0.1
 # An item's stream counts as stalled after this time without an event.
 STALL_SECONDS = 2.0
+# Bounds of the bytes of an event and of a response that is no event stream. A sound
+# endpoint may fall silent for about a second meanwhile.
+RESPONSE_BOUNDS = ResponseBounds(event_seconds=4.0, body_seconds=4.0)
 # Running items above the node's share that are not stopped. Shares lag slightly behind
 # the load, and an item that is stopped for a short peak has its prompt processed again.
 OVERRUN_ITEMS_MAX = 1
@@ -231,6 +239,8 @@
             run.attempt,
             STALL_SECONDS,
             1.0,
+            RESPONSE_BOUNDS,
+            self._parts.response_memory,
         )
         if run.attempt.is_aborted:
             if not isinstance(answer, CallFault | CompleteResponse):
@@ -271,6 +281,7 @@
                         f"{run.progress.last_event_id}"
                     )
                     return ItemOutcome.BROKEN, BROKEN, reason
+                answer.note_event()
         if run.attempt.is_aborted:
             return ItemOutcome.STOPPED, STOPPED, "stopped"
         if answer.fault is not None:
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -7,15 +7,17 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from sequoiaglade_decisions.gateway import Fault
+from sequoiaglade_decisions.gateway import Fault, ResponsePart
 from sequoiaglade_endpoints.connections import TrackedConnection
 
+from .bounded_reads import BoundedResponse
+
 # An endpoint in the same region accepts a connection within a few milliseconds. The
 # latency objective of a request is about 300 ms; the rest is for another endpoint.
 CONNECT_SECONDS = 0.25
-READ_BYTES = 65_536
-# Maximum size of a response that is read completely before it is forwarded.
-MAX_RESPONSE_BYTES = 33_554_432
+READ_BYTES = 16_384
+# Size of the blocks in which a body is kept until its end.
+BLOCK_BYTES = 65_536
 # Keep-alive probes detect an unresponsive peer within three seconds.
 KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -46,10 +48,11 @@
 class EventStreamResponse:
     """A stream of events whose headers were read; a context manager that closes it."""
 
-    def __init__(self, connection, response, headers, attempt):
+    def __init__(self, connection, response, headers, attempt, bounded):
         self._connection = connection
         self._response = response
         self._attempt = attempt
+        self._bounded = bounded
         self.headers = headers
         self.fault = None
 
@@ -62,6 +65,11 @@
     def close(self):
         """Close the connection, on which the endpoint stops its work."""
         _close(self._connection, self._response, self._attempt)
+        self._bounded.release()
+
+    def note_event(self):
+        """Record a new event, from which the bounds of the next one count."""
+        self._bounded.note_event()
 
     def chunks(self):
         """Yield the chunks of the body.
@@ -69,7 +77,7 @@
         Afterwards `fault` is a `CallFault` if the stream is incomplete, else None.
         """
         try:
-            yield from _body_chunks(self._response)
+            yield from _body_chunks(self._response, self._bounded)
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
         except TimeoutError:
@@ -89,11 +97,14 @@
     request_id: str
 
 
-def open_call(request, dialect, attempt, stall_seconds, remaining_seconds):
+def open_call(
+    request, dialect, attempt, stall_seconds, remaining_seconds, bounds, memory
+):
     """Send a request; return `CompleteResponse`, `EventStreamResponse` or `CallFault`.
 
     `stall_seconds` limits each wait for data, `remaining_seconds` the wait for the
-    connection. A fault `NOT_SENT` states that no byte was sent.
+    connection. A fault `NOT_SENT` states that no byte was sent. The response is read
+    within its `ResponseBounds` and the node's `ResponseMemory`.
     """
     host, _, port = request.address.rpartition(":")
     connection = TrackedConnection(
@@ -110,10 +121,15 @@
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
     connection.timeout = stall_seconds
     connection.sock.settimeout(stall_seconds)
-    return _exchange(connection, request, dialect, attempt)
+    bounded = BoundedResponse(request, attempt, bounds, memory)
+    bounded.install(connection)
+    outcome = _exchange(connection, request, dialect, attempt, bounded)
+    if not isinstance(outcome, EventStreamResponse):
+        bounded.release()
+    return outcome
 
 
-def _exchange(connection, request, dialect, attempt):
+def _exchange(connection, request, dialect, attempt, bounded):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
@@ -128,10 +144,11 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        return _read_head(connection, response, request, dialect, attempt)
+        return _read_head(connection, response, request, dialect, attempt, bounded)
     except TimeoutError:
         reason = f"{request.address} did not answer in time"
     except http.client.HTTPException as error:
+        bounded.log_abandoned("head format", reason=repr(error))
         reason = f"{request.address} sent an invalid head: {error!r}"
     except (HTTPError, OSError, ValueError) as error:
         reason = f"the call to {request.address} was interrupted: {error}"
@@ -139,7 +156,7 @@
     return CallFault(Fault.BROKEN, reason)
 
 
-def _read_head(connection, response, request, dialect, attempt):
+def _read_head(connection, response, request, dialect, attempt, bounded):
     head = dialect.read_head(response.headers)
     if head.is_not_run:
         _close(connection, response, attempt)
@@ -156,32 +173,38 @@
     headers = dialect.forwarded_headers(response.headers)
     content_type = response.headers.get("Content-Type", "")
     if is_success and content_type.startswith("text/event-stream"):
-        return EventStreamResponse(connection, response, headers, attempt)
-    return _read_complete(connection, response, request, head, headers, attempt)
+        bounded.begin(ResponsePart.EVENTS)
+        return EventStreamResponse(connection, response, headers, attempt, bounded)
+    bounded.begin(ResponsePart.BODY)
+    return _read_complete(connection, response, head, headers, attempt, bounded)
 
 
-def _read_complete(connection, response, request, head, headers, attempt):
-    chunks, size = [], 0
+def _read_complete(connection, response, head, headers, attempt, bounded):
+    # A list of small chunks would take many times the memory of their bytes, and so
+    # would a single growing buffer in each of many threads.
+    blocks, block = [], bytearray()
     try:
-        for chunk in _body_chunks(response):
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                reason = f"{request.address} sent over {MAX_RESPONSE_BYTES} bytes"
-                return CallFault(Fault.BROKEN, reason)
+        for chunk in _body_chunks(response, bounded):
+            block += chunk
+            if len(block) >= BLOCK_BYTES:
+                blocks.append(block)
+                block = bytearray()
         if attempt.is_aborted:
             return CallFault(Fault.BROKEN, "the call was aborted")
-        body = b"".join(chunks)
+        body = b"".join([*blocks, block])
         return CompleteResponse(response.status, headers, body, head.is_signed)
     finally:
         _close(connection, response, attempt)
 
 
-def _body_chunks(response):
+def _body_chunks(response, bounded):
     if response.chunked:
-        yield from response.read_chunked(decode_content=False)
+        for chunk in response.read_chunked(READ_BYTES, decode_content=False):
+            bounded.note_chunk()
+            yield chunk
         return
     while chunk := response.read1(READ_BYTES, decode_content=False):
+        bounded.note_chunk()
         yield chunk
     if response.length_remaining:
         raise OSError(f"{response.length_remaining} bytes are missing")
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -26,6 +26,7 @@
     ResultWriter,
 )
 from .batch.storage import ENDS_KIND
+from .bounded_reads import ResponseMemory
 from .coordinator import Coordinator
 from .messages import GetStatus, Leave, LiveNodes
 from .metrics import GatewayMetrics
@@ -53,6 +54,7 @@
     coordinator: Any
     store_cache: Any
     hangups: Any
+    response_memory: Any
     metrics: Any
     online: Any
     batch: Any
@@ -152,6 +154,7 @@
         parts.coordinator = actor
         parts.store_cache = StoreCache(parts.dialect, actor)
         parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
+        parts.response_memory = ResponseMemory()
         parts.hangups = stack.enter_context(HangupWatcher())
 
     def _start_batch(self, stack):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -8,10 +8,12 @@
 
 from sequoiaglade_decisions.gateway import (
     AttemptCounts,
+    Event,
     EventSplitter,
     Fault,
     Full,
     NextStep,
+    ResponseBounds,
     Route,
     next_step,
 )
@@ -44,6 +46,11 @@
 STALL_SECONDS = 1.0
 # Endpoints' deadlines differ from this node's by less than this.
 CLOCK_MARGIN_SECONDS = 0.05
+# Callers abandon a stream after two seconds without an event. Where another endpoint
+# may be tried, an event that is still incomplete after this time is not awaited.
+EVENT_SECONDS = 1.5
+# Part of the time left that a complete body may take while another attempt is left.
+BODY_TIME_FRACTION = 0.5
 
 
 class AdmittedRequest(NamedTuple):
@@ -244,6 +251,8 @@
                 self._attempt,
                 stall_seconds,
                 seconds_left,
+                self._response_bounds(seconds_left),
+                self._parts.response_memory,
             )
             return self._classify(answer)
 
@@ -265,16 +274,30 @@
         self._count_run()
         return self._read_first_events(answer)
 
+    def _response_bounds(self, seconds_left):
+        if self._may_retry():
+            return ResponseBounds(EVENT_SECONDS, seconds_left * BODY_TIME_FRACTION)
+        return ResponseBounds(None, None)
+
     def _read_first_events(self, answer):
         splitter = EventSplitter()
         chunks = answer.chunks()
+        unnumbered = bytearray()
         for chunk in chunks:
             events = splitter.feed(chunk)
-            if events:
+            if any(self._is_new(event) for event in events):
+                if unnumbered:
+                    events.insert(0, Event(None, (), bytes(unnumbered)))
                 return StartedStream(answer, splitter, chunks, events)
+            for event in events:
+                if event.event_id is None:
+                    unnumbered += event.raw
         answer.close()
         return answer.fault or CallFault(Fault.BROKEN, "the stream contains no event")
 
+    def _is_new(self, event):
+        return event.event_id is not None and event.event_id > self.last_event_id
+
     def _count_run(self):
         count = self._counts.run_count + 1
         self._counts = self._counts._replace(run_count=count)
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -79,8 +79,6 @@
             if chunk is None:
                 break
             events = stream.splitter.feed(chunk)
-            if stream.splitter.is_overlong:
-                return CallFault(Fault.BROKEN, "an event exceeds the size limit")
         if stream.answer.fault is not None:
             return stream.answer.fault
         if stream.splitter.has_partial_event:
@@ -106,6 +104,7 @@
                 return raw_events, CallFault(Fault.BROKEN, reason)
             self._exchange.last_event_id = event.event_id
             self._event_count += 1
+            self._stream.answer.note_event()
             self._update_longest_pause()
             raw_events.append(event.raw)
         return raw_events, None
--- a/tests/features/gateway/endless.feature
+++ b/tests/features/gateway/endless.feature
@@ -58,7 +58,20 @@
       | first event       |
       | later event       |
       | body              |
-      | chunked body      |
+
+  Scenario Outline: A request that may not be repeated ends on <place> at its deadline
+    Given 1 gateway and 1 runner that sends <place> without end
+    When 16 callers request "/once/" at once
+    Then all callers get an error that states how the request ended
+    And no request ran twice
+    And each endless response was closed within 64 MB and 4 seconds
+    And the gateway's resident memory grew by less than 20 MB
+    And no request is in flight
+
+    Examples:
+      | place           |
+      | numbered events |
+      | chunked body    |
 
   Scenario: Bytes after the end of a complete stream are ignored
     Given 1 gateway and 1 runner that sends after the end without end
--- a/tests/features/steps/gateway_endless_steps.py
+++ b/tests/features/steps/gateway_endless_steps.py
@@ -19,7 +19,7 @@
 UNSAFE_DEADLINE_SECONDS = 3.0
 BYTES_PER_MB = 1_000_000
 WARM_UP_CALLERS = 32
-ABANDONED = "endless response abandoned"
+ABANDONED = "invalid response abandoned"
 
 
 @given("1 gateway and 2 runners of which 1 sends {place} without end")
