Complete a resumed stream that has no event left

Cause: the endpoint that resumes after the last event sends an empty, complete stream, and a stream without events counted as broken.

--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -292,6 +292,9 @@
             for event in events:
                 if event.event_id is None:
                     unnumbered += event.raw
+        if self.last_event_id and answer.fault is None:
+            # The stream broke between its last event and its end.
+            return StartedStream(answer, splitter, chunks, [])
         answer.close()
         return answer.fault or CallFault(Fault.BROKEN, "the stream contains no event")
 
