Bound the events and the output of an item

What callers saw: an item whose endpoint sends numbered events without end never completed, and its events stayed in the gateway's memory.

Cause: an item has no deadline, and each new event counted as progress.

Change: a run with over 64 events more than the item's tokens, prompt and output, or over a million characters, ends, and the item starts anew without these events. An event has a token or more, and a result of more characters does not fit into the store's objects.

--- a/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
@@ -8,6 +8,10 @@
 MISSING_ROUTE_GRACE_SECONDS = 3.0
 # Delay before a failed item runs again, multiplied by its number of failures.
 RETRY_DELAY_SECONDS = 0.3
+# An event has at least one token, except for a few such as the last one.
+EVENTS_BEYOND_TOKENS_MAX = 64
+# Results of more characters do not fit into an object of the store.
+OUTPUT_CHARACTERS_MAX = 1_000_000
 
 
 class Item(NamedTuple):
@@ -53,6 +57,7 @@
     NEVER = "never"
     STOPPED = "stopped"
     BROKEN = "broken"
+    EXCESSIVE = "excessive"
 
 
 class _ItemProgress:
@@ -61,6 +66,7 @@
         self.failures = 0
         self.last_event_id = 0
         self.parts = []
+        self.character_count = 0
         self.is_running = False
         self.not_before = 0.0
         self.result = None
@@ -134,8 +140,17 @@
             return False
         row.last_event_id = event_id
         row.parts.append(data)
+        row.character_count += len(data)
         return True
 
+    def is_output_excessive(self, item_id):
+        """Whether an item's events are more than a complete run of it can have."""
+        row = self._progress_by_id[item_id]
+        return (
+            row.last_event_id > row.item.tokens + EVENTS_BEYOND_TOKENS_MAX
+            or row.character_count > OUTPUT_CHARACTERS_MAX
+        )
+
     def finish(self, item_id, outcome, attempts, now):
         """Record the outcome of a run; give the item up after `attempts` failures."""
         row = self._progress_by_id[item_id]
@@ -153,6 +168,10 @@
                     row.result = Result(item_id, False)
             case ItemOutcome.BROKEN:
                 row.not_before = now + RETRY_DELAY_SECONDS
+            case ItemOutcome.EXCESSIVE:
+                row.last_event_id = row.character_count = 0
+                row.parts = []
+                row.not_before = now + RETRY_DELAY_SECONDS
             case ItemOutcome.STOPPED:
                 pass
 
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -282,6 +282,9 @@
                     )
                     return ItemOutcome.BROKEN, BROKEN, reason
                 answer.note_event()
+                if run.job.batch.is_output_excessive(item_id):
+                    answer.log_abandoned("item output")
+                    return ItemOutcome.EXCESSIVE, BROKEN, "the output has no end"
         if run.attempt.is_aborted:
             return ItemOutcome.STOPPED, STOPPED, "stopped"
         if answer.fault is not None:
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -71,6 +71,10 @@
         """Record a new event, from which the bounds of the next one count."""
         self._bounded.note_event()
 
+    def log_abandoned(self, bound):
+        """Log a bound of the caller that ended the call."""
+        self._bounded.log_abandoned(bound)
+
     def chunks(self):
         """Yield the chunks of the body.
 
