--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -36,12 +36,21 @@
 )
 from .scheduling import GroupScheduler, Scheduled
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
+from .silence import (
+    SILENCE_CHECK_SECONDS,
+    SILENT_AFTER_SECONDS,
+    SilenceStep,
+    move_headroom,
+    silence_step,
+)
 
 __all__ = [
     "DEFAULT_SLOTS",
     "OWN_BYTES",
     "RESERVE_SLOTS",
     "SHARED_BYTES_MAX",
+    "SILENCE_CHECK_SECONDS",
+    "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
     "Endpoint",
@@ -77,6 +86,7 @@
     "Scheduled",
     "Service",
     "SharedBytes",
+    "SilenceStep",
     "Workspace",
     "batch_allowance",
     "batch_targets",
@@ -85,8 +95,10 @@
     "group_of",
     "job_holder",
     "job_key",
+    "move_headroom",
     "next_step",
     "run_order",
     "schedulers",
+    "silence_step",
     "stable_hash",
 ]
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -5,12 +5,13 @@
 from typing import NamedTuple
 
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from sequoiaglade_decisions.gateway import Fault, ResponsePart
 from sequoiaglade_endpoints.connections import TrackedConnection
 
 from .bounded_reads import BoundedResponse
+from .patient_socket import PatientSocket
 
 # An endpoint in the same region accepts a connection within a few milliseconds. The
 # latency objective of a request is about 300 ms; the rest is for another endpoint.
@@ -84,7 +85,7 @@
             yield from _body_chunks(self._response, self._bounded)
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
-        except TimeoutError:
+        except (TimeoutError, ReadTimeoutError):
             self.fault = CallFault(Fault.BROKEN, "the stream stalled")
         except (HTTPError, OSError, ValueError) as error:
             self.fault = CallFault(Fault.BROKEN, f"the stream was interrupted: {error}")
@@ -101,14 +102,12 @@
     request_id: str
 
 
-def open_call(
-    request, dialect, attempt, stall_seconds, remaining_seconds, bounds, memory
-):
+def open_call(request, dialect, attempt, patience, remaining_seconds, bounds, memory):
     """Send a request; return `CompleteResponse`, `EventStreamResponse` or `CallFault`.
 
-    `stall_seconds` limits each wait for data, `remaining_seconds` the wait for the
-    connection. A fault `NOT_SENT` states that no byte was sent. The response is read
-    within its `ResponseBounds` and the node's `ResponseMemory`.
+    `patience` is the `Patience` with a silent endpoint, `remaining_seconds` limits the
+    wait for the connection. A fault `NOT_SENT` states that no byte was sent. The
+    response is read within its `ResponseBounds` and the node's `ResponseMemory`.
     """
     host, _, port = request.address.rpartition(":")
     connection = TrackedConnection(
@@ -123,8 +122,7 @@
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
-    connection.timeout = stall_seconds
-    connection.sock.settimeout(stall_seconds)
+    connection.sock = PatientSocket(connection.sock, patience)
     bounded = BoundedResponse(request, attempt, bounds, memory)
     bounded.install(connection)
     outcome = _exchange(connection, request, dialect, attempt, bounded)
@@ -149,7 +147,7 @@
         )
         response = connection.getresponse()
         return _read_head(connection, response, request, dialect, attempt, bounded)
-    except TimeoutError:
+    except (TimeoutError, ReadTimeoutError):
         reason = f"{request.address} did not answer in time"
     except http.client.HTTPException as error:
         bounded.log_abandoned("head format", reason=repr(error))
