--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -19,6 +19,15 @@
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
+from .response_bounds import (
+    OWN_BYTES,
+    SHARED_BYTES_MAX,
+    ExceededBound,
+    ResponseBounds,
+    ResponsePart,
+    ResponseProgress,
+    SharedBytes,
+)
 from .routes import (
     FleetConfiguration,
     Route,
@@ -39,7 +48,9 @@
 
 __all__ = [
     "DEFAULT_SLOTS",
+    "OWN_BYTES",
     "RESERVE_SLOTS",
+    "SHARED_BYTES_MAX",
     "SILENCE_CHECK_SECONDS",
     "SILENT_AFTER_SECONDS",
     "AttemptCounts",
@@ -50,6 +61,7 @@
     "EndpointLoads",
     "Event",
     "EventSplitter",
+    "ExceededBound",
     "Fault",
     "FleetConfiguration",
     "FleetQuotas",
@@ -68,12 +80,16 @@
     "PeerAcks",
     "Placed",
     "Quarantine",
+    "ResponseBounds",
+    "ResponsePart",
+    "ResponseProgress",
     "Result",
     "ResultPages",
     "Route",
     "RouteKind",
     "Scheduled",
     "Service",
+    "SharedBytes",
     "SilenceStep",
     "StreamVersions",
     "Workspace",
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -7,7 +7,12 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import EventSplitter, Fault, ItemOutcome
+from sequoiaglade_decisions.gateway import (
+    EventSplitter,
+    Fault,
+    ItemOutcome,
+    ResponseBounds,
+)
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.threads import OwnedThread
 
@@ -30,6 +35,9 @@
 TICK_SECONDS = 0.1
 # An item's stream counts as stalled after this time without an event.
 STALL_SECONDS = 2.0
+# Bounds of the bytes of an event and of a response that is no event stream. A sound
+# endpoint may fall silent for about a second meanwhile.
+RESPONSE_BOUNDS = ResponseBounds(event_seconds=4.0, body_seconds=4.0)
 # Running items above the node's share that are not stopped. Shares lag slightly behind
 # the load, and an item that is stopped for a short peak has its prompt processed again.
 OVERRUN_ITEMS_MAX = 1
@@ -165,13 +173,14 @@
         if progress is None:
             return False
         item = progress.item
+        version = progress.version if len(versions) > 1 else None
         try:
-            placed = self._place(service, job, progress)
+            placed = self._place(service, job, item, version)
         except Exception:
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             raise
         if not isinstance(placed, InFlightRequest):
-            if progress.version is not None:
+            if version is not None:
                 with self._registry.lock:
                     job.batch.postpone(item.item_id, now)
                 return True
@@ -203,13 +212,13 @@
             return False
         return True
 
-    def _place(self, service, job, progress):
+    def _place(self, service, job, item, version):
         request = PlaceRequest(
             service,
-            progress.item.item_id,
+            item.item_id,
             is_batch=True,
             is_late=self._registry.sort_key()(job)[0],
-            version=progress.version,
+            version=version,
         )
         return self._parts.placer.place(request)
 
@@ -261,6 +270,8 @@
             run.attempt,
             FixedPatience(STALL_SECONDS),
             1.0,
+            RESPONSE_BOUNDS,
+            self._parts.response_memory,
         )
         if run.attempt.is_aborted:
             if not isinstance(answer, CallFault | CompleteResponse):
@@ -303,6 +314,10 @@
                         f"{run.progress.last_event_id}"
                     )
                     return ItemOutcome.BROKEN, BROKEN, reason
+                answer.note_event()
+                if run.job.batch.is_output_excessive(item_id):
+                    answer.log_abandoned("item output")
+                    return ItemOutcome.EXCESSIVE, BROKEN, "the output has no end"
         if run.attempt.is_aborted:
             return ItemOutcome.STOPPED, STOPPED, "stopped"
         if answer.fault is not None:
