A node writes no results of a job that it has released

What callers could see: a result that was read through the store was missing at the holder (LOST); found by the review of the first matter.

Cause: the writer took its list of jobs, waited for the store on one of them, and then wrote a page of a job that had been released to a peer meanwhile, at any time later than the 8 s for which the peer expects such writes.

Change: a write begins only while the node holds the job. Evidence: 'Results of a job that was released while other results were written' failed before and passes.

--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -53,6 +53,9 @@
 
     def _write(self, job):
         with self._registry.lock:
+            if self._registry.get(job.key) is not job:
+                # Released to a peer, which then does not expect writes of this node.
+                return True
             number, revision, content = job.pages.plan(job.batch.unlisted())
         if content is None:
             return self._mark_finished(job)
