The end of a job that may still take effect is not refused as not run

What callers could see: a call that ends a job was answered 503, which promises that it has not run and never will, and the job ended seconds later. Found by the review.

Cause: the last failure alone decided the status, also after earlier writes of the end that were not answered. Change: after any such write the answer is 504, which promises nothing. Evidence: 'An end of a job that was refused as not run takes effect' failed before and passes.

--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -303,8 +303,13 @@
             if isinstance(header, Failure):
                 return self._refuse_after_failure(call, key, header)
         give_up_at = time.monotonic() + LOST_ANSWER_RETRY_SECONDS
+        may_be_written = False
         while (failure := self._storage.write_end(key)) is not None:
+            if failure.code is not FailureCode.UNAVAILABLE:
+                may_be_written = True
             if time.monotonic() > give_up_at:
+                if may_be_written:
+                    return self._refuse(call, GatewayRefusal(504, failure.reason))
                 return self._refuse_after_failure(call, key, failure)
             time.sleep(LOST_ANSWER_PAUSE_SECONDS)
         self.note_end(key)
