Known red: replaced connections to a slow peer stay open

What it costs: RenewedChannel closes a replaced connection when the next one is replaced, not after CLOSE_DELAY_SECONDS. Those replaced in the last five seconds of a slow spell stay open, with their descriptors, as long as the channel does.

--- a/tests/features/gateway/review.feature
+++ b/tests/features/gateway/review.feature
@@ -20,3 +20,8 @@
     When each runner falls silent in turn while it runs a stream of "/resume/1"
     And a caller requests "/resume/1" from gateway 0
     Then the response is 200, signed and complete with 12 events
+
+  Scenario: Replaced connections to a slow peer are closed
+    Given a peer server behind a link, and a channel on which calls succeed
+    When calls on the channel time out for 2 seconds, and a later one succeeds
+    Then the channel's process has at most 6 sockets more than before
--- a/tests/features/steps/review_steps.py
+++ b/tests/features/steps/review_steps.py
@@ -1,9 +1,11 @@
 """Steps for late writes, outdated evidence and silences."""
 
+import os
 import time
 from types import SimpleNamespace
 from unittest import mock
 
+import grpc
 from behave import given, then, when
 from gateway_calls import runs
 from holder_simulation import PATH
@@ -17,10 +19,13 @@
 from sequoiaglade_gateway.online.streams import StreamDirectory
 
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
+from sequoiaglade_node.peers import channels
 
 SILENCE_SECONDS = 1.5
 # Gateways follow changes of the list within this time.
 REGISTERED_SECONDS = 0.6
+CLOSE_DELAY_SECONDS = 0.5
+CALL_SECONDS = 0.05
 
 
 @when('"{holder}" is cut off until "{adopter}" has adopted the job')
@@ -137,3 +142,37 @@
     for runner in runners:
         runner.register(state)
     time.sleep(REGISTERED_SECONDS)
+
+
+@when("calls on the channel time out for {seconds:d} seconds, and a later one succeeds")
+def time_out(context, seconds):
+    context.socket_count = _socket_count()
+    until = time.monotonic() + seconds
+    with mock.patch.object(channels, "CLOSE_DELAY_SECONDS", CLOSE_DELAY_SECONDS):
+        while time.monotonic() < until:
+            try:
+                context.call(b"0.2", timeout=CALL_SECONDS)
+            except grpc.RpcError as error:
+                assert error.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+        time.sleep(2 * CLOSE_DELAY_SECONDS)
+        context.call(b"0", timeout=seconds)
+
+
+@then("the channel's process has at most {count:d} sockets more than before")
+def check_sockets(context, count):
+    # The peer and the link are in this process: a connection has four sockets.
+    assert _socket_count() - context.socket_count <= count, (
+        _socket_count(),
+        context.socket_count,
+    )
+
+
+def _socket_count():
+    count = 0
+    for number in os.listdir("/proc/self/fd"):
+        try:
+            target = os.readlink(f"/proc/self/fd/{number}")
+        except FileNotFoundError:
+            continue
+        count += target.startswith("socket:")
+    return count
