Ask peers for the version of a stream also while one version is listed

What callers could see: a stream that went on at another version (ORDER), if it was taken up at a gateway that did not know it after its own version had left the list.

Cause: peers were asked only while the service had several versions. Change: they are always asked about a stream that this node does not know; such calls are rare. Evidence: 'A stream is taken up after its version has left the list' failed before and passes.

--- a/packages/gateway/sequoiaglade_gateway/online/streams.py
+++ b/packages/gateway/sequoiaglade_gateway/online/streams.py
@@ -45,13 +45,14 @@
             return self._versions.get(request_id, self._clock())
 
     def find_version(self, request_id, service):
-        """Return the version of a stream that this node or a peer knows, else None.
+        """Return the version of a stream that this node or a peer knows.
 
-        Peers are not asked while the service has only one version.
+        If none knows it, return the only version of the service, or None if it has
+        several.
         """
         version, source = self.known_version(request_id), "this node"
         keepers = self._find_keepers(request_id, service)
-        if version is None and len(keepers.versions) > 1:
+        if version is None:
             version = self._client.find_stream(keepers.addresses, request_id)
             source = "peer"
             if version is not None:
