Close replaced connections of a peer channel in time

Cause: replaced connections were closed only at the next replacement, and a slow peer's was replaced at every time-out: 42 sockets instead of 12 after two seconds of time-outs.

Change: they are closed at the end of any later call, and a connection is replaced at most once a second. Evidence: 'Replaced connections to a slow peer are closed' failed before and passes; channels.feature passes.

--- a/packages/node/sequoiaglade_node/peers/channels.py
+++ b/packages/node/sequoiaglade_node/peers/channels.py
@@ -10,6 +10,8 @@
 # A replaced channel is closed this much later: other calls may still be in progress on
 # it, and no call between nodes takes longer.
 CLOSE_DELAY_SECONDS = 5.0
+# A slow peer's connection is replaced no more often than this.
+REPLACE_INTERVAL_SECONDS = 1.0
 # By default channels to one address share a connection, even one that is silent.
 _OWN_CONNECTION = ("grpc.use_local_subchannel_pool", 1)
 
@@ -33,6 +35,8 @@
         self._lock = threading.Lock()
         self._replaced = []
         self._responded_at = 0.0
+        self._replaced_at = 0.0
+        self._is_closed = False
         self._connection = _Connection(0, self._open())
 
     def unary_unary(self, method, *args, **kwargs):
@@ -57,6 +61,7 @@
     def close(self):
         """Close all connections."""
         with self._lock:
+            self._is_closed = True
             channels = [channel for channel, _ in self._replaced]
             self._replaced = []
         for channel in (*channels, self._connection.channel):
@@ -76,21 +81,29 @@
         """Record how a call on a connection that began at `began_at` ended."""
         now = time.monotonic()
         with self._lock:
-            if connection.number != self._connection.number:
-                return
-            if code is not grpc.StatusCode.DEADLINE_EXCEEDED:
+            is_replaced = self._must_replace(connection, began_at, code, now)
+            if is_replaced:
+                self._replaced.append((connection.channel, now))
+                self._connection = _Connection(connection.number + 1, self._open())
+                self._replaced_at = now
+            elif code is not grpc.StatusCode.DEADLINE_EXCEEDED:
                 self._responded_at = now
-                return
-            if self._responded_at >= began_at:
-                return
-            self._replaced.append((connection.channel, now))
-            self._connection = _Connection(connection.number + 1, self._open())
             due = [c for c, at in self._replaced if now - at > CLOSE_DELAY_SECONDS]
             self._replaced = self._replaced[len(due) :]
-        structlog.get_logger().info("peer connection replaced", peer=self._address)
+        if is_replaced:
+            structlog.get_logger().info("peer connection replaced", peer=self._address)
         for channel in due:
             channel.close()
 
+    def _must_replace(self, connection, began_at, code, now):
+        return (
+            not self._is_closed
+            and connection.number == self._connection.number
+            and code is grpc.StatusCode.DEADLINE_EXCEEDED
+            and self._responded_at < began_at
+            and now - self._replaced_at >= REPLACE_INTERVAL_SECONDS
+        )
+
     def _open(self):
         return grpc.insecure_channel(self._address, self._options)
 
