A silence is not counted as a crash of the endpoint

Cause: leaving a silent endpoint ended the attempt as broken, and broken attempts count as crashes under the request's fingerprint; two quarantine it. Change: a silence is a fault of its own, retried like a broken attempt; the endpoint is avoided as before, no crash is counted. A request that makes endpoints hang without a reset is no longer quarantined.

--- a/packages/decisions/sequoiaglade_decisions/gateway/attempts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/attempts.py
@@ -14,6 +14,7 @@
     NOT_SENT = "not sent"
     NOT_RUN = "not run"
     BROKEN = "broken"
+    SILENT = "silent"
     FAILED = "failed"
     LATE = "late"
 
@@ -59,7 +60,7 @@
             if counts.refusal_count >= REFUSALS_MAX:
                 return final_step
             return NextStep.RETRY
-        case Fault.BROKEN | Fault.FAILED:
+        case Fault.BROKEN | Fault.SILENT | Fault.FAILED:
             if route.is_repeatable and counts.run_count < route.attempts:
                 return NextStep.RETRY
             return final_step
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -86,7 +86,7 @@
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
         except (TimeoutError, ReadTimeoutError):
-            self.fault = CallFault(Fault.BROKEN, "the stream stalled")
+            self.fault = CallFault(Fault.SILENT, "the stream stalled")
         except (HTTPError, OSError, ValueError) as error:
             self.fault = CallFault(Fault.BROKEN, f"the stream was interrupted: {error}")
 
@@ -148,7 +148,9 @@
         response = connection.getresponse()
         return _read_head(connection, response, request, dialect, attempt, bounded)
     except (TimeoutError, ReadTimeoutError):
+        _close(connection, response, attempt)
         reason = f"{request.address} did not answer in time"
+        return CallFault(Fault.SILENT, reason)
     except http.client.HTTPException as error:
         bounded.log_abandoned("head format", reason=repr(error))
         reason = f"{request.address} sent an invalid head: {error!r}"
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -178,7 +178,9 @@
         if in_flight_request is None:
             return
         outcome = _outcome_of(fault, attempt.is_aborted)
-        crash_fingerprint = self.request.fingerprint if outcome == BROKEN else ""
+        # An endpoint that is only silent may go on: the request did not crash it.
+        is_crash = outcome == BROKEN and fault.fault is Fault.BROKEN
+        crash_fingerprint = self.request.fingerprint if is_crash else ""
         endpoint_id = in_flight_request.endpoint.endpoint_id
         self._parts.coordinator.tell(
             RequestEnded(endpoint_id, False, outcome, crash_fingerprint)
@@ -407,6 +409,6 @@
             return NOT_SENT
         case CallFault(Fault.NOT_RUN):
             return REFUSED
-        case CallFault(Fault.BROKEN):
+        case CallFault(Fault.BROKEN | Fault.SILENT):
             return BROKEN
     return DONE
