A request that left a silent endpoint is refused at once where none is left

After a move every lack of a place was awaited until the deadline, also when the service had no endpoint at all. It is now awaited only while there are endpoints.

--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -238,19 +238,21 @@
             started_at = time.monotonic()
             placed = self._parts.placer.place(place)
             self._placement_seconds = time.monotonic() - started_at
-            if not isinstance(placed, Full) or not self._may_await_place():
+            if not isinstance(placed, Full) or not self._may_await_place(placed):
                 return placed
             time.sleep(PLACE_INTERVAL_SECONDS)
             self._excluded = frozenset()
 
-    def _may_await_place(self):
+    def _may_await_place(self, full):
         """Return whether to look for a place again.
 
         A request that has left a silent endpoint for a place that refused it is not
         worse off than before: it can also go back.
         """
         is_over = time.monotonic() + PLACE_INTERVAL_SECONDS > self.request.end_at
-        return self._has_moved and not is_over and not self.is_client_disconnected
+        if is_over or self.is_client_disconnected:
+            return False
+        return self._has_moved and full.has_endpoints
 
     def _send(self, endpoint):
         request = self.request
