Wait for signals on a descriptor, so that every stop is taken

Cause: both entry points waited in the main thread on a lock. Python's handler runs in the main thread only; a signal that another thread receives doesn't wake it. Shown by trials with a process of 30 threads that waits as the gateway did: a SIGTERM directed to another thread was not taken in 8 of 8 stops; SIGHUP and SIGTERM sent at once to the process (no thread named) lost the stop in 3 of 16.

Change: SignalWaiter in sequoiaglade_node installs handlers that do nothing and a wake-up descriptor, one end of a socket pair. The interpreter writes the number there in whichever thread receives the signal, and the main thread reads it. Signals that arrive before the wait are kept in the socket.

Measured: the three scenarios of membership/stops.feature fail before and pass now.

--- a/packages/gateway/sequoiaglade_gateway/main.py
+++ b/packages/gateway/sequoiaglade_gateway/main.py
@@ -6,13 +6,13 @@
 
 import contextlib
 import os
-import queue
 import signal
 import sys
 
 import structlog
 
 from sequoiaglade_decisions.outcomes import set_invariant_handler
+from sequoiaglade_node.signals import SignalWaiter
 
 from .logs import start_logs
 from .node import GatewayNode
@@ -35,11 +35,11 @@
     except SettingsFault as fault:
         print(fault, file=sys.stderr)
         return EXIT_SETTINGS
-    signals = queue.SimpleQueue()
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda number, _: signals.put(number))
     set_invariant_handler(_stop_at_once)
     with contextlib.ExitStack() as stack:
+        signals = stack.enter_context(
+            SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        )
         start_logs(stack, settings.log_level, settings.node_id)
         store = stack.enter_context(open_store(settings.store))
         kind = GatewayNode if settings.listen else RetirementNode
@@ -48,7 +48,7 @@
         except (OSError, RuntimeError) as error:
             structlog.get_logger().error("can't listen", reason=str(error))
             return EXIT_ADDRESS
-        while signals.get() == signal.SIGHUP:
+        while signals.wait() == signal.SIGHUP:
             _reload(node, settings_path)
         node.drain()
     return EXIT_OK
--- a/packages/node/sequoiaglade_node/main.py
+++ b/packages/node/sequoiaglade_node/main.py
@@ -9,7 +9,6 @@
 import os
 import signal
 import sys
-import threading
 
 import structlog
 
@@ -18,6 +17,7 @@
 from .logs import configure_logs
 from .node import Node
 from .settings_loading import format_settings_faults, load_settings
+from .signals import SignalWaiter
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -37,16 +37,14 @@
         return EXIT_OK
     configure_logs(settings.log_level, settings.node_id)
     set_invariant_handler(_stop_at_once)
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
     with contextlib.ExitStack() as stack:
+        signals = stack.enter_context(SignalWaiter(signal.SIGTERM, signal.SIGINT))
         try:
             node = stack.enter_context(Node(settings))
         except (OSError, RuntimeError) as error:
             print(f"sequoiaglade-node: can't listen: {error}", file=sys.stderr)
             return EXIT_ADDRESS
-        stop.wait()
+        signals.wait()
         node.drain()
     return EXIT_OK
 
