--- a/tests/features/steps/gateway_storage_steps.py
+++ b/tests/features/steps/gateway_storage_steps.py
@@ -3,7 +3,7 @@
 import time
 
 from behave import given, then, when
-from emulator.fleet import GatewayProcess, wait_until
+from emulator.process import GatewayProcess, wait_until
 
 
 @given("a storage node")
