--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import time
-from typing import NamedTuple
 
 import structlog
 
@@ -14,7 +13,6 @@
     Full,
     NextStep,
     ResponseBounds,
-    Route,
     next_step,
 )
 from sequoiaglade_endpoints import Attempt
@@ -24,10 +22,8 @@
     CallFault,
     CompleteResponse,
     EndpointRequest,
-    EventStreamResponse,
     open_call,
 )
-from ..interface import IncomingCall
 from ..messages import (
     BROKEN,
     DONE,
@@ -39,6 +35,7 @@
     RequestEnded,
 )
 from .refusals import GatewayRefusal, refusal_response
+from .requests import StartedStream
 from .silence import CLOCK_MARGIN_SECONDS, AttemptPatience, ReservedPlace
 from .stream import EventRelay
 
@@ -53,30 +50,6 @@
 BODY_TIME_FRACTION = 0.5
 
 
-class AdmittedRequest(NamedTuple):
-    """An admitted request; `arrived_at` and `end_at` are monotonic time in seconds."""
-
-    call: IncomingCall
-    body: bytes
-    route: Route
-    workspace: str | None
-    priority: int
-    service: str | None
-    fingerprint: str
-    arrived_at: float
-    end_at: float
-    version: int
-
-
-class StartedStream(NamedTuple):
-    """An event stream whose first events have been read."""
-
-    answer: EventStreamResponse
-    splitter: EventSplitter
-    chunks: object
-    events: list
-
-
 class Exchange:
     """Runs a request at endpoints; owns the connection and the count in flight."""
 
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -8,8 +8,9 @@
 from sequoiaglade_decisions.poison import fingerprint
 
 from ..messages import Admit, Quarantined, QuotaExceeded
-from .exchange import AdmittedRequest, Exchange
+from .exchange import Exchange
 from .refusals import GatewayRefusal, refusal_response
+from .requests import AdmittedRequest
 
 # Deadline of a request that states none.
 DEFAULT_DEADLINE_SECONDS = 60.0
