--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -12,6 +12,7 @@
 from sequoiaglade_gateway.batch import ItemRunner, JobRegistry
 from sequoiaglade_gateway.batch.registry import HeldJob
 from sequoiaglade_gateway.batch.storage import JobHeader
+from sequoiaglade_gateway.bounded_reads import ResponseMemory
 from sequoiaglade_gateway.coordinator import Coordinator
 from sequoiaglade_gateway.messages import EndpointsListed, GetStatus
 from sequoiaglade_gateway.settings import GatewaySettings, Listeners
@@ -79,6 +80,7 @@
             configuration=FleetConfiguration(1, (ROUTE,), (), ())
         ),
         writer=SimpleNamespace(wake=lambda: None),
+        response_memory=ResponseMemory(),
     )
     parts.coordinator = Coordinator.start(parts.settings, 1)
     stack.callback(parts.coordinator.stop)
