Tell peers of a stream's version also while their connection is restored

Cause: the peers had not listened yet when this gateway first called them, so that its channels were waiting to reconnect; a note on such a channel failed at once, without a line in the log.

Change: the note waits up to 1.5 s for the connection.

--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -22,6 +22,8 @@
 # A scheduler answers within some milliseconds; half of a request's latency objective of
 # 300 ms has to remain for another attempt.
 SCHEDULE_SECONDS = 0.15
+# A lost connection to a peer is restored within about a second.
+NOTE_SECONDS = 1.5
 # Includes the peer's write to the store.
 STORE_SECONDS = 1.5
 
@@ -98,7 +100,8 @@
         """Tell a peer the version of a stream, without waiting for the reply."""
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
         note = fleet_pb2.StreamNote(request_id=request_id, version=version)
-        stub.NoteStream.future(note, timeout=CALL_SECONDS)
+        # A channel to a peer that has just started may be about to reconnect.
+        stub.NoteStream.future(note, timeout=NOTE_SECONDS, wait_for_ready=True)
 
     def find_stream(self, addresses, request_id):
         """Return the version of a stream that one of the peers knows, or None."""
