A drop on an emulated link hits the response that it is meant for

Cause: a one-time drop on the link between a node and an endpoint counted the bytes of all connections together, so a load report that was in flight when its bytes ran out was reset instead of the response, which then came complete.

Change: a drop counts the bytes of one response, and the stream's drop comes after more bytes than a load report has.

--- a/packages/standins/sequoiaglade_standins/relay.py
+++ b/packages/standins/sequoiaglade_standins/relay.py
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True)
 class Drop:
-    """Resets one connection after `after_bytes` of responses, then ends the fault."""
+    """Resets the first connection with more than `after_bytes` of one response.
+
+    The bytes are counted from the start of the fault, which ends with the reset.
+    """
 
     after_bytes: int = 0
 
@@ -51,6 +54,8 @@
         self._loop = loop
         self._fault = None
         self._allowed_bytes = 0
+        # Bytes of the current response since the start of the fault.
+        self._byte_count_by_connection = {}
         self._changed = asyncio.Event()
         self._writers = set()
         # Number of silences; connections opened before the latest forward nothing.
@@ -72,7 +77,7 @@
         """Forward an accepted connection to the address `target` until it ends."""
         self._writers.add(writer)
         try:
-            if await self._wait_for_allowance(1, False):
+            if await self._wait_for_allowance(1):
                 await self._forward_to(reader, writer, target, greeting)
             else:
                 _reset(writer)
@@ -90,22 +95,26 @@
         try:
             writer.write(greeting)
             await asyncio.gather(
-                self._copy(reader, target_writer, count, is_response=False),
-                self._copy(target_reader, writer, count, is_response=True),
+                self._copy(reader, target_writer, count, writer, is_response=False),
+                self._copy(target_reader, writer, count, writer, is_response=True),
             )
         except OSError:
             _reset(target_writer)
             raise
         finally:
+            self._byte_count_by_connection.pop(writer, None)
             self._writers.discard(target_writer)
             target_writer.close()
 
-    async def _copy(self, reader, writer, silence_count, is_response):
+    async def _copy(self, reader, writer, silence_count, connection, is_response):
         while data := await reader.read(CHUNK_BYTES):
             if self._silence_count > silence_count:
                 await asyncio.Event().wait()
+            if not is_response:
+                self._byte_count_by_connection[connection] = 0
             while data:
-                count = await self._wait_for_allowance(len(data), is_response)
+                sender = connection if is_response else None
+                count = await self._wait_for_allowance(len(data), sender)
                 if not count:
                     raise ConnectionResetError
                 writer.write(data[:count])
@@ -115,18 +124,25 @@
             await asyncio.Event().wait()
         writer.write_eof()
 
-    async def _wait_for_allowance(self, wanted, is_response):
-        """Wait while stalled; return how many bytes to forward, 0 for a reset."""
+    async def _wait_for_allowance(self, wanted, sender=None):
+        """Wait while stalled; return how many bytes to forward, 0 for a reset.
+
+        `sender` is the connection of a response, or None for a request.
+        """
         while isinstance(self._fault, Stall) and not self._allowed_bytes:
             self._changed.clear()
             await self._changed.wait()
         match self._fault:
             case Refuse():
                 return 0
-            case Drop() if is_response and not self._allowed_bytes:
-                self._fault = None
-                return 0
-            case Stall() | Drop() if is_response:
+            case Drop(after_bytes) if sender:
+                sent = self._byte_count_by_connection.get(sender, 0)
+                count = min(wanted, after_bytes - sent)
+                self._byte_count_by_connection[sender] = sent + count
+                if not count:
+                    self._fault = None
+                return count
+            case Stall() if sender:
                 count = min(wanted, self._allowed_bytes)
                 self._allowed_bytes -= count
                 return count
@@ -145,6 +161,7 @@
     async def _set_fault(self, fault):
         self._fault = fault
         self._allowed_bytes = getattr(fault, "after_bytes", 0)
+        self._byte_count_by_connection.clear()
         self._changed.set()
         if isinstance(fault, Refuse):
             for writer in self._writers:
--- a/tests/features/standins/standins.feature
+++ b/tests/features/standins/standins.feature
@@ -20,3 +20,10 @@
     And an answer over the link has 1000 bytes
     When the link refuses
     Then an answer over the link has 0 bytes and is reset
+
+  Scenario: A drop on a link spares connections with shorter answers
+    Given a server behind a link that answers 1000 bytes to each line
+    When the link drops a connection after 1500 bytes of answers
+    Then an answer over the link has 1000 bytes
+    And an answer over the link has 1000 bytes
+    And an answer to 2 lines is reset within 1500 bytes
--- a/tests/features/steps/answer_links_steps.py
+++ b/tests/features/steps/answer_links_steps.py
@@ -10,6 +10,8 @@
 
 FAULT_BY_NAME = {"stalls": Stall, "drops": Drop}
 HALF_BYTES = 10_000
+# More than a load report.
+STREAM_BYTES = 2_000
 READ_TOKENS = 20
 RECOVERY_SECONDS = 20.0
 
@@ -49,7 +51,7 @@
     client = model_client(context.fleet, timeout=60.0)
     chunks = iter(chat(client, tokens, True))
     context.streamed = read_stream(next(chunks) for _ in range(READ_TOKENS))
-    context.link.inject_fault(FAULT_BY_NAME[breaks]())
+    context.link.inject_fault(FAULT_BY_NAME[breaks](STREAM_BYTES))
     try:
         context.streamed += read_stream(chunks)
         context.error = None
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -34,11 +34,11 @@
     context.address = (host, int(port))
 
 
-def ask(context):
+def ask(context, lines=b"?\n"):
     context.count = 0
     sock = socket.create_connection(context.address, ANSWER_SECONDS)
     context.sock = context.stack.enter_context(sock)
-    context.sock.sendall(b"?\n")
+    context.sock.sendall(lines)
 
 
 def receive(context, wanted):
@@ -79,6 +79,12 @@
     assert was_reset and context.count <= count, (was_reset, context.count)
 
 
+@then("an answer to 2 lines is reset within {count:d} bytes")
+def check_longer(context, count):
+    ask(context, b"?\n?\n")
+    assert receive(context, 2000) and context.count <= count, context.count
+
+
 @then("the rest of the answer comes, so that it has {count:d} bytes")
 def check_rest(context, count):
     assert not receive(context, count)
