--- a/bin/scenarios.py
+++ b/bin/scenarios.py
@@ -12,11 +12,21 @@
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 DEFAULT_WORKERS = 3
 FEATURE_TIMEOUT_SECONDS = 1500
+ERROR_CHARACTERS = 600
+
+
+class Outcome(NamedTuple):
+    """The result of one scenario; `error` names its failed step and the message."""
+
+    name: str
+    status: str
+    error: str
 
 
 def main():
@@ -29,15 +39,16 @@
     with ThreadPoolExecutor(options.workers) as pool:
         outcomes = [row for rows in pool.map(_run_feature, features) for row in rows]
     known = _known_red()
-    failed = [name for name, status in outcomes if status != "passed"]
-    for name in failed:
-        label = "known red" if name in known else "FAILED"
-        print(f"{label}: {name}: {known.get(name, '')}")
-    for name in sorted(set(known) - set(failed)):
+    failed = [outcome for outcome in outcomes if outcome.status != "passed"]
+    for outcome in failed:
+        label = "known red" if outcome.name in known else "FAILED"
+        print(f"{label}: {outcome.name}: {known.get(outcome.name, outcome.error)}")
+    failed_names = {outcome.name for outcome in failed}
+    for name in sorted(set(known) - failed_names):
         print(f"known red, not failing in this run: {name}")
     passed = len(outcomes) - len(failed)
     print(f"scenarios: {passed} passed, {len(failed)} failed")
-    return 1 if set(failed) - set(known) or not passed else 0
+    return 1 if failed_names - set(known) or not passed else 0
 
 
 def _features(paths):
@@ -56,9 +67,12 @@
         text, code = _run(command)
         rows = _rows(feature, report)
     name = feature.relative_to(ROOT)
-    if not rows or (code != 0 and all(status == "passed" for _, status in rows)):
-        rows = [*rows, (f"{name}: the feature did not run to its end", "failed")]
-    if any(status != "passed" for _, status in rows):
+    if not rows or (code != 0 and all(row.status == "passed" for row in rows)):
+        rows = [
+            *rows,
+            Outcome(str(name), "failed", "the feature did not run to its end"),
+        ]
+    if any(row.status != "passed" for row in rows):
         print(text, flush=True)
     print(f"{name}: {len(rows)} scenarios", flush=True)
     return rows
@@ -86,13 +100,27 @@
     except (OSError, ValueError):
         return []
     return [
-        (element["name"].strip(), element.get("status", "untested"))
+        Outcome(
+            element["name"].strip(), element.get("status", "untested"), _error(element)
+        )
         for entry in features
         for element in entry.get("elements", ())
         if element["type"] == "scenario"
     ]
 
 
+def _error(scenario):
+    """Return the first failed step of a scenario and its message, both on one line."""
+    for step in scenario.get("steps", ()):
+        result = step.get("result", {})
+        if result.get("status") in ("failed", "error", "undefined"):
+            message = result.get("error_message", "")
+            lines = message if isinstance(message, list) else message.splitlines()
+            text = " ".join(" ".join(lines).split())
+            return f"{step['name']}: {text}"[:ERROR_CHARACTERS]
+    return "no step failed"
+
+
 def _known_red():
     entries = {}
     for line in KNOWN_RED.read_text(encoding="utf-8").splitlines():
