--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -96,6 +96,11 @@
     _change(context, "resume", 1, events=EVENTS[:4] + EVENTS[5:])
 
 
+@when("a stream has an event twice")
+def repeat_event(context):
+    _change(context, "resume", 1, events=EVENTS[:4] + EVENTS[3:])
+
+
 @when("a stream ends as complete before its last event")
 def end_early(context):
     _change(context, "once", 1, events=EVENTS[:-1])
@@ -132,6 +137,12 @@
     _change(context, "once", 1, status=503, events=())
 
 
+@when("a job is refused at every attempt and its items ran")
+def refuse_job(context):
+    context.job.accepted_at, context.job.statuses = None, [503, 503]
+    context.job.reads, context.job.is_final = [], False
+
+
 @when("a request runs that no caller sent")
 def run_unasked(context):
     context.evidence.runs["runner-0"].append(_run("unknown", 1.0))
@@ -142,6 +153,11 @@
     _change(context, "safe", 1, status=0, end="broken", events=())
 
 
+@when("a request is silent until its deadline has passed")
+def stay_silent(context):
+    _change(context, "safe", 1, status=0, end="silent", events=())
+
+
 @when("a stream is cut before its deadline")
 def cut(context):
     _change(context, "resume", 1, end="broken", events=EVENTS[:4])
@@ -183,6 +199,18 @@
     context.job.reads = [read._replace(results=rows) for read in context.job.reads]
 
 
+@when("a job's total changes")
+def change_total(context):
+    context.job.reads[0] = context.job.reads[0]._replace(total=3)
+
+
+@when("a result lacks a part of its output")
+def shorten_output(context):
+    output = OUTPUT.removesuffix(f"\npiece-{EVENT_COUNT}")
+    rows = _results(**{"item-1": ("item-1", "completed", output)})
+    context.job.reads = [read._replace(results=rows) for read in context.job.reads]
+
+
 @when("a runner that was silent gets no request")
 def avoid_runner(context):
     fault = Disturbance("RunnersSilent", None, FAULT_AT, FAULT_AT + 1)
@@ -224,6 +252,17 @@
     context.evidence.ended_processes.append("gateway-0")
 
 
+@when("the crashes of the day did not all happen")
+def stop_crashing(context):
+    context.evidence.crashes.append(Crash("runner-1", 0.6, "/batch/0"))
+    context.evidence = context.evidence._replace(is_crash_burst_over=False)
+
+
+@when("a fault could not be injected")
+def fail_injection(context):
+    context.evidence.errors.append("StoreAway: OSError()")
+
+
 @then('the rule "{rule}" is broken, and no other')
 def check_broken(context, rule):
     broken = find_broken_rules(context.evidence)
