Endpoints that announce their shutdown get no new requests

Cause: nothing read the announcement in endpoints' responses; an endpoint that leaves while the store is late, away or never told went on getting requests, items and taken up streams until its connections failed.

Change: the adapter translates the announcement in the head of every response. The coordinator keeps it by endpoint id and start time (decision gateway/leaving.py), beside the list's own draining state, so that placement, schedulers' grants, reserved places and items all use one check (Endpoint.accepts_requests). A node tells schedulers which endpoints it may not use in each placement call (existing field of excluded ids), and asks once more when a grant names one of them.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -11,6 +11,7 @@
 from .hashing import stable_hash
 from .health import EndpointHealth
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
+from .leaving import LeavingEndpoints
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
@@ -72,6 +73,7 @@
     "ItemOutcome",
     "JobSpec",
     "JobSummary",
+    "LeavingEndpoints",
     "NextStep",
     "NodeState",
     "NodeTable",
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from .leaving import LeavingEndpoints
+
 # Entries that expired during an outage of the store are written again within about two
 # seconds of its recovery, according to the platform's documentation.
 RECOVERY_GRACE_SECONDS = 1.8
@@ -12,7 +14,8 @@
 
     `born` is its start time in Unix milliseconds, 0 if unknown. An endpoint that
     restarts may keep its id, but its `born` changes. `version` is that of its software,
-    empty if unknown.
+    empty if unknown. `is_draining` is what the platform's list says of its shutdown,
+    `is_leaving` what the endpoint itself announced to this node.
     """
 
     endpoint_id: str
@@ -23,6 +26,12 @@
     is_draining: bool = False
     born: int = 0
     version: str = ""
+    is_leaving: bool = False
+
+    @property
+    def accepts_requests(self):
+        """Whether new requests may be sent to the endpoint."""
+        return not (self.is_draining or self.is_leaving)
 
 
 class EndpointDirectory:
@@ -33,6 +42,9 @@
     observed within `RECOVERY_GRACE_SECONDS` of the store's recovery takes effect only
     at the end of that time, and not at all if the entry exists again by then.
 
+    An endpoint that announced its shutdown gets no new requests, whatever the list says
+    of it.
+
     >>> directory = EndpointDirectory()
     >>> directory.replace([Endpoint("e-1", "s", "10.0.0.1:80", "a", 8)], now=0.0)
     >>> directory.note_outage()
@@ -47,6 +59,7 @@
         self._drop_at_by_id = {}
         self._is_list_down = False
         self._recovered_at = None
+        self._leaving = LeavingEndpoints()
 
     def note_outage(self):
         """Record that the list cannot be read."""
@@ -68,8 +81,22 @@
 
     def put(self, endpoint):
         """Add or update an entry."""
-        self._endpoint_by_id[endpoint.endpoint_id] = endpoint
+        self._store(endpoint)
         self._drop_at_by_id.pop(endpoint.endpoint_id, None)
+        self._leaving.note_listed(endpoint.endpoint_id)
+
+    def note_leaving(self, endpoint_id, born, now):
+        """Record that an endpoint announced its shutdown; return whether that is new.
+
+        `born` is the start time of the endpoint that was asked, 0 if unknown.
+        """
+        self._drop_removed(now)
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return self._leaving.note(endpoint_id, born, is_listed=False, now=now)
+        is_new = self._leaving.note(endpoint_id, born or endpoint.born, True, now)
+        self._store(endpoint)
+        return is_new
 
     def remove(self, endpoint_id, now):
         """Remove an entry, after the grace period if the store has just recovered."""
@@ -92,15 +119,29 @@
 
         With a `version`, only those with this software version.
         """
+        return [
+            endpoint
+            for endpoint in self.listed_ready(service, now)
+            if not endpoint.is_leaving and version in (None, endpoint.version)
+        ]
+
+    def listed_ready(self, service, now):
+        """Return the endpoints of `service` that are not draining by the list.
+
+        Unlike `usable`, this is the same at all nodes that read the same list.
+        """
         self._drop_removed(now)
         return [
             endpoint
             for endpoint in self._endpoint_by_id.values()
-            if endpoint.service == service
-            and not endpoint.is_draining
-            and version in (None, endpoint.version)
+            if endpoint.service == service and not endpoint.is_draining
         ]
 
+    def leaving_ids(self, service, now):
+        """Return the ids of listed endpoints of `service` that announced a shutdown."""
+        endpoints = self.listed_ready(service, now)
+        return frozenset(e.endpoint_id for e in endpoints if e.is_leaving)
+
     def versions(self, service, now):
         """Return the software versions of all endpoints of `service`, as a set."""
         self._drop_removed(now)
@@ -115,8 +156,15 @@
         """Return all known endpoints as a list."""
         return list(self._endpoint_by_id.values())
 
+    def _store(self, endpoint):
+        endpoint_id = endpoint.endpoint_id
+        is_leaving = self._leaving.is_leaving(endpoint_id, endpoint.born)
+        self._endpoint_by_id[endpoint_id] = endpoint._replace(is_leaving=is_leaving)
+
     def _drop_removed(self, now):
         expired = [i for i, at in self._drop_at_by_id.items() if at <= now]
         for endpoint_id in expired:
             del self._drop_at_by_id[endpoint_id]
             self._endpoint_by_id.pop(endpoint_id, None)
+            self._leaving.note_unlisted(endpoint_id, now)
+        self._leaving.drop_expired(now)
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -266,12 +266,11 @@
         """Run an item; return its `ItemOutcome`, the request's outcome and a reason."""
         answer = open_call(
             self._endpoint_request(run),
-            self._parts.dialect,
+            self._parts,
             run.attempt,
             FixedPatience(STALL_SECONDS),
             1.0,
             RESPONSE_BOUNDS,
-            self._parts.response_memory,
         )
         if run.attempt.is_aborted:
             if not isinstance(answer, CallFault | CompleteResponse):
@@ -340,7 +339,7 @@
             run.progress.last_event_id,
         )
         return EndpointRequest(
-            run.endpoint.address, "POST", item.path, headers, item.body, item.item_id
+            run.endpoint, "POST", item.path, headers, item.body, item.item_id
         )
 
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -24,6 +24,7 @@
 
 from . import messages
 from .messages import (
+    AcceptsRequests,
     Admit,
     BatchPeers,
     BatchShare,
@@ -31,6 +32,7 @@
     CollectLoadReports,
     ConfigurationChanged,
     EndpointChanged,
+    EndpointLeaving,
     EndpointListReachable,
     EndpointSilent,
     EndpointsListed,
@@ -117,6 +119,11 @@
                 return self._scheduling.receive_report(report, now)
             case RequestEnded():
                 return self._end(message, now)
+            case AcceptsRequests(endpoint_id):
+                endpoint = self._directory.get(endpoint_id, now)
+                return endpoint is not None and endpoint.accepts_requests
+            case EndpointLeaving(endpoint_id, born):
+                return self._directory.note_leaving(endpoint_id, born, now)
             case EndpointSilent(endpoint_id):
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
@@ -207,7 +214,7 @@
 
     def _begin_scheduled(self, message, now):
         endpoint = self._directory.get(message.endpoint_id, now)
-        if endpoint is None or endpoint.is_draining:
+        if endpoint is None or not endpoint.accepts_requests:
             return None
         is_batch = message.place.is_batch
         return self._begin(message.endpoint_id, False, is_batch, now)
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -2,7 +2,7 @@
 
 import http.client
 import socket
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.exceptions import HTTPError, ReadTimeoutError
@@ -11,6 +11,7 @@
 from sequoiaglade_endpoints.connections import TrackedConnection
 
 from .bounded_reads import BoundedResponse
+from .leaving import note_leaving
 from .patient_socket import PatientSocket
 
 # An endpoint in the same region accepts a connection within a few milliseconds. The
@@ -92,22 +93,28 @@
 
 
 class EndpointRequest(NamedTuple):
-    """An endpoint's address and the request as it is sent there."""
+    """An `Endpoint` and the request as it is sent there."""
 
-    address: str
+    endpoint: Any
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: bytes
     request_id: str
 
+    @property
+    def address(self):
+        """The endpoint's host and port."""
+        return self.endpoint.address
 
-def open_call(request, dialect, attempt, patience, remaining_seconds, bounds, memory):
+
+def open_call(request, parts, attempt, patience, remaining_seconds, bounds):
     """Send a request; return `CompleteResponse`, `EventStreamResponse` or `CallFault`.
 
-    `patience` is the `Patience` with a silent endpoint, `remaining_seconds` limits the
-    wait for the connection. A fault `NOT_SENT` states that no byte was sent. The
-    response is read within its `ResponseBounds` and the node's `ResponseMemory`.
+    `parts` are the node's. `patience` is the `Patience` with a silent endpoint,
+    `remaining_seconds` limits the wait for the connection. A fault `NOT_SENT` states
+    that no byte was sent. The response is read within its `ResponseBounds` and the
+    node's `ResponseMemory`.
     """
     host, _, port = request.address.rpartition(":")
     connection = TrackedConnection(
@@ -123,15 +130,15 @@
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
     connection.sock = PatientSocket(connection.sock, patience)
-    bounded = BoundedResponse(request, attempt, bounds, memory)
+    bounded = BoundedResponse(request, attempt, bounds, parts.response_memory)
     bounded.install(connection)
-    outcome = _exchange(connection, request, dialect, attempt, bounded)
+    outcome = _exchange(connection, request, parts, attempt, bounded)
     if not isinstance(outcome, EventStreamResponse):
         bounded.release()
     return outcome
 
 
-def _exchange(connection, request, dialect, attempt, bounded):
+def _exchange(connection, request, parts, attempt, bounded):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
@@ -146,7 +153,7 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        return _read_head(connection, response, request, dialect, attempt, bounded)
+        return _read_head(connection, response, request, parts, attempt, bounded)
     except (TimeoutError, ReadTimeoutError):
         _close(connection, response, attempt)
         reason = f"{request.address} did not answer in time"
@@ -160,8 +167,10 @@
     return CallFault(Fault.BROKEN, reason)
 
 
-def _read_head(connection, response, request, dialect, attempt, bounded):
-    head = dialect.read_head(response.headers)
+def _read_head(connection, response, request, parts, attempt, bounded):
+    head = parts.dialect.read_head(response.headers)
+    if head.is_leaving:
+        note_leaving(parts, request, head, response.status)
     if head.is_not_run:
         _close(connection, response, attempt)
         reason = f"{request.address} refused the request with {response.status}"
@@ -174,7 +183,7 @@
     if is_success and not head.is_signed:
         _close(connection, response, attempt)
         return CallFault(Fault.BROKEN, f"{request.address} sent no signature")
-    headers = dialect.forwarded_headers(response.headers)
+    headers = parts.dialect.forwarded_headers(response.headers)
     content_type = response.headers.get("Content-Type", "")
     if is_success and content_type.startswith("text/event-stream"):
         bounded.begin(ResponsePart.EVENTS)
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -34,12 +34,15 @@
 
     `request_id` is the id of the request that it answers (None if it is missing),
     `is_signed` whether it has the endpoint's signature, `is_not_run` whether the
-    endpoint states that it did not run the request.
+    endpoint states that it did not run the request, `is_leaving` whether it announces
+    its shutdown. `endpoint_id` is the id that the endpoint gives itself, or None.
     """
 
     request_id: str | None
     is_signed: bool
     is_not_run: bool
+    is_leaving: bool = False
+    endpoint_id: str | None = None
 
 
 class ReadJob(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -84,12 +84,15 @@
     """The scheduler nodes of a request's endpoint group, and what to send them.
 
     `candidates` are pairs of node id and peer address in order of preference.
+    `leaving_ids` are the endpoints that announced their shutdown to this node, which a
+    scheduler may not know.
     """
 
     candidates: list
     group: int
     group_count: int
     report: LoadReport
+    leaving_ids: frozenset
 
 
 class Schedule(NamedTuple):
@@ -108,7 +111,7 @@
 class BeginRequest(NamedTuple):
     """Counts a request in flight at the endpoint that a scheduler chose.
 
-    The reply is `InFlightRequest`, or None if the endpoint is draining or
+    The reply is `InFlightRequest`, or None if the endpoint is draining, leaving or
     removed according to this node.
     """
 
@@ -154,6 +157,22 @@
     fingerprint: str = ""
 
 
+class AcceptsRequests(NamedTuple):
+    """Asks whether new requests may be sent to an endpoint; the reply is a bool."""
+
+    endpoint_id: str
+
+
+class EndpointLeaving(NamedTuple):
+    """An endpoint announced its shutdown; the reply is whether that was not known.
+
+    `born` is the start time of the endpoint, as in `Endpoint`.
+    """
+
+    endpoint_id: str
+    born: int
+
+
 class EndpointSilent(NamedTuple):
     """A request has waited for data from an endpoint for a while."""
 
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -172,11 +172,8 @@
         self._parts.metrics.count("ended", outcome)
 
     def _try_once(self):
-        placed = self._reserved.take()
-        if placed is not None:
-            self._has_moved = True
-        else:
-            placed = self._place()
+        self._has_moved = self._has_moved or self._reserved.is_held
+        placed = self._reserved.take() or self._place()
         if isinstance(placed, Full):
             return self._refuse_full(placed)
         self._in_flight = placed
@@ -238,7 +235,7 @@
             self.last_event_id,
         )
         endpoint_request = EndpointRequest(
-            endpoint.address,
+            endpoint,
             request.call.method,
             request.call.target,
             headers,
@@ -275,12 +272,11 @@
         with self._parts.preemptor.watching(endpoint.endpoint_id):
             answer = open_call(
                 endpoint_request,
-                self._parts.dialect,
+                self._parts,
                 self._attempt,
                 patience,
                 seconds_left,
                 self._response_bounds(seconds_left),
-                self._parts.response_memory,
             )
             return self._classify(answer)
 
--- a/packages/gateway/sequoiaglade_gateway/online/silence.py
+++ b/packages/gateway/sequoiaglade_gateway/online/silence.py
@@ -14,6 +14,7 @@
 
 from ..messages import (
     STOPPED,
+    AcceptsRequests,
     EndpointSilent,
     InFlightRequest,
     PlaceRequest,
@@ -36,10 +37,13 @@
         return self
 
     def __exit__(self, *exc_info):
-        place = self.take()
-        if place is not None:
-            endpoint_id = place.endpoint.endpoint_id
-            self._parts.coordinator.tell(RequestEnded(endpoint_id, False, STOPPED))
+        if self._place is not None:
+            self._release()
+
+    @property
+    def is_held(self):
+        """Whether a place is reserved."""
+        return self._place is not None
 
     def reserve(self, request):
         """Reserve a place for a `PlaceRequest`; return whether there is one."""
@@ -49,10 +53,24 @@
         return self._place is not None
 
     def take(self):
-        """Return the reserved `InFlightRequest`, now the caller's, or None."""
+        """Return the reserved `InFlightRequest`, now the caller's, or None.
+
+        It is released if its endpoint accepts no requests any more.
+        """
+        if self._place is None:
+            return None
+        endpoint_id = self._place.endpoint.endpoint_id
+        if not self._parts.coordinator.ask(AcceptsRequests(endpoint_id)):
+            self._release()
+            return None
         place, self._place = self._place, None
         return place
 
+    def _release(self):
+        place, self._place = self._place, None
+        endpoint_id = place.endpoint.endpoint_id
+        self._parts.coordinator.tell(RequestEnded(endpoint_id, False, STOPPED))
+
 
 class AttemptPatience:
     """The `Patience` of one attempt of an online request.
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -22,6 +22,8 @@
 # Schedulers learn of ended requests within this time, a small fraction of the time that
 # a request holds its slot.
 REPORT_INTERVAL_SECONDS = 0.05
+# A placement at an endpoint that this node may not use costs another call.
+SCHEDULER_ASKS_MAX = 2
 # Interval of checks whether a small fleet has become large.
 SMALL_FLEET_CHECK_SECONDS = 1.0
 
@@ -40,9 +42,10 @@
 
         A request for one of several software versions is placed by this node, since the
         group that a scheduler places in may have no endpoint of that version.
-        If no scheduler answers or finds an endpoint, or if it chooses one that is
-        draining or removed according to this node, this node places the request by its
-        own state. Return None if it then finds no slot for a batch item.
+        A scheduler that chooses an endpoint that is draining, leaving or removed
+        according to this node is asked once more. If no scheduler answers or finds an
+        endpoint, this node places the request by its own state. Return None if it then
+        finds no slot for a batch item.
         """
         coordinator = self._parts.coordinator
         query = coordinator.ask(FindSchedulers(place.service, place.spread))
@@ -52,13 +55,19 @@
             versions = coordinator.ask(UsableVersions(place.service))
             if versions != {place.version}:
                 return coordinator.ask(place)
-        placement = self._ask_schedulers(query, place)
-        match placement:
-            case Placed(endpoint_id):
-                running = coordinator.ask(BeginRequest(place, endpoint_id))
-                return running or coordinator.ask(place)
-            case Full(_, True):
-                return placement
+        place = place._replace(excluded=place.excluded | query.leaving_ids)
+        for _ in range(SCHEDULER_ASKS_MAX):
+            placement = self._ask_schedulers(query, place)
+            match placement:
+                case Placed(endpoint_id):
+                    running = coordinator.ask(BeginRequest(place, endpoint_id))
+                    if running is not None:
+                        return running
+                    place = place._replace(excluded=place.excluded | {endpoint_id})
+                case Full(_, True):
+                    return placement
+                case _:
+                    break
         return coordinator.ask(place)
 
     def schedule(self, request):
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -58,7 +58,8 @@
         group = stable_hash("request", spread) % count
         node_ids = schedulers(service, group, eligible)
         candidates = [(i, state_by_id[i].peer_address) for i in node_ids]
-        return SchedulerQuery(candidates, group, count, self._report())
+        leaving_ids = self._directory.leaving_ids(service, now)
+        return SchedulerQuery(candidates, group, count, self._report(), leaving_ids)
 
     def schedule(self, request, now):
         """Place a request of another node or this one; return `Scheduled` or `Full`."""
@@ -68,6 +69,7 @@
             endpoint
             for endpoint in self._directory.usable(place.service, now)
             if group_of(endpoint.endpoint_id, request.group_count) == request.group
+            and endpoint.endpoint_id not in place.excluded
         ]
         node_id = request.report.node_id
         requester = self._nodes.state(node_id) or self._get_own_state()
@@ -180,6 +182,6 @@
         return state_by_id, eligible_nodes({i: s.cores for i, s in state_by_id.items()})
 
     def _group_count(self, service, state_by_id, eligible, now):
-        endpoints = self._directory.usable(service, now)
+        endpoints = self._directory.listed_ready(service, now)
         slots = sum(endpoint.slots or DEFAULT_SLOTS for endpoint in endpoints)
         return group_count(slots, min(state_by_id[i].cores for i in eligible))
