Give items up only under a configuration that was just read from the store

Callers saw: items of an accepted job listed as given up although their route was back in the newest configuration: after a freeze of the gateway, or while it could not read the store.

Cause: `Batch.give_up_overdue` counted three seconds from the first look that missed the route, also while the process was frozen or the store was away, and never asked whether a newer configuration was there.

Evidence: gateway/missing_routes.feature on the code before: "The route is back before the store answers again" and "The route is back while the gateway is frozen" failed, most of 30 items were listed as given up; the scenario of a route that is removed for good passed.

Change: items are given up for a missing route only if a read of the newest configuration began after the three seconds and at most two seconds ago. Two seconds are the time in which a configuration has to be in force everywhere.

Result: the three scenarios and those of unlucky_items.feature pass (11 of 11, once, at a load average of 22).

--- a/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
@@ -3,9 +3,11 @@
 from enum import Enum
 from typing import NamedTuple
 
-# Items are given up after their route has been missing for this long. A shorter absence
-# may mean that this node has not read the newest configuration yet.
+# Items are given up after their route has been missing for this long.
 MISSING_ROUTE_GRACE_SECONDS = 3.0
+# A route counts as missing only in a configuration that was the newest one at most this
+# long ago.
+CONFIRMATION_AGE_MAX_SECONDS = 2.0
 # Delay before a failed item runs again, multiplied by its number of failures.
 RETRY_DELAY_SECONDS = 0.3
 # An event has at least one token, except for a few such as the last one.
@@ -208,20 +210,49 @@
             case ItemOutcome.STOPPED:
                 pass
 
-    def give_up_overdue(self, is_overdue, has_route, now):
-        """Give up idle items if the job is overdue or its route is missing for long."""
+    def give_up_overdue(self, is_overdue, has_route, confirmed_at, now):
+        """Give up idle items if the job is overdue or its route is missing for long.
+
+        After a freeze or an outage of the store the route may be back in a newer
+        configuration. `confirmed_at` is when the last read of the newest one began.
+        Return whether another read is needed. Times are in seconds of a clock that also
+        advances while the machine is suspended.
+
+        >>> item = Item("i-1", "/x/1", (), b"", 100)
+        >>> batch = Batch(JobSpec("j", "w", "h", "/x/j", 0.0, "n", (item,)), due=18.0)
+        >>> batch.give_up_overdue(False, False, confirmed_at=0.0, now=10.0)
+        False
+        >>> batch.give_up_overdue(False, False, confirmed_at=0.0, now=15.0)
+        True
+        >>> batch.give_up_overdue(False, False, confirmed_at=15.0, now=15.1)
+        False
+        >>> batch.unlisted()
+        [Result(item_id='i-1', is_completed=False, output='')]
+        """
         if has_route:
             self._route_missing_since = None
         elif self._route_missing_since is None:
             self._route_missing_since = now
-        is_missing = self._route_missing_since is not None
-        if not is_overdue and not (
-            is_missing and now - self._route_missing_since > MISSING_ROUTE_GRACE_SECONDS
-        ):
-            return
-        for row in self._progress_by_id.values():
-            if self._is_unfinished(row) and not row.is_running:
-                row.result = Result(row.item.item_id, False)
+        rows = [
+            row
+            for row in self._progress_by_id.values()
+            if self._is_unfinished(row) and not row.is_running
+        ]
+        if not is_overdue:
+            if not rows or not self._is_grace_over(now):
+                return False
+            if not (
+                self._is_grace_over(confirmed_at)
+                and now - confirmed_at <= CONFIRMATION_AGE_MAX_SECONDS
+            ):
+                return True
+        for row in rows:
+            row.result = Result(row.item.item_id, False)
+        return False
+
+    def _is_grace_over(self, at):
+        since = self._route_missing_since
+        return since is not None and at - since > MISSING_ROUTE_GRACE_SECONDS
 
     def unlisted(self):
         """Return the results that are not in the stored list yet."""
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -119,27 +119,33 @@
 
     def _run(self):
         while not self._stopped.wait(TICK_SECONDS):
-            configuration = self._parts.store_cache.configuration
-            if configuration is not None:
-                self._tick(configuration)
+            cache = self._parts.store_cache
+            # Read first, so that it does not confirm an older configuration.
+            confirmed_at = cache.confirmed_at
+            if cache.configuration is not None:
+                self._tick(cache.configuration, confirmed_at)
 
-    def _tick(self, configuration):
+    def _tick(self, configuration, confirmed_at):
         jobs_by_service = {}
         for job in self._registry.open_jobs():
             spec = job.batch.spec
             route = configuration.match(spec.host, spec.path)
-            self._give_up_overdue(job, route)
+            self._give_up_overdue(job, route, confirmed_at)
             if route is not None:
                 service = route.service_for(spec.job_id)
                 jobs_by_service.setdefault(service, []).append((job, route))
         for service, rows in jobs_by_service.items():
             self._adjust_to_share(service, rows)
 
-    def _give_up_overdue(self, job, route):
+    def _give_up_overdue(self, job, route, confirmed_at):
         with self._registry.lock:
             age = time.time() - job.batch.spec.submitted_at
             is_overdue = route is not None and 0 < route.retention < age
-            job.batch.give_up_overdue(is_overdue, route is not None, time.monotonic())
+            is_doubtful = job.batch.give_up_overdue(
+                is_overdue, route is not None, confirmed_at, self._registry.clock()
+            )
+        if is_doubtful:
+            self._parts.configuration_reader.request()
 
     def _adjust_to_share(self, service, rows):
         backlog = sum(job.batch.unfinished_count for job, _ in rows)
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -33,7 +33,7 @@
 from .online import BatchPreemptor, OnlineService, StreamDirectory
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
-from .store_cache import KindWatcher, StoreCache
+from .store_cache import ConfigurationReader, KindWatcher, StoreCache
 
 # The platform allows callers to keep an address for this multiple of the directory's
 # time to live.
@@ -53,6 +53,7 @@
     store: Any
     coordinator: Any
     store_cache: Any
+    configuration_reader: Any
     hangups: Any
     response_memory: Any
     metrics: Any
@@ -154,6 +155,11 @@
         stack.callback(actor.stop, block=False)
         parts.coordinator = actor
         parts.store_cache = StoreCache(parts.dialect, actor)
+        parts.configuration_reader = stack.enter_context(
+            ConfigurationReader(
+                parts.store, parts.dialect.kinds.configuration, parts.store_cache
+            )
+        )
         parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.response_memory = ResponseMemory()
         parts.hangups = stack.enter_context(HangupWatcher())
--- a/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
@@ -1,6 +1,7 @@
 """Local copy of the store's configuration and endpoints, and watchers of its kinds."""
 
 from .cache import StoreCache
+from .reader import ConfigurationReader
 from .watcher import KindWatcher
 
-__all__ = ["KindWatcher", "StoreCache"]
+__all__ = ["ConfigurationReader", "KindWatcher", "StoreCache"]
--- a/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
@@ -32,6 +32,8 @@
         self._endpoint_by_name = {}
         self._has_listed_endpoints = False
         self.configuration = None
+        # When the last read of the newest configuration from the store began.
+        self.confirmed_at = 0.0
         self.is_store_reachable = True
 
     @property
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -77,7 +77,7 @@
         ),
         dialect=PlatformDialect(),
         store_cache=SimpleNamespace(
-            configuration=FleetConfiguration(1, (ROUTE,), (), ())
+            configuration=FleetConfiguration(1, (ROUTE,), (), ()), confirmed_at=0.0
         ),
         writer=SimpleNamespace(wake=lambda: None),
         response_memory=ResponseMemory(),
