Leave replaced gateways out of the decision whether a gateway is isolated

Callers could see: items of a lost gateway's job start 4 s later than needed, or, after connections fell silent, run at two holders.

Cause: `IsolationGuard` compared the peers in contact with all ids of the last 600 s. After as many gateways were replaced by ones with new ids as there are others, the dead ids are a majority. Adoption did not stop for good: the next takeover waited 4 s. From then on the gateway counted as isolated for up to ten minutes with that wait over, so a loss of all contact moved jobs at once.

Change: only peers that were lost within the last 60 s count.

--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -137,6 +137,18 @@
         }
         return [s for s, _ in self._entry_by_id.values() if not s.is_gone]
 
+    def lost(self, now):
+        """Return the peers that may hold jobs but are not live.
+
+        The result has the age of each one's last state in seconds, by id.
+        """
+        live_ids = {state.node_id for state in self.live(now)}
+        return {
+            state.node_id: now - self._entry_by_id[state.node_id][1]
+            for state in self.possible_holders(now)
+            if state.node_id not in live_ids
+        }
+
     def quota_share(self, now, min_count):
         """Return the fraction of the quotas that the live nodes may use together.
 
--- a/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
@@ -12,6 +12,9 @@
 # A node that has lost contact with most others waits this long before it takes over
 # jobs: connections that fell silent are replaced by then.
 ISOLATION_WAIT_SECONDS = 4.0
+# Peers that were lost longer ago have most likely been replaced by others: neither a
+# suspension nor silent connections last that long.
+LOST_TOGETHER_SECONDS = 60.0
 
 
 class IsolationGuard:
@@ -21,21 +24,25 @@
     have more likely failed than the peers. Their jobs then still have holders.
 
     >>> guard = IsolationGuard()
-    >>> guard.may_adopt(live_count=7, known_count=8, now=10.0)
+    >>> guard.may_adopt(live_count=7, lost_seconds=[2.0], now=10.0)
     True
-    >>> [guard.may_adopt(0, 8, now) for now in (11.0, 14.0, 15.0)]
+    >>> [guard.may_adopt(0, [2.0] * 8, now) for now in (11.0, 14.0, 15.0)]
     [False, False, True]
+    >>> guard.may_adopt(1, [90.0] * 8, now=16.0)
+    True
     """
 
     def __init__(self):
         self._isolated_since = None
 
-    def may_adopt(self, live_count, known_count, now):
+    def may_adopt(self, live_count, lost_seconds, now):
         """Return whether jobs may be taken over.
 
-        `known_count` is the number of known peers, `live_count` of those in contact.
+        `live_count` is the number of peers in contact, `lost_seconds` has the time
+        since the last contact with each of the others.
         """
-        if 2 * (live_count + 1) >= known_count + 1:
+        lost_count = sum(seconds <= LOST_TOGETHER_SECONDS for seconds in lost_seconds)
+        if live_count + 1 >= lost_count:
             self._isolated_since = None
             return True
         if self._isolated_since is None:
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -93,9 +93,14 @@
     def adopt_orphans(self):
         """Adopt the jobs chosen for this node; return False to try again soon."""
         peers = self._parts.coordinator.ask(PossibleHolders())
-        known, lost = len(peers.known_ids), len(peers.lost_ids)
-        if not self._isolation.may_adopt(known - lost, known, self._clock()):
-            self._log.info("no jobs adopted while isolated", lost=lost, known=known)
+        lost_seconds = peers.lost_seconds_by_id.values()
+        live_count = len(peers.known_ids) - len(lost_seconds)
+        if not self._isolation.may_adopt(live_count, lost_seconds, self._clock()):
+            self._log.info(
+                "no jobs adopted while isolated",
+                live=live_count,
+                lost=sorted(peers.lost_seconds_by_id),
+            )
             return False
         while not self._noted_keys.empty():
             self._orphans.note_unheld(self._noted_keys.get(), self._clock())
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -137,8 +137,7 @@
                 return self._nodes.live(now, within)
             case PossibleHolders():
                 known = [s.node_id for s in self._nodes.possible_holders(now)]
-                live = {state.node_id for state in self._nodes.live(now)}
-                return HolderPeers(known, [n for n in known if n not in live])
+                return HolderPeers(known, self._nodes.lost(now))
             case LiveNodeFraction():
                 return self._quota_share(now)
             case BatchShare():
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -243,10 +243,13 @@
 
 
 class HolderPeers(NamedTuple):
-    """Ids of the peers that may hold jobs, and of those among them that are lost."""
+    """Ids of the peers that may hold jobs.
+
+    `lost_seconds_by_id` has the lost ones among them and the age of their last state.
+    """
 
     known_ids: list
-    lost_ids: list
+    lost_seconds_by_id: dict
 
 
 class UsableVersions(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -115,7 +115,7 @@
             return None
         if not self._is_large:
             return self._peer_acks.contact_since(peers.known_ids, self._clock())
-        if peers.lost_ids:
+        if peers.lost_seconds_by_id:
             return None
         return self._peer_acks.any_contact_since(self._clock())
 
@@ -219,7 +219,7 @@
             self._log.info(
                 "held jobs exclusive" if is_exclusive else "held jobs may be adopted",
                 known_peers=len(peers.known_ids),
-                lost=sorted(peers.lost_ids),
+                lost=sorted(peers.lost_seconds_by_id),
                 jobs=len(self._job_registry.jobs()),
             )
 
--- a/tests/features/gateway/holders.feature
+++ b/tests/features/gateway/holders.feature
@@ -99,6 +99,20 @@
     Then reads at "a" return 1 results
     And "a" holds the job
 
+  Scenario: A job moves in time after gateways were replaced, each by one with a new id
+    Given gateways "a, b, c, d, e", and "e" holds a job with 1 listed result
+    When gateways "b, c, d, f" are replaced in turn by "f, g, h, i", each after 30 seconds
+    And gateways "e" are stopped for good
+    And gossip goes on for 3.2 seconds
+    Then "a" holds the job
+
+  Scenario: Lost contact moves no job after gateways were replaced
+    Given gateways "a, b, c, d, e", and "e" holds a job with 1 listed result
+    When gateways "b, c, d, f, g, h, i, j" are replaced in turn by "f, g, h, i, j, k, l, m", each after 30 seconds
+    And all gateways lose contact with each other for 2.4 seconds
+    And gossip goes on for 4 seconds
+    Then no gateway has adopted the job
+
   Scenario Outline: A gateway that has forgotten some peers accepts a job
     Given gateways "a, b, c, d", and "<group>" were cut off from the others for 22 seconds when "a" accepted a job
     When the job is adopted by "<adopter>", which lists 2 more
--- a/tests/features/steps/holder_isolation_steps.py
+++ b/tests/features/steps/holder_isolation_steps.py
@@ -33,6 +33,19 @@
         context.simulation.suspend(name)
 
 
+@when(
+    'gateways "{names}" are replaced in turn by "{new_names}", each after {seconds:g} '
+    "seconds"
+)
+def replace(context, names, new_names, seconds):
+    simulation = context.simulation
+    for name, new_name in zip(names_in(names), names_in(new_names)):
+        simulation.suspend(name)
+        del simulation.gateway_by_name[name]
+        simulation.add(new_name)
+        simulation.run(seconds)
+
+
 @then("no gateway has adopted the job")
 def check_not_adopted(context):
     adopted = [row for row in context.simulation.trace if row[2] == "job adopted"]
