Share the cached pages of jobs among threads under a lock

Callers could see: a result listed at two positions of a job.

Cause: two reads of one job from the store at the same moment used one `ResultPages` without a lock; both could append the same page.

Evidence: review.feature "Two reads of a job from the store at the same moment", which lets the second read store its page while the first one does, failed on the code before: the second and third read returned the result twice. It was not seen outside the test.

Change: a read works on its own copy, which is merged into the cache under a lock.

--- a/packages/decisions/sequoiaglade_decisions/gateway/pages.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/pages.py
@@ -53,6 +53,11 @@
             self._pages[number] = list(results)
             self._revisions[number] = revision
 
+    def merge(self, other):
+        """Store all pages of another `ResultPages`, unless newer ones are known."""
+        for number, (results, revision) in enumerate(other.pages()):
+            self.put(number, results, revision)
+
     def plan(self, results):
         """Return the next write: page index, expected revision and content.
 
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -1,6 +1,7 @@
 """Callers' requests about batch jobs: submission, reads and the end of a job."""
 
 import random
+import threading
 import time
 
 import structlog
@@ -41,6 +42,7 @@
         self._storage = storage
         self._runner = runner
         self._adopter = adopter
+        self._cache_lock = threading.Lock()
         self._pages_by_key = {}
         self._header_by_key = {}
         self._log = structlog.get_logger()
@@ -226,14 +228,12 @@
         pages = ResultPages()
         began_at = self._registry.clock()
         with self._registry.lock:
-            for number, page in enumerate(job.pages.pages()):
-                pages.put(number, *page)
+            pages.merge(job.pages)
         failure = self._storage.read_pages(job.key, pages)
         if failure is not None:
             return failure
         with self._registry.lock:
-            for number, page in enumerate(pages.pages()):
-                job.pages.put(number, *page)
+            job.pages.merge(pages)
             job.batch.note_listed(job.pages.results)
             job.validity.note_confirmed(began_at)
         return None
@@ -252,13 +252,18 @@
         window = address and self._parts.peers.read_job(address, key, after)
         if window:
             return window
-        if len(self._pages_by_key) > CACHED_JOBS_MAX:
-            self._pages_by_key.clear()
-        pages = self._pages_by_key.setdefault(key, ResultPages())
+        pages = ResultPages()
+        with self._cache_lock:
+            pages.merge(self._pages_by_key.get(key, pages))
         if pages.count < len(header.spec.items):
             failure = self._storage.read_pages(key, pages)
             if failure is not None:
                 return failure
+            with self._cache_lock:
+                if len(self._pages_by_key) > CACHED_JOBS_MAX:
+                    self._pages_by_key.clear()
+                cached = self._pages_by_key.setdefault(key, ResultPages())
+                cached.merge(pages)
         return len(header.spec.items), pages.window(after, RESPONSE_CHARACTERS_MAX)
 
     def _header_of(self, key):
--- a/tests/features/gateway/review.feature
+++ b/tests/features/gateway/review.feature
@@ -6,6 +6,11 @@
     And "a" is back for 12 seconds and is read, while "b" waits for the write of another job's results
     Then a read at "c", which can't reach "a", returns no more results than one at "a"
 
+  Scenario: Two reads of a job from the store at the same moment
+    Given gateways "a, b, c", and "a" holds a job with 1 listed result
+    When "c", which can't reach "a", is read while another read there stores its page
+    Then both reads and a later one return 1 result
+
   Scenario: An end of a job that was refused as not run takes effect
     Given gateways "a, b, c", and "a" holds a job with 1 listed result
     When the end of the job is written without an answer, and takes effect 5 seconds later
--- a/tests/features/steps/review_steps.py
+++ b/tests/features/steps/review_steps.py
@@ -12,7 +12,7 @@
 from holders_steps import SETTLE_SECONDS, _run_until, submit
 from memory_store import LateWrite
 from quiet_runner_steps import run_stream, wait_for_end
-from sequoiaglade_gateway.batch import service
+from sequoiaglade_gateway.batch import JobStorage, service
 from sequoiaglade_gateway.batch.storage import ENDS_KIND
 from sequoiaglade_gateway.interface import EndJob
 from sequoiaglade_gateway.messages import StreamKeepers
@@ -62,6 +62,51 @@
     gateway.write()
 
 
+class _InterruptedList(list):
+    """A list that calls `interrupt` once before it is copied."""
+
+    def __init__(self, rows, interrupt):
+        super().__init__(rows)
+        self._interrupts = [interrupt]
+
+    def __iter__(self):
+        while self._interrupts:
+            self._interrupts.pop()()
+        return super().__iter__()
+
+
+@when(
+    '"{name}", which can\'t reach "{holder}", is read while another read there stores '
+    "its page"
+)
+def read_twice(context, name, holder):
+    simulation = context.simulation
+    submit(context, "b")
+    gateway = simulation.gateway_by_name[name]
+    simulation.cut(name, [holder])
+    simulation.run(SETTLE_SECONDS)
+    read_page = JobStorage.read_page
+    found = context.found = []
+
+    def read_again():
+        found.append(gateway.read(context.job_id))
+
+    def read_interrupted(storage, key, number):
+        page = read_page(storage, key, number)
+        patch.stop()
+        return page._replace(results=_InterruptedList(page.results, read_again))
+
+    patch = mock.patch.object(JobStorage, "read_page", read_interrupted)
+    patch.start()
+    read_again()
+    read_again()
+
+
+@then("both reads and a later one return {count:d} result")
+def check_read_twice(context, count):
+    assert [len(results) for results in context.found] == [count] * 3, context.found
+
+
 @then(
     'a read at "{name}", which can\'t reach "{holder}", returns no more results than '
     'one at "{holder}"'
