Don't take a call that ended without the peer for a response of it

Callers could see: calls between gateways time out for longer than a second after a connection fell silent, as long as other calls on it are cancelled or fail locally.

Cause: `RenewedChannel.note_outcome` counted every code but DEADLINE_EXCEEDED as a response, so that the connection was not replaced.

Evidence: channels.feature "A channel works again although calls on its silent connection are cancelled" failed on the code before (no call succeeded within 2 s). No call of the product is cancelled today except by closing its channel.

Change: CANCELLED and UNAVAILABLE are no responses either.

--- a/packages/node/sequoiaglade_node/peers/channels.py
+++ b/packages/node/sequoiaglade_node/peers/channels.py
@@ -14,6 +14,12 @@
 REPLACE_INTERVAL_SECONDS = 1.0
 # By default channels to one address share a connection, even one that is silent.
 _OWN_CONNECTION = ("grpc.use_local_subchannel_pool", 1)
+# Codes of calls that may have ended without a response of the peer.
+_CODES_WITHOUT_RESPONSE = (
+    grpc.StatusCode.DEADLINE_EXCEEDED,
+    grpc.StatusCode.CANCELLED,
+    grpc.StatusCode.UNAVAILABLE,
+)
 
 
 class _Connection(NamedTuple):
@@ -86,7 +92,7 @@
                 self._replaced.append((connection.channel, now))
                 self._connection = _Connection(connection.number + 1, self._open())
                 self._replaced_at = now
-            elif code is not grpc.StatusCode.DEADLINE_EXCEEDED:
+            elif code not in _CODES_WITHOUT_RESPONSE:
                 self._responded_at = now
             due = [c for c, at in self._replaced if now - at > CLOSE_DELAY_SECONDS]
             self._replaced = self._replaced[len(due) :]
--- a/tests/features/membership/channels.feature
+++ b/tests/features/membership/channels.feature
@@ -9,3 +9,9 @@
     Given a peer server behind a link, and a channel on which calls succeed
     When a call of 1 second runs while shorter calls time out
     Then the call of 1 second succeeds
+
+  Scenario: A channel works again although calls on its silent connection are cancelled
+    Given a peer server behind a link, and a channel on which calls succeed
+    When the open connections of the link fall silent
+    And a call on the channel is cancelled every 0.1 seconds
+    Then within 2 seconds a call on the channel succeeds
--- a/tests/features/steps/channel_steps.py
+++ b/tests/features/steps/channel_steps.py
@@ -47,6 +47,20 @@
     context.link.silence_open_connections()
 
 
+@when("a call on the channel is cancelled every {seconds:g} seconds")
+def cancel_calls(context, seconds):
+    stopped = threading.Event()
+
+    def run():
+        while not stopped.wait(seconds):
+            context.call.future(b"0", timeout=CALL_SECONDS).cancel()
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    context.stack.callback(thread.join)
+    context.stack.callback(stopped.set)
+
+
 @then("within {seconds:d} seconds a call on the channel succeeds")
 def check_succeeds(context, seconds):
     deadline = time.monotonic() + seconds
