Don't take an unknown stream up at the only version left in the list

Callers could see: a stream with events of two software versions.

Cause: a gateway took a stream that no node knows for one of the only listed version, also right after the stream's own version had left the list. Notes are lost if a peer is away, and none are sent while one version is listed.

Change: a version counts for 20 s after this node last saw it listed, when a request for a stream was placed or taken up; peers are told of streams for as long. A gateway that started since does not know the version that left.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -44,7 +44,7 @@
     move_headroom,
     silence_step,
 )
-from .stream_versions import StreamVersions, stream_keepers
+from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 
 __all__ = [
     "DEFAULT_SLOTS",
@@ -80,6 +80,7 @@
     "PeerAcks",
     "Placed",
     "Quarantine",
+    "RecentVersions",
     "ResponseBounds",
     "ResponsePart",
     "ResponseProgress",
--- a/packages/decisions/sequoiaglade_decisions/gateway/stream_versions.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/stream_versions.py
@@ -12,6 +12,8 @@
 
 # Callers take a stream up within their deadline, which is a few seconds.
 STREAM_RETENTION_SECONDS = 60.0
+# Streams of a version that left the list are over after this time, a few deadlines.
+VERSION_RETENTION_SECONDS = 20.0
 # At most this many streams are kept, the newest ones.
 STREAMS_MAX = 20_000
 # Number of nodes that keep a stream's version in a fleet too large to tell all nodes.
@@ -53,6 +55,33 @@
         return now - self._entry_by_id[request_id][1] > STREAM_RETENTION_SECONDS
 
 
+class RecentVersions:
+    """Versions that each service has or had until lately.
+
+    Streams of a version that has just left the list may still be taken up.
+
+    >>> recent = RecentVersions()
+    >>> sorted(recent.observe("s", {"v1", "v2"}, now=0.0))
+    ['v1', 'v2']
+    >>> sorted(recent.observe("s", {"v2"}, now=19.0)), recent.observe("s", {"v2"}, 21.0)
+    (['v1', 'v2'], {'v2'})
+    """
+
+    def __init__(self):
+        self._seen_at_by_service = {}
+
+    def observe(self, service, versions, now):
+        """Record the listed versions of a service; return the recent ones, as a set."""
+        seen_at = self._seen_at_by_service.get(service, {})
+        seen_at = {**seen_at, **dict.fromkeys(versions, now)}
+        self._seen_at_by_service[service] = {
+            version: at
+            for version, at in seen_at.items()
+            if now - at <= VERSION_RETENTION_SECONDS
+        }
+        return set(self._seen_at_by_service[service])
+
+
 def stream_keepers(request_id, node_ids, is_fleet_large):
     """Return the nodes that are told of a stream's version, and are asked for it.
 
--- a/packages/gateway/sequoiaglade_gateway/online/streams.py
+++ b/packages/gateway/sequoiaglade_gateway/online/streams.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import StreamVersions
+from sequoiaglade_decisions.gateway import RecentVersions, StreamVersions
 
 from ..messages import FindStreamKeepers
 
@@ -13,7 +13,7 @@
 class StreamDirectory:
     """Keeps the versions of streams, tells peers of them, and asks peers for them.
 
-    Peers are told only while several versions of the service are listed.
+    Peers are told only while the service has several versions or had until lately.
     """
 
     def __init__(self, parts, client, clock=time.monotonic):
@@ -22,6 +22,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._versions = StreamVersions()
+        self._recent = RecentVersions()
         self._log = structlog.get_logger()
 
     def note(self, request_id, service, version):
@@ -48,7 +49,7 @@
         """Return the version of a stream that this node or a peer knows.
 
         If none knows it, return the only version of the service, or None if it has
-        several.
+        several or had until lately.
         """
         version, source = self.known_version(request_id), "this node"
         keepers = self._find_keepers(request_id, service)
@@ -69,4 +70,8 @@
         return version
 
     def _find_keepers(self, request_id, service):
-        return self._parts.coordinator.ask(FindStreamKeepers(request_id, service))
+        """Return the `StreamKeepers`, with the versions that were listed lately."""
+        found = self._parts.coordinator.ask(FindStreamKeepers(request_id, service))
+        with self._lock:
+            versions = self._recent.observe(service, found.versions, self._clock())
+        return found._replace(versions=versions)
--- a/tests/features/gateway/versions.feature
+++ b/tests/features/gateway/versions.feature
@@ -43,3 +43,9 @@
     Given a peer whose calls succeed
     When its open connections fall silent, and a note of a stream is sent
     Then within 3 seconds the peer knows the stream's version
+
+  Scenario: A stream that nobody knows is taken up after its version has left the list
+    Given a gateway that listed versions "v1, v2" and lists "v2" now
+    Then it does not take an unknown stream up at "v2" within 15 seconds
+    And it tells peers of new streams for 15 seconds
+    And it takes an unknown stream up at "v2" after 25 seconds
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from emulator.fleet import wait_until
+from sequoiaglade_gateway.messages import StreamKeepers
 from sequoiaglade_gateway.online import StreamDirectory
 from sequoiaglade_gateway.peers import FleetServicer, PeerClient, start_peer_server
 
@@ -102,3 +103,40 @@
     request_id, version = NOTED
     known = lambda: context.peer.streams.known_version(request_id) == version  # noqa: E731
     wait_until(known, seconds, "the peer knows the version")
+
+
+@given('a gateway that listed versions "{before}" and lists "{now}" now')
+def given_left(context, before, now):
+    context.now = 0.0
+    context.keepers = StreamKeepers(["peer:1"], set(before.split(", ")))
+    context.noted_ids = []
+    client = SimpleNamespace(
+        find_stream=lambda addresses, request_id: None,
+        note_stream=lambda address, request_id, _: context.noted_ids.append(request_id),
+    )
+    parts = SimpleNamespace(
+        coordinator=SimpleNamespace(ask=lambda message: context.keepers)
+    )
+    context.streams = StreamDirectory(parts, client, lambda: context.now)
+    context.streams.note("request-0", "service", now)
+    context.keepers = StreamKeepers(["peer:1"], {now})
+
+
+@then('it does not take an unknown stream up at "{version}" within {seconds:d} seconds')
+def check_not_taken_up(context, version, seconds):
+    for context.now in (0.1, float(seconds)):
+        assert context.streams.find_version("unknown", "service") != version
+
+
+@then("it tells peers of new streams for {seconds:d} seconds")
+def check_noted(context, seconds):
+    for context.now in (0.1, float(seconds)):
+        request_id = f"request at {context.now}"
+        context.streams.note(request_id, "service", "v2")
+        assert context.noted_ids[-1] == request_id
+
+
+@then('it takes an unknown stream up at "{version}" after {seconds:d} seconds')
+def check_taken_up(context, version, seconds):
+    context.now = float(seconds)
+    assert context.streams.find_version("unknown", "service") == version
