A job whose end becomes known while it is adopted or stored stays ended

Cause: an end was marked on the held job only. A gateway that heard of the end between its look at the known ends and the addition of the job (it asks likely holders, reads the parts and the pages meanwhile, each up to a second) added the job as one that runs, and nothing told it again. The same holds for a gateway that gets the store's answer to a job's creation late, after another gateway has accepted and ended the job. Callers: all items of the ended job run.

The registry now keeps the keys of ended jobs, and a job that is added is compared with them under the registry's lock.

--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -61,11 +61,17 @@
         self.lock = threading.RLock()
         self.clock = clock
         self._job_by_key = {}
+        self._ended_keys = set()
         self._run_seconds = INITIAL_RUN_SECONDS
 
     def add(self, job):
-        """Add a job, unless it is held already."""
+        """Add a job, unless it is held already.
+
+        Its end may have become known while the job was read or written.
+        """
         with self.lock:
+            if job.key in self._ended_keys:
+                job.batch.is_ended = True
             self._job_by_key.setdefault(job.key, job)
 
     def get(self, key):
@@ -80,11 +86,17 @@
     def end(self, key):
         """Mark a job as ended, so that no item starts; return whether it is held."""
         with self.lock:
+            self._ended_keys.add(key)
             job = self._job_by_key.get(key)
             if job is not None:
                 job.batch.is_ended = True
             return job is not None
 
+    def is_ended(self, key):
+        """Return whether the end of a job is known, also of one that is not held."""
+        with self.lock:
+            return key in self._ended_keys
+
     def jobs(self):
         """Return all held jobs, sorted by due time."""
         with self.lock:
--- /dev/null
+++ b/tests/features/steps/ended_job_steps.py
@@ -0,0 +1,200 @@
+"""Steps for items of jobs that were ended."""
+
+import time
+from types import SimpleNamespace
+
+from behave import given, then, when
+from emulator import RunnerPlan
+from emulator.fleet import wait_until
+from gateway_calls import runs, start
+from gateway_item_runner_steps import start_item_runner
+from holder_simulation import PATH
+from holders_steps import _run_until, submit
+from sequoiaglade_gateway.batch.storage import ENDS_KIND, JOBS_KIND, PARTS_KIND
+from sequoiaglade_gateway.interface import EndJob
+
+OTHER_JOB = "other-job"
+RUNNER_JOB = "yard.job"
+# With the few items that run at once, a job of 60 items runs for over 10 seconds.
+FEW_ITEMS = RunnerPlan(slots=4, event_count=12, event_seconds=0.05)
+
+
+def _note_end(simulation, gateway, key):
+    """Let a gateway learn of an end as from its watch."""
+    simulation.store.write(ENDS_KIND, key, None, {})
+    gateway.batch.note_end(key)
+
+
+def _end(context, job_id, name):
+    """Let a caller end a job; the simulation has no watches."""
+    simulation = context.simulation
+    gateway = simulation.gateway_by_name[name]
+    call = SimpleNamespace(request_id="r", key=None, path=PATH + job_id)
+    with simulation.acting(gateway):
+        response = gateway.batch.handle(
+            EndJob(job_id), call, None, simulation.configuration
+        )
+    assert response.status == 200, response
+
+
+def _run_before(access, method, kind, action):
+    """Run `action` once, after the next call of a kind and before its answer."""
+    original = getattr(access, method)
+
+    def call(called_kind, *arguments, **options):
+        answer = original(called_kind, *arguments, **options)
+        if called_kind == kind and hasattr(access, "pending_action"):
+            del access.pending_action
+            action()
+        return answer
+
+    access.pending_action = True
+    setattr(access, method, call)
+
+
+@when(
+    '"{holder}" is cut off, and the end of the job becomes known while "{adopter}" '
+    "adopts it"
+)
+def end_during_adoption(context, holder, adopter):
+    simulation = context.simulation
+    submit(context, adopter)
+    simulation.run(0.4)
+    gateway = simulation.gateway_by_name[adopter]
+    _run_before(
+        gateway.store,
+        "get",
+        PARTS_KIND,
+        lambda: _note_end(simulation, gateway, context.key),
+    )
+    simulation.cut(holder)
+    _run_until(simulation, lambda: not hasattr(gateway.store, "pending_action"))
+    simulation.run(1.0)
+
+
+@when(
+    '"{holder}" stores another job, whose end becomes known before the store\'s answer'
+)
+def end_during_storing(context, holder):
+    simulation = context.simulation
+    gateway = simulation.gateway_by_name[holder]
+    context.other_key = f".{OTHER_JOB}"
+    _run_before(
+        gateway.store,
+        "create",
+        JOBS_KIND,
+        lambda: _note_end(simulation, gateway, context.other_key),
+    )
+    gateway.submit(OTHER_JOB)
+
+
+@when('"{holder}" stores another job, and it is ended at "{name}" before any gossip')
+def end_before_gossip(context, holder, name):
+    context.other_key = f".{OTHER_JOB}"
+    context.simulation.gateway_by_name[holder].submit(OTHER_JOB)
+    _end(context, OTHER_JOB, name)
+
+
+@when(
+    '"{holder}" is cut off until "{other}" holds the job as well, and it is ended at '
+    '"{name}"'
+)
+def end_with_two_holders(context, holder, other, name):
+    simulation = context.simulation
+    submit(context, other)
+    simulation.run(0.4)
+    simulation.cut(holder)
+    _run_until(simulation, lambda: len(simulation.holders(context.key)) == 2)
+    simulation.heal(holder, [name])
+    simulation.gateway_by_name[name].run_round()
+    assert len(simulation.holders(context.key)) == 2
+    _end(context, context.job_id, name)
+
+
+@then("no gateway starts an item of that job")
+def check_other_not_started(context):
+    _check_not_started(context, context.other_key, context.simulation.running())
+
+
+@then("no gateway starts an item of the job")
+def check_not_started(context):
+    _check_not_started(context, context.key, context.simulation.running())
+
+
+@then('no gateway but "{holder}" starts an item of the job')
+def check_others_not_started(context, holder):
+    others = [g for g in context.simulation.running() if g.name != holder]
+    _check_not_started(context, context.key, others)
+
+
+def _check_not_started(context, key, gateways):
+    for gateway in gateways:
+        job = gateway.registry.get(key)
+        if job is not None:
+            assert job.batch.start_next(context.simulation.now) is None, gateway.name
+
+
+@given("an item runner whose job is ended during the first placement")
+def given_ended(context):
+    start_item_runner(context, lambda: _end_at_runner(context))
+
+
+@given("an item runner whose job is released and ended during the first placement")
+def given_released_and_ended(context):
+    def release_and_end():
+        context.registry.release(RUNNER_JOB)
+        context.item_runner.stop_job(RUNNER_JOB)
+        _end_at_runner(context)
+
+    start_item_runner(context, release_and_end)
+
+
+def _end_at_runner(context):
+    if context.registry.end(RUNNER_JOB):
+        context.item_runner.stop_job(RUNNER_JOB)
+    context.is_ended = True
+
+
+@then("no item is sent within {seconds:d} second")
+def check_not_sent(context, seconds):
+    time.sleep(seconds)
+    assert context.is_ended
+    assert not context.endpoint.runs, context.endpoint.runs
+
+
+@given("1 gateway and 1 runner with few slots")
+def given_few_slots(context):
+    start(context, 1, [FEW_ITEMS])
+
+
+@when('the store loses the responses to watches of "{kind}"')
+def lose_watch_responses(context, kind):
+    context.gateways.store.lose_watch_responses(kind)
+
+
+@when("the end of the job is written by a gateway that is lost at once")
+def write_end(context):
+    wait_until(lambda: runs(context), 3.0, "an item runs")
+    context.gateways.store.put(ENDS_KIND, f"yard.{context.job_id}", {})
+    context.ended_at = time.monotonic()
+
+
+@then("no item of it is sent later than {seconds:d} seconds after the end")
+def check_sent_before(context, seconds):
+    time.sleep(2.0 * seconds)
+    before_end = [run for run in runs(context) if run.began_at < context.ended_at]
+    assert 0 < len(before_end) < len(context.items)
+    late = [
+        round(run.began_at - context.ended_at, 3)
+        for run in runs(context)
+        if run.began_at > context.ended_at + seconds
+    ]
+    assert not late, late
+
+
+@then("items of it are still sent {seconds:d} seconds later")
+def check_still_sent(context, seconds):
+    time.sleep(seconds)
+    count = len(runs(context))
+    time.sleep(2.0)
+    assert len(runs(context)) > count, count
