The end of a job is told to each gateway that may hold it

Cause: the gateway that ends a job told one gateway whose gossip names the job. In a large fleet that gossip arrives seconds late, so that the holder learned of the end by its watch alone; of two holders only one was told.

Evidence: two scenarios of ended_jobs.feature failed before ("a" starts an item of the job after the end was acknowledged elsewhere).

Now all gateways are told that report the job, and the one that accepted it if its header was read to find the job: no further call to the store.

--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -313,8 +313,7 @@
                 return self._refuse_after_failure(call, key, failure)
             time.sleep(LOST_ANSWER_PAUSE_SECONDS)
         self.note_end(key)
-        address = self._peer_of(key)
-        if address:
+        for address in self._holder_addresses(key):
             self._parts.peers.end_job(address, key)
         return json_response(200, {})
 
@@ -332,6 +331,21 @@
                 return state.peer_address
         return None
 
+    def _holder_addresses(self, key):
+        """Return the peer addresses of the nodes that hold or may hold a job.
+
+        In a large fleet the gossip about a job's holder arrives late. The holder is
+        most often the node that accepted the job.
+        """
+        header = self._header_by_key.get(key)
+        accepted_by = header and header.spec.accepted_by
+        return [
+            state.peer_address
+            for state in self._parts.coordinator.ask(LiveNodes())
+            if state.node_id == accepted_by
+            or any(summary.job_key == key for summary in state.jobs)
+        ]
+
     def _address_of(self, node_id):
         """Return the peer address of a live node, or None."""
         for state in self._parts.coordinator.ask(LiveNodes()):
