An item is sent only while its job is known not to have ended

Cause: a gateway knows of ends by its watch of the store, which tells nothing while it waits. If the response that tells of an end is lost, the gateway notices after up to 21 seconds, and sends items of the job all the while. An item that was being placed when the end arrived was sent as well, as were the items of a released job in the same pass of the item runner.

Right before an item is sent, on its open connection, the gateway looks at the age of its knowledge of ends: from the store's answer to the creation of the job, or from the last answer to a question about ends. If it is over 2 s, the store is asked beside the waiting watch; all items of a gateway share the answer, so that there is at most one such call in 2 s, and only while items are sent. While the store does not answer, items are sent on, since no end can be acknowledged then; the store is asked again after a second. An answer that is too old itself, since the process was suspended, withholds the item.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -10,6 +10,7 @@
 from .groups import eligible_nodes, group_count, group_of, schedulers
 from .hashing import stable_hash
 from .health import EndpointHealth
+from .job_ends import EndsKnowledge, SendDecision
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
@@ -59,6 +60,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoads",
+    "EndsKnowledge",
     "Event",
     "EventSplitter",
     "ExceededBound",
@@ -89,6 +91,7 @@
     "RouteKind",
     "Scheduled",
     "Service",
+    "SendDecision",
     "SharedBytes",
     "SilenceStep",
     "StreamVersions",
--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -29,6 +29,10 @@
     def __exit__(self, *exc_info):
         _current.attempt = None
 
+    def may_send(self):
+        """Return whether the request may be sent now that the connection is open."""
+        return True
+
     def attach(self, sock):
         """Set the socket that the attempt uses."""
         with self._lock:
--- a/packages/gateway/sequoiaglade_gateway/batch/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/__init__.py
@@ -1,6 +1,7 @@
 """Batch jobs: acceptance, storage, execution beside online requests, and reads."""
 
 from .adoption import JobAdopter
+from .ends import JobEnds
 from .registry import JobRegistry
 from .runner import ItemRunner
 from .service import BatchService
@@ -11,6 +12,7 @@
     "BatchService",
     "ItemRunner",
     "JobAdopter",
+    "JobEnds",
     "JobRegistry",
     "JobStorage",
     "ResultWriter",
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/batch/ends.py
@@ -0,0 +1,62 @@
+"""Ends of jobs, as the store tells of them, and the check before an item is sent."""
+
+import threading
+
+import structlog
+
+from sequoiaglade_decisions.gateway import EndsKnowledge, SendDecision
+
+
+class JobEnds:
+    """Decides for each item, right before it is sent, whether its job still runs.
+
+    `read_ends` asks the store for the ends that this node has not heard of, passes them
+    on, and returns None or a `Failure`. All items of a node share its answers.
+    """
+
+    def __init__(self, registry, metrics, read_ends):
+        self._registry = registry
+        self._metrics = metrics
+        self._read_ends = read_ends
+        self._lock = threading.Lock()
+        self._knowledge = EndsKnowledge()
+        self._log = structlog.get_logger()
+
+    def may_send(self, job, item_id):
+        """Return whether an item of a `HeldJob` may be sent now.
+
+        Waits for the store's answer if what this node knows is too old.
+        """
+        decision, age = self._decide(job)
+        is_ended = self._registry.is_ended(job.key)
+        # The process may have been suspended while it waited for the answer.
+        may_send = not is_ended and decision is not SendDecision.ASK
+        if not may_send or decision is SendDecision.SEND_UNCONFIRMED:
+            self._log.info(
+                "item sent without recent ends" if may_send else "item withheld",
+                item_id=item_id,
+                job=job.key,
+                is_ended=is_ended,
+                known_age_seconds=None if age is None else round(age, 3),
+            )
+        outcome = decision.name.lower() if may_send else "withheld"
+        self._metrics.count("item send check", outcome)
+        return may_send
+
+    def _decide(self, job):
+        clock = self._registry.clock
+        with self._lock:
+            now = clock()
+            decision = self._knowledge.decide(job.accepted_at, now)
+            if decision is not SendDecision.ASK:
+                return decision, self._knowledge.age(job.accepted_at, now)
+            failure = self._read_ends()
+            answered_at = clock()
+            self._metrics.count("ends read", "failed" if failure else "answered")
+            if failure is None:
+                self._knowledge.note_answer(now)
+            else:
+                self._knowledge.note_failure(answered_at)
+                self._log.info("ends of jobs not read", reason=failure.reason)
+            decision = self._knowledge.decide(job.accepted_at, answered_at)
+            return decision, self._knowledge.age(job.accepted_at, answered_at)
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -35,6 +35,7 @@
             spec, spec.submitted_at + (route.due_seconds if route else 0)
         )
         self.pages = pages or ResultPages()
+        self.accepted_at = accepted_at
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
         self.validity = PageValidity(accepted_at)
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -56,6 +56,24 @@
     service: str
 
 
+class _ItemAttempt(Attempt):
+    """An attempt that is aborted before it is sent if the item's job has ended."""
+
+    def __init__(self, job_ends, job, item_id):
+        super().__init__()
+        self._job_ends = job_ends
+        self._job = job
+        self._item_id = item_id
+
+    def may_send(self):
+        """Return whether the job is known not to have ended."""
+        if not self.is_aborted and not self._job_ends.may_send(
+            self._job, self._item_id
+        ):
+            self.abort()
+        return not self.is_aborted
+
+
 class ItemRunner(OwnedThread):
     """One thread that runs as many items as the node's share; a context manager."""
 
@@ -190,7 +208,8 @@
                 self._retry_at_by_service[service] = retry_at
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             return False
-        run = _ItemRun(job, progress, placed.endpoint, Attempt(), service)
+        attempt = _ItemAttempt(self._parts.job_ends, job, item.item_id)
+        run = _ItemRun(job, progress, placed.endpoint, attempt, service)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
         self._log.info(
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -122,6 +122,9 @@
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
+    if not attempt.may_send():
+        _close(connection, None, attempt)
+        return CallFault(Fault.NOT_SENT, "the request is not to be sent any more")
     connection.sock = PatientSocket(connection.sock, patience)
     bounded = BoundedResponse(request, attempt, bounds, memory)
     bounded.install(connection)
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -21,6 +21,7 @@
     BatchService,
     ItemRunner,
     JobAdopter,
+    JobEnds,
     JobRegistry,
     JobStorage,
     ResultWriter,
@@ -58,6 +59,7 @@
     metrics: Any
     online: Any
     batch: Any
+    job_ends: Any
     peers: Any
     placer: Any
     preemptor: Any
@@ -162,6 +164,10 @@
         parts = self._parts
         registry = self._job_registry = JobRegistry()
         storage = JobStorage(parts.store, parts.settings.store.value_bytes)
+        self._ends_watcher = KindWatcher(
+            parts.store, ENDS_KIND, self._on_job_ends_listed, self._on_job_end_changed
+        )
+        parts.job_ends = JobEnds(registry, parts.metrics, self._ends_watcher.read_now)
         self._runner = ItemRunner(parts, registry)
         self._job_adopter = JobAdopter(parts, registry, storage)
         self._writer = parts.writer = ResultWriter(registry, storage)
@@ -213,12 +219,7 @@
                 cache.on_endpoint_changed,
                 cache.on_endpoints_reachable,
             ),
-            KindWatcher(
-                parts.store,
-                ENDS_KIND,
-                self._on_job_ends_listed,
-                self._on_job_end_changed,
-            ),
+            self._ends_watcher,
         )
         for watcher in watchers:
             stack.enter_context(watcher)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -40,6 +40,36 @@
         self._is_reachable = True
         self._log = structlog.get_logger()
 
+    def read_now(self):
+        """Read the changes since the last response; return None or a `Failure`.
+
+        A watch tells nothing while it waits, and its response may be lost. This may be
+        called from any thread; the watch may tell the same changes later.
+        """
+        revision = self._revision
+        if revision is None:
+            return self._read_list()
+        result = self._store.watch(self._kind, revision, PROBE_TIMEOUT_SECONDS)
+        if isinstance(result, Failure):
+            return self._read_list() if result.code is FailureCode.EXPIRED else result
+        for change in result.changes:
+            self._on_change(change)
+        if result.changes:
+            self._log.info(
+                "changes read beside the watch",
+                kind=self._kind,
+                revision=revision,
+                count=len(result.changes),
+            )
+        return None
+
+    def _read_list(self):
+        listing = self._store.list(self._kind)
+        if isinstance(listing, Failure):
+            return listing
+        self._on_list(listing.documents)
+        return None
+
     def _run(self):
         while not self._stopped.is_set():
             failure = self._list() if self._revision is None else self._watch()
--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -19,3 +19,38 @@
     Given gateways "a, b, c", and "a" holds a job with 1 listed result
     When "a" is cut off until "b" holds the job as well, and it is ended at "c"
     Then no gateway starts an item of the job
+
+  Scenario: A job is ended while one of its items is being placed
+    Given an item runner whose job is ended during the first placement
+    When a job of 3 items is held
+    Then no item is sent within 1 second
+
+  Scenario: A job that was released is ended while one of its items is being placed
+    Given an item runner whose job is released and ended during the first placement
+    When a job of 3 items is held
+    Then no item is sent within 1 second
+
+  Scenario: The store's response that tells of the end is lost
+    Given 1 gateway and 1 runner with few slots
+    When a job of 60 items is submitted at gateway 0
+    And the store loses the responses to watches of "batch-ends"
+    And the end of the job is written by a gateway that is lost at once
+    Then no item of it is sent later than 3 seconds after the end
+
+  Scenario: Items of a held job go on during an outage of the store
+    Given 1 gateway and 1 runner with few slots
+    When a job of 60 items is submitted at gateway 0
+    And the store is down
+    Then items of it are still sent 4 seconds later
+
+  Scenario: The response that tells of the end is lost, and the store's history as well
+    Given 1 gateway and 1 runner with few slots
+    When a job of 60 items is submitted at gateway 0
+    And the store loses the responses to watches of "batch-ends"
+    And the end of the job is written by a gateway that is lost at once
+    And the store discards its history
+    Then no item of it is sent later than 3 seconds after the end
+
+  Scenario: A gateway is suspended while it asks the store for ends
+    Given a gateway that is suspended for 8 seconds while it asks the store for ends
+    Then its next item is withheld, and the one after it is sent
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -2,6 +2,7 @@
 
 import time
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from emulator import RunnerPlan
@@ -10,6 +11,7 @@
 from gateway_item_runner_steps import start_item_runner
 from holder_simulation import PATH
 from holders_steps import _run_until, submit
+from sequoiaglade_gateway.batch import JobEnds, JobRegistry
 from sequoiaglade_gateway.batch.storage import ENDS_KIND, JOBS_KIND, PARTS_KIND
 from sequoiaglade_gateway.interface import EndJob
 
@@ -198,3 +200,30 @@
     count = len(runs(context))
     time.sleep(2.0)
     assert len(runs(context)) > count, count
+
+
+@when("the store discards its history")
+def discard_history(context):
+    context.gateways.store.compact()
+
+
+@given(
+    "a gateway that is suspended for {seconds:d} seconds while it asks the store for "
+    "ends"
+)
+def given_suspended(context, seconds):
+    context.now = 1000.0
+    suspensions = [seconds, 0.0]
+
+    def read_ends():
+        context.now += suspensions.pop(0)
+
+    registry = JobRegistry(lambda: context.now)
+    context.job_ends = JobEnds(registry, mock.Mock(), read_ends)
+
+
+@then("its next item is withheld, and the one after it is sent")
+def check_withheld(context):
+    job = SimpleNamespace(key="key", accepted_at=None)
+    assert not context.job_ends.may_send(job, "item-0")
+    assert context.job_ends.may_send(job, "item-1")
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -9,7 +9,7 @@
 from emulator.fleet import wait_until
 from fleet_adapter.dialect import PlatformDialect
 from gateway_calls import SLOW
-from sequoiaglade_gateway.batch import ItemRunner, JobRegistry
+from sequoiaglade_gateway.batch import ItemRunner, JobEnds, JobRegistry
 from sequoiaglade_gateway.batch.registry import HeldJob
 from sequoiaglade_gateway.batch.storage import JobHeader
 from sequoiaglade_gateway.bounded_reads import ResponseMemory
@@ -89,6 +89,8 @@
     parts.placer = _Placer(parts.coordinator, fault)
     context.coordinator = parts.coordinator
     context.registry = JobRegistry()
+    metrics = SimpleNamespace(count=lambda event, outcome: None)
+    parts.job_ends = JobEnds(context.registry, metrics, lambda: None)
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
