Items whose gateway knows enough do not wait for an answer about ends

The lock of the check was held while the store was asked, so that items of jobs that had just been accepted waited as well.

--- a/packages/gateway/sequoiaglade_gateway/batch/ends.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/ends.py
@@ -19,6 +19,7 @@
         self._metrics = metrics
         self._read_ends = read_ends
         self._lock = threading.Lock()
+        self._asking = threading.Lock()
         self._knowledge = EndsKnowledge()
         self._log = structlog.get_logger()
 
@@ -44,19 +45,31 @@
         return may_send
 
     def _decide(self, job):
-        clock = self._registry.clock
+        """Return the `SendDecision` and the age of what is known, in seconds."""
+        decision, age = self._look(job)
+        if decision is SendDecision.ASK:
+            # Other items need not wait for the store if what is known suffices.
+            with self._asking:
+                decision, age = self._look(job)
+                if decision is SendDecision.ASK:
+                    self._ask()
+                    decision, age = self._look(job)
+        return decision, age
+
+    def _look(self, job):
+        now = self._registry.clock()
         with self._lock:
-            now = clock()
             decision = self._knowledge.decide(job.accepted_at, now)
-            if decision is not SendDecision.ASK:
-                return decision, self._knowledge.age(job.accepted_at, now)
-            failure = self._read_ends()
-            answered_at = clock()
-            self._metrics.count("ends read", "failed" if failure else "answered")
+            return decision, self._knowledge.age(job.accepted_at, now)
+
+    def _ask(self):
+        asked_at = self._registry.clock()
+        failure = self._read_ends()
+        self._metrics.count("ends read", "failed" if failure else "answered")
+        with self._lock:
             if failure is None:
-                self._knowledge.note_answer(now)
+                self._knowledge.note_answer(asked_at)
             else:
-                self._knowledge.note_failure(answered_at)
-                self._log.info("ends of jobs not read", reason=failure.reason)
-            decision = self._knowledge.decide(job.accepted_at, answered_at)
-            return decision, self._knowledge.age(job.accepted_at, answered_at)
+                self._knowledge.note_failure(self._registry.clock())
+        if failure is not None:
+            self._log.info("ends of jobs not read", reason=failure.reason)
