--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -129,6 +129,9 @@
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
+    if not attempt.may_send():
+        _close(connection, None, attempt)
+        return CallFault(Fault.NOT_SENT, "the request is not to be sent any more")
     connection.sock = PatientSocket(connection.sock, patience)
     bounded = BoundedResponse(request, attempt, bounds, parts.response_memory)
     bounded.install(connection)
