--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -15,33 +15,34 @@
     Then the rule "<rule>" is broken, and no other
 
     Examples:
-      | rule     | change                                                 |
-      | ORDER    | three streams are joined of two versions               |
-      | ORDER    | a stream lacks an event                                |
-      | ORDER    | a stream has an event twice                            |
-      | ORDER    | a stream ends as complete before its last event        |
-      | ORDER    | an item's output is of two versions                    |
-      | TWICE    | a request that may not be repeated runs at two runners |
-      | TWICE    | an item is listed at two positions                     |
-      | TWICE    | a result changes between two reads                     |
-      | REFUSED  | a request that may not be repeated is refused and ran  |
-      | REFUSED  | a job is refused at every attempt and its items ran    |
-      | UNASKED  | a request runs that no caller sent                     |
-      | LOST     | a request has no answer                                |
-      | LOST     | a stream is cut before its deadline                    |
-      | LOST     | streams that are taken up are refused                  |
-      | LOST     | an accepted job is not found                           |
-      | LOST     | an item is not listed at the end                       |
-      | LOST     | a request is silent until its deadline has passed      |
-      | LOST     | an item does not run again after a crash               |
-      | MIXED    | an item is given up                                    |
-      | MIXED    | a job's total changes                                  |
-      | MIXED    | a result lacks a part of its output                    |
-      | SILENCE  | a runner that was silent gets no request               |
-      | ENDLESS  | an endless response is closed late                     |
-      | ENDLESS  | an endless response is closed after too many bytes     |
-      | MEMORY   | a gateway's memory grows                               |
-      | RECOVER  | no request is served after a power loss                |
-      | FAULT    | a gateway ends by itself                               |
-      | CRASHES  | the crashes of the day did not all happen              |
-      | EMULATOR | a fault could not be injected                          |
+      | rule     | change                                                         |
+      | ORDER    | three streams are joined of two versions                       |
+      | ORDER    | a stream lacks an event                                        |
+      | ORDER    | a stream has an event twice                                    |
+      | ORDER    | a stream ends as complete before its last event                |
+      | ORDER    | an item's output is of two versions                            |
+      | TWICE    | a request that may not be repeated runs at two runners         |
+      | TWICE    | an item is listed at two positions                             |
+      | TWICE    | a result changes between two reads                             |
+      | REFUSED  | a request that may not be repeated is refused and ran          |
+      | REFUSED  | a job is refused at every attempt and its items ran            |
+      | UNASKED  | a request runs that no caller sent                             |
+      | LOST     | a request has no answer                                        |
+      | LOST     | a stream is cut before its deadline                            |
+      | LOST     | streams that are taken up are refused                          |
+      | LOST     | an accepted job is not found                                   |
+      | LOST     | an item is not listed at the end                               |
+      | LOST     | a request is silent until its deadline has passed              |
+      | LOST     | an item does not run again after a crash                       |
+      | MIXED    | an item is given up                                            |
+      | MIXED    | a job's total changes                                          |
+      | MIXED    | a result lacks a part of its output                            |
+      | DRAIN    | a gateway sends a runner a request long after its announcement |
+      | SILENCE  | a runner that was silent gets no request                       |
+      | ENDLESS  | an endless response is closed late                             |
+      | ENDLESS  | an endless response is closed after too many bytes             |
+      | MEMORY   | a gateway's memory grows                                       |
+      | RECOVER  | no request is served after a power loss                        |
+      | FAULT    | a gateway ends by itself                                       |
+      | CRASHES  | the crashes of the day did not all happen                      |
+      | EMULATOR | a fault could not be injected                                  |
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -211,6 +211,11 @@
     context.job.reads = [read._replace(results=rows) for read in context.job.reads]
 
 
+@when("a gateway sends a runner a request long after its announcement")
+def ignore_announcement(context):
+    _change(context, "resume", 1, announced_at=0.1)
+
+
 @when("a runner that was silent gets no request")
 def avoid_runner(context):
     fault = Disturbance("RunnersSilent", None, FAULT_AT, FAULT_AT + 1)
--- a/tests/features/steps/gateway_hunt_steps.py
+++ b/tests/features/steps/gateway_hunt_steps.py
@@ -53,4 +53,4 @@
     all_kinds = {kind for day in context.days for kind in day.kinds}
     alone = {day.kinds[0] for day in context.days if len(day.kinds) == 1}
     paired = {kind for day in context.days if len(day.kinds) == 2 for kind in day.kinds}
-    assert len(all_kinds) == 9 and alone == paired == all_kinds, (alone, paired)
+    assert len(all_kinds) == 10 and alone == paired == all_kinds, (alone, paired)
