--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -42,7 +42,8 @@
       | ENDLESS  | an endless response is closed late                             |
       | ENDLESS  | an endless response is closed after too many bytes             |
       | MEMORY   | a gateway's memory grows                                       |
-      | RECOVER  | no request is served after a power loss                        |
+      | RECOVER  | no request reaches a gateway after a power loss                |
+      | RECOVER  | all requests are refused after a power loss                    |
       | FAULT    | a gateway ends by itself                                       |
       | CRASHES  | the crashes of the day did not all happen                      |
       | EMULATOR | a fault could not be injected                                  |
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -239,17 +239,26 @@
     context.evidence.memory_growths.append((0, 20_000_001))
 
 
-@when("no request is served after a power loss")
-def serve_none(context):
+@when("no request reaches a gateway after a power loss")
+def reach_none(context):
+    _lose_power(context, status=0, end="unreachable", events=())
+
+
+@when("all requests are refused after a power loss")
+def refuse_all(context):
+    _lose_power(context, status=503, events=())
+
+
+def _lose_power(context, **changes):
     fault = Disturbance("PowerLost", None, FAULT_AT, FAULT_AT + 1)
     context.evidence.disturbances.append(fault)
     for number, request in enumerate(context.evidence.online):
         if request.sent_at > FAULT_AT:
-            attempt = request.attempts[0]._replace(
-                status=0, end="unreachable", events=()
-            )
+            attempt = request.attempts[0]._replace(**changes)
             changed = OnlineRequest(request.route, (attempt,))
             context.evidence.online[number] = changed
+    for runs in context.evidence.runs.values():
+        runs[:] = [run for run in runs if run.began_at <= FAULT_AT]
 
 
 @when("a gateway ends by itself")
