Emulator: a drip without end records when its caller closes the connection

Cause: a runner that sends a byte each half second noticed a closed connection only at its second write after it, up to a second late, and counted that time as the gateway's. No bound was changed.

--- a/tests/features/gateway/endless.feature
+++ b/tests/features/gateway/endless.feature
@@ -99,3 +99,8 @@
       | drips | status line       |
       | drips | later event       |
       | drips | body              |
+
+  Scenario: An emulated runner that drips records when its caller closes the connection
+    Given 1 runner that sends a byte of a body each 2 seconds without end
+    When a caller closes the connection after the head
+    Then the runner's record says that it was closed within 1 second
--- a/tests/features/steps/gateway_endless_steps.py
+++ b/tests/features/steps/gateway_endless_steps.py
@@ -1,6 +1,7 @@
 """Steps for endpoints whose responses never end."""
 
 import contextlib
+import http.client
 import json
 import uuid
 from collections import Counter
@@ -8,7 +9,7 @@
 from pathlib import Path
 
 from behave import given, then, when
-from emulator import EndlessBytes, RunnerPlan
+from emulator import EmulatedRunner, EmulatedStore, EndlessBytes, RunnerPlan
 from emulator.fleet import wait_until
 from gateway_calls import ask_together, runs, start
 
@@ -19,6 +20,7 @@
 UNSAFE_DEADLINE_SECONDS = 3.0
 BYTES_PER_MB = 1_000_000
 WARM_UP_CALLERS = 32
+RECORD_SECONDS = 10.0
 ABANDONED = "invalid response abandoned"
 
 
@@ -156,3 +158,27 @@
     # Not all systems let a process reset the peak; then it includes that of the start.
     with contextlib.suppress(OSError):
         (_process_folder(context) / "clear_refs").write_text("5")
+
+
+@given("1 runner that sends a byte of a body each {seconds:g} seconds without end")
+def given_drip_alone(context, seconds):
+    plan = RunnerPlan(endless=EndlessBytes("body", seconds))
+    store = context.stack.enter_context(EmulatedStore())
+    runner = EmulatedRunner(store, "runner-0", "writer", plan)
+    context.runner = context.stack.enter_context(runner)
+
+
+@when("a caller closes the connection after the head")
+def close_after_head(context):
+    connection = http.client.HTTPConnection(context.runner.address)
+    with contextlib.closing(connection):
+        headers = {"Request-Id": "r-1", "Expect-Instance": "runner-0"}
+        connection.request("POST", "/safe/1", b"{}", headers)
+        connection.getresponse().close()
+
+
+@then("the runner's record says that it was closed within {seconds:g} second")
+def check_recorded(context, seconds):
+    calls = context.runner.endless_calls
+    wait_until(lambda: calls, RECORD_SECONDS, "the endless response ended")
+    assert calls[0].seconds < seconds, calls
