Send online requests on for a second while a whole service leaves

Cause: with every endpoint of a service leaving, requests were refused at once, although endpoints serve for two more seconds by the platform's documentation.

Change: endpoints that announced their shutdown within the last second take online requests if no other endpoint of the service and version is left; items and schedulers do without them.

--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -125,6 +125,19 @@
             if not endpoint.is_leaving and version in (None, endpoint.version)
         ]
 
+    def serving_on(self, service, now, version=None):
+        """Return the endpoints of `service` that announced their shutdown just now.
+
+        They can still answer requests that no other endpoint can take.
+        """
+        return [
+            endpoint
+            for endpoint in self.listed_ready(service, now)
+            if endpoint.is_leaving
+            and self._leaving.serves_on(endpoint.endpoint_id, now)
+            and version in (None, endpoint.version)
+        ]
+
     def listed_ready(self, service, now):
         """Return the endpoints of `service` that are not draining by the list.
 
--- a/packages/decisions/sequoiaglade_decisions/gateway/leaving.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/leaving.py
@@ -5,7 +5,11 @@
 """
 
 from collections import OrderedDict
+from typing import NamedTuple
 
+# The platform's endpoints go on serving for two seconds after their announcement; most
+# responses take less than one.
+SERVES_ON_SECONDS = 1.0
 # An endpoint that is not listed may be listed again after an outage of the store, and
 # then still be the one that announced its shutdown. Outages last up to some minutes.
 UNLISTED_RETENTION_SECONDS = 600.0
@@ -13,6 +17,11 @@
 UNLISTED_MAX = 1000
 
 
+class _Announcement(NamedTuple):
+    born: int
+    noted_at: float
+
+
 class LeavingEndpoints:
     """Endpoints that announced their shutdown, by id and start time.
 
@@ -34,11 +43,11 @@
 
     def __init__(self, unlisted_max=UNLISTED_MAX):
         self._unlisted_max = unlisted_max
-        self._born_by_id = {}
+        self._announcement_by_id = {}
         self._unlisted_at_by_id = OrderedDict()
 
     def __len__(self):
-        return len(self._born_by_id)
+        return len(self._announcement_by_id)
 
     def note(self, endpoint_id, born, is_listed, now):
         """Record an announcement; return whether it was not known.
@@ -47,7 +56,7 @@
         """
         if self.is_leaving(endpoint_id, born):
             return False
-        self._born_by_id[endpoint_id] = born
+        self._announcement_by_id[endpoint_id] = _Announcement(born, now)
         if is_listed:
             self.note_listed(endpoint_id)
         else:
@@ -59,10 +68,22 @@
 
         Unknown start times are assumed to be those of the same process.
         """
-        noted_born = self._born_by_id.get(endpoint_id)
-        if noted_born is None:
+        announcement = self._announcement_by_id.get(endpoint_id)
+        if announcement is None:
             return False
-        return not noted_born or born <= noted_born
+        return not announcement.born or born <= announcement.born
+
+    def serves_on(self, endpoint_id, now):
+        """Return whether a request sent to a leaving endpoint is likely answered.
+
+        >>> leaving = LeavingEndpoints()
+        >>> leaving.note("e-1", born=1000, is_listed=True, now=0.0)
+        True
+        >>> leaving.serves_on("e-1", now=0.9), leaving.serves_on("e-1", now=1.0)
+        (True, False)
+        """
+        announcement = self._announcement_by_id.get(endpoint_id)
+        return bool(announcement and now - announcement.noted_at < SERVES_ON_SECONDS)
 
     def note_listed(self, endpoint_id):
         """Record that the list contains an endpoint."""
@@ -70,7 +91,7 @@
 
     def note_unlisted(self, endpoint_id, now):
         """Record that the list does not contain an endpoint, or no longer."""
-        if endpoint_id not in self._born_by_id:
+        if endpoint_id not in self._announcement_by_id:
             return
         self._unlisted_at_by_id[endpoint_id] = now
         self._unlisted_at_by_id.move_to_end(endpoint_id)
@@ -87,4 +108,4 @@
 
     def _drop_first(self):
         endpoint_id, _ = self._unlisted_at_by_id.popitem(last=False)
-        del self._born_by_id[endpoint_id]
+        del self._announcement_by_id[endpoint_id]
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -185,6 +185,10 @@
         if message.is_batch:
             return self._place_batch(message, now)
         endpoints = self._directory.usable(message.service, now, message.version)
+        if not endpoints:
+            endpoints = self._directory.serving_on(
+                message.service, now, message.version
+            )
         choice = self._loads.choose(
             endpoints, now, message.spread, message.excluded, message.headroom
         )
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -257,6 +257,7 @@
             workspace=request.workspace,
             endpoint_id=endpoint.endpoint_id,
             endpoint_version=endpoint.version,
+            endpoint_is_leaving=endpoint.is_leaving,
             after_event=self.last_event_id,
             resumes=request.call.resumes or None,
             in_flight=self._in_flight.in_flight,
--- a/tests/features/steps/gateway_leaving_steps.py
+++ b/tests/features/steps/gateway_leaving_steps.py
@@ -160,6 +160,21 @@
     assert len(runs(context)) == run_count, runs(context)
 
 
+@when("1 second has passed")
+def wait_second(context):
+    time.sleep(1.0)
+
+
+@then("a request is answered, but no item runs")
+def check_only_online(context):
+    fleet = context.gateways
+    _, response = fleet.submit([("item-0", "/batch/x")])
+    assert response.status == 202, response
+    answer = fleet.send("/safe/last")
+    assert answer.status == 200 and answer.is_complete, answer
+    assert not any(run.batch for run in runs(context)), runs(context)
+
+
 @then("the stream is complete")
 def check_stream(context):
     for pending in context.pending:
