Count peers as lost together by the newest contact with any of them

After a suspension of the gateway of more than a minute all peers' last contacts were older than LOST_TOGETHER_SECONDS, so none counted as lost and jobs could be taken over at once, though their holders run. The time is now measured from the newest contact. The new doctest failed before (True).

--- a/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
@@ -12,8 +12,8 @@
 # A node that has lost contact with most others waits this long before it takes over
 # jobs: connections that fell silent are replaced by then.
 ISOLATION_WAIT_SECONDS = 4.0
-# Peers that were lost longer ago have most likely been replaced by others: neither a
-# suspension nor silent connections last that long.
+# Peers whose last contact was this much earlier than that of others have most likely
+# been replaced by them.
 LOST_TOGETHER_SECONDS = 60.0
 
 
@@ -30,6 +30,11 @@
     [False, False, True]
     >>> guard.may_adopt(1, [90.0] * 8, now=16.0)
     True
+
+    After a suspension of this node all others were lost at the same time, long ago:
+
+    >>> guard.may_adopt(0, [90.0] * 8, now=106.0)
+    False
     """
 
     def __init__(self):
@@ -41,7 +46,10 @@
         `live_count` is the number of peers in contact, `lost_seconds` has the time
         since the last contact with each of the others.
         """
-        lost_count = sum(seconds <= LOST_TOGETHER_SECONDS for seconds in lost_seconds)
+        newest = 0.0 if live_count else min(lost_seconds, default=0.0)
+        lost_count = sum(
+            seconds - newest <= LOST_TOGETHER_SECONDS for seconds in lost_seconds
+        )
         if live_count + 1 >= lost_count:
             self._isolated_since = None
             return True
