--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -10,6 +10,7 @@
 from .groups import eligible_nodes, group_count, group_of, schedulers
 from .hashing import stable_hash
 from .health import EndpointHealth
+from .job_ends import EndsKnowledge, SendDecision
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .leaving import LeavingEndpoints
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
@@ -45,7 +46,7 @@
     move_headroom,
     silence_step,
 )
-from .stream_versions import StreamVersions, stream_keepers
+from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 
 __all__ = [
     "DEFAULT_SLOTS",
@@ -60,6 +61,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoads",
+    "EndsKnowledge",
     "Event",
     "EventSplitter",
     "ExceededBound",
@@ -82,6 +84,7 @@
     "PeerAcks",
     "Placed",
     "Quarantine",
+    "RecentVersions",
     "ResponseBounds",
     "ResponsePart",
     "ResponseProgress",
@@ -91,6 +94,7 @@
     "RouteKind",
     "Scheduled",
     "Service",
+    "SendDecision",
     "SharedBytes",
     "SilenceStep",
     "StreamVersions",
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -56,6 +56,24 @@
     service: str
 
 
+class _ItemAttempt(Attempt):
+    """An attempt that is aborted before it is sent if the item's job has ended."""
+
+    def __init__(self, job_ends, job, item_id):
+        super().__init__()
+        self._job_ends = job_ends
+        self._job = job
+        self._item_id = item_id
+
+    def may_send(self):
+        """Return whether the job is known not to have ended."""
+        if not self.is_aborted and not self._job_ends.may_send(
+            self._job, self._item_id
+        ):
+            self.abort()
+        return not self.is_aborted
+
+
 class ItemRunner(OwnedThread):
     """One thread that runs as many items as the node's share; a context manager."""
 
@@ -119,27 +137,33 @@
 
     def _run(self):
         while not self._stopped.wait(TICK_SECONDS):
-            configuration = self._parts.store_cache.configuration
-            if configuration is not None:
-                self._tick(configuration)
+            cache = self._parts.store_cache
+            # Read first, so that it does not confirm an older configuration.
+            confirmed_at = cache.confirmed_at
+            if cache.configuration is not None:
+                self._tick(cache.configuration, confirmed_at)
 
-    def _tick(self, configuration):
+    def _tick(self, configuration, confirmed_at):
         jobs_by_service = {}
         for job in self._registry.open_jobs():
             spec = job.batch.spec
             route = configuration.match(spec.host, spec.path)
-            self._give_up_overdue(job, route)
+            self._give_up_overdue(job, route, confirmed_at)
             if route is not None:
                 service = route.service_for(spec.job_id)
                 jobs_by_service.setdefault(service, []).append((job, route))
         for service, rows in jobs_by_service.items():
             self._adjust_to_share(service, rows)
 
-    def _give_up_overdue(self, job, route):
+    def _give_up_overdue(self, job, route, confirmed_at):
         with self._registry.lock:
             age = time.time() - job.batch.spec.submitted_at
             is_overdue = route is not None and 0 < route.retention < age
-            job.batch.give_up_overdue(is_overdue, route is not None, time.monotonic())
+            is_doubtful = job.batch.give_up_overdue(
+                is_overdue, route is not None, confirmed_at, self._registry.clock()
+            )
+        if is_doubtful:
+            self._parts.configuration_reader.request()
 
     def _adjust_to_share(self, service, rows):
         backlog = sum(job.batch.unfinished_count for job, _ in rows)
@@ -190,7 +214,8 @@
                 self._retry_at_by_service[service] = retry_at
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             return False
-        run = _ItemRun(job, progress, placed.endpoint, Attempt(), service)
+        attempt = _ItemAttempt(self._parts.job_ends, job, item.item_id)
+        run = _ItemRun(job, progress, placed.endpoint, attempt, service)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
         self._log.info(
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -1,6 +1,7 @@
 """Callers' requests about batch jobs: submission, reads and the end of a job."""
 
 import random
+import threading
 import time
 
 import structlog
@@ -41,6 +42,7 @@
         self._storage = storage
         self._runner = runner
         self._adopter = adopter
+        self._cache_lock = threading.Lock()
         self._pages_by_key = {}
         self._header_by_key = {}
         self._log = structlog.get_logger()
@@ -226,14 +228,12 @@
         pages = ResultPages()
         began_at = self._registry.clock()
         with self._registry.lock:
-            for number, page in enumerate(job.pages.pages()):
-                pages.put(number, *page)
+            pages.merge(job.pages)
         failure = self._storage.read_pages(job.key, pages)
         if failure is not None:
             return failure
         with self._registry.lock:
-            for number, page in enumerate(pages.pages()):
-                job.pages.put(number, *page)
+            job.pages.merge(pages)
             job.batch.note_listed(job.pages.results)
             job.validity.note_confirmed(began_at)
         return None
@@ -252,13 +252,18 @@
         window = address and self._parts.peers.read_job(address, key, after)
         if window:
             return window
-        if len(self._pages_by_key) > CACHED_JOBS_MAX:
-            self._pages_by_key.clear()
-        pages = self._pages_by_key.setdefault(key, ResultPages())
+        pages = ResultPages()
+        with self._cache_lock:
+            pages.merge(self._pages_by_key.get(key, pages))
         if pages.count < len(header.spec.items):
             failure = self._storage.read_pages(key, pages)
             if failure is not None:
                 return failure
+            with self._cache_lock:
+                if len(self._pages_by_key) > CACHED_JOBS_MAX:
+                    self._pages_by_key.clear()
+                cached = self._pages_by_key.setdefault(key, ResultPages())
+                cached.merge(pages)
         return len(header.spec.items), pages.window(after, RESPONSE_CHARACTERS_MAX)
 
     def _header_of(self, key):
@@ -313,8 +318,7 @@
                 return self._refuse_after_failure(call, key, failure)
             time.sleep(LOST_ANSWER_PAUSE_SECONDS)
         self.note_end(key)
-        address = self._peer_of(key)
-        if address:
+        for address in self._holder_addresses(key):
             self._parts.peers.end_job(address, key)
         return json_response(200, {})
 
@@ -332,6 +336,21 @@
                 return state.peer_address
         return None
 
+    def _holder_addresses(self, key):
+        """Return the peer addresses of the nodes that hold or may hold a job.
+
+        In a large fleet the gossip about a job's holder arrives late. The holder is
+        most often the node that accepted the job.
+        """
+        header = self._header_by_key.get(key)
+        accepted_by = header and header.spec.accepted_by
+        return [
+            state.peer_address
+            for state in self._parts.coordinator.ask(LiveNodes())
+            if state.node_id == accepted_by
+            or any(summary.job_key == key for summary in state.jobs)
+        ]
+
     def _address_of(self, node_id):
         """Return the peer address of a live node, or None."""
         for state in self._parts.coordinator.ask(LiveNodes()):
