--- a/tests/features/gateway/silence.feature
+++ b/tests/features/gateway/silence.feature
@@ -46,3 +46,9 @@
     And all connections among "runners" fall silent
     Then within 15 seconds all items are completed at every gateway
     And no item is listed twice
+
+  Scenario: A change of the configuration is read soon after watches fell silent
+    Given 2 gateways and 1 runner whose connections can fall silent
+    When all connections among "store" fall silent
+    And the key "key-yard" is replaced by "key-new"
+    Then within 7 seconds all gateways return 401 for "/safe/1" with key "key-yard"
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -147,12 +147,14 @@
     context.gateways.store.compact()
 
 
-@then('within 2 seconds all gateways return 401 for "{path}" with key "{key}"')
-def check_key_rejected(context, path, key):
+@then(
+    'within {seconds:d} seconds all gateways return 401 for "{path}" with key "{key}"'
+)
+def check_key_rejected(context, seconds, path, key):
     fleet = context.gateways
     nodes = range(len(fleet.nodes))
     refused = lambda: all(fleet.send(path, n, key=key).status == 401 for n in nodes)  # noqa: E731
-    wait_until(refused, 2.0, f"{key} is refused everywhere")
+    wait_until(refused, float(seconds), f"{key} is refused everywhere")
 
 
 @when("runner 0 registers as draining")
