--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -10,7 +10,9 @@
 from .groups import eligible_nodes, group_count, group_of, schedulers
 from .hashing import stable_hash
 from .health import EndpointHealth
+from .job_ends import EndsKnowledge, SendDecision
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
+from .leaving import LeavingEndpoints
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
@@ -59,6 +61,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoads",
+    "EndsKnowledge",
     "Event",
     "EventSplitter",
     "ExceededBound",
@@ -72,6 +75,7 @@
     "ItemOutcome",
     "JobSpec",
     "JobSummary",
+    "LeavingEndpoints",
     "NextStep",
     "NodeState",
     "NodeTable",
@@ -90,6 +94,7 @@
     "RouteKind",
     "Scheduled",
     "Service",
+    "SendDecision",
     "SharedBytes",
     "SilenceStep",
     "StreamVersions",
