Log the start of a node's drain

A node logged "node stopped" after its drain, and nothing when it took the stop. The log of a node that was killed within its drain was the same as that of a node that had not taken the signal.

--- a/packages/node/sequoiaglade_node/node.py
+++ b/packages/node/sequoiaglade_node/node.py
@@ -59,6 +59,7 @@
         `drain_seconds` limits the wait for requests that don't end.
         """
         parts = self._parts
+        structlog.get_logger().info("node draining")
         for listener in parts.listeners:
             listener.close_after_answers()
         for step in parts.drain_steps:
