A node that starts knows the load of its peers before it places work

What callers saw: a node that joined a fleet filled an endpoint with batch items that the batch of its peers held already.

Cause: the gossip that a node exchanges before it serves was not passed to the dispatcher, which heard of peers a second later, with the first round of the loop. Their counts would also have been lost, since the dispatcher had no endpoints yet.

Change: the peers' states of the first exchange are passed on, and counts of endpoints that are not configured yet are kept until they are.

The new scenario in routing/dispatch.feature fails before: 7 of 8 tickets were granted a held slot or none asked for; it passes now.

--- a/packages/decisions/sequoiaglade_decisions/routing/endpoint_table.py
+++ b/packages/decisions/sequoiaglade_decisions/routing/endpoint_table.py
@@ -23,6 +23,7 @@
         self._expiring_ids = set()
         self._refused_at = {}
         self._leaving_ids_by_source = {}
+        self._peer_counts_by_endpoint = {}
         self._retired = {}
 
     def pool(self, target):
@@ -48,7 +49,10 @@
         states_by_target = {}
         for endpoint_id, endpoint in snapshot.document.endpoints.items():
             target = endpoint.model or endpoint.service
-            state = known.pop(endpoint_id, None) or EndpointState(endpoint_id)
+            state = known.pop(endpoint_id, None)
+            if state is None:
+                state = EndpointState(endpoint_id)
+                _set_peer_counts(state, self._peer_counts_by_endpoint)
             state.target = target
             state.slots = endpoint.slots
             state.domain = endpoint.failure_domain
@@ -65,16 +69,21 @@
             pool.clear_available()
         for target in sorted(targets):
             self.pool(target).set_endpoints(states_by_target.get(target, ()), now)
+        for target in targets:
+            self.pool(target).estimate_others(now)
         self._expiring_ids.intersection_update(self.state_by_id)
         for endpoint_id in set(self._refused_at) - set(self.state_by_id):
             del self._refused_at[endpoint_id]
         return targets
 
     def observe_peers(self, counts_by_endpoint, now):
-        """Apply the (online, batch) counts of other nodes by endpoint id."""
-        for endpoint_id, state in self.state_by_id.items():
-            online, state.peer_batch = counts_by_endpoint.get(endpoint_id, (0, 0))
-            state.peer_count = online + state.peer_batch
+        """Apply the (online, batch) counts of other nodes by endpoint id.
+
+        Those of endpoints that are not configured yet count once they are.
+        """
+        self._peer_counts_by_endpoint = counts_by_endpoint
+        for state in self.state_by_id.values():
+            _set_peer_counts(state, counts_by_endpoint)
         for pool in self.pool_by_target.values():
             pool.estimate_others(now)
         return set(self.pool_by_target)
@@ -194,6 +203,11 @@
         return targets
 
 
+def _set_peer_counts(state, counts_by_endpoint):
+    online, state.peer_batch = counts_by_endpoint.get(state.endpoint_id, (0, 0))
+    state.peer_count = online + state.peer_batch
+
+
 def _set_leaving_source(state, source, is_leaving):
     if is_leaving == (source in state.leaving_sources):
         return False
--- a/packages/node/sequoiaglade_node/peers/gossip_rounds.py
+++ b/packages/node/sequoiaglade_node/peers/gossip_rounds.py
@@ -50,9 +50,7 @@
         count = OUTAGE_SAMPLE if is_failing or self._asks_more_peers else FANOUT
         self._asks_more_peers = False
         self.exchange(count, include_dead=is_failing)
-        live = parts.membership.live().get()
-        for listener in parts.gossip_listeners:
-            listener(live)
+        live = self._notify_listeners()
         if not is_failing:
             self._remove_dead(live)
         return FAILING_ROUND_SECONDS if is_failing else ROUND_SECONDS
@@ -77,13 +75,14 @@
         """Exchange digests until a peer answers, at most `FIRST_PEER_SECONDS`.
 
         This happens before the node serves, because peers may have a higher revision
-        than reads of the platform return.
+        than reads of the platform return, and fill the endpoints.
         """
         deadline = time.monotonic() + FIRST_PEER_SECONDS
         while not self.exchange(OUTAGE_SAMPLE, include_dead=True):
             if time.monotonic() > deadline:
                 return
             time.sleep(FIRST_PEER_RETRY_SECONDS)
+        self._notify_listeners()
 
     def announce(self):
         """Send this node's newer revision to some peers now."""
@@ -100,6 +99,12 @@
         channels = map(self._gossip_client.channel, addresses[:SOURCES_LIMIT])
         return [PeerSource(channel) for channel in channels]
 
+    def _notify_listeners(self):
+        live = self._parts.membership.live().get()
+        for listener in self._parts.gossip_listeners:
+            listener(live)
+        return live
+
     def _record_round(self, done):
         parts = self._parts
         reports = {}
--- a/tests/features/routing/dispatch.feature
+++ b/tests/features/routing/dispatch.feature
@@ -25,6 +25,11 @@
     When 5 online requests come to the first node
     Then the second node yields slots and 5 requests are granted
 
+  Scenario: A node that starts does not fill the slots that batch of peers holds
+    Given a dispatcher that hears of 8 batch slots at peers before its endpoint of 8 slots
+    When 8 batch tickets and then 8 online request come
+    Then no batch ticket was granted, and 8 requests get the slots of peers
+
   Scenario: A request that would miss its deadline is refused on arrival
     Given a dispatcher with 1 endpoints of 1 slots
     When requests take 2 seconds and 10 are submitted with a deadline in 5 seconds
--- a/tests/features/steps/routing_yield_steps.py
+++ b/tests/features/steps/routing_yield_steps.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from behave import given, then, when
-from routing_steps import of_kind, ticket
+from routing_steps import make_document, make_snapshot, of_kind, ticket
 
 from sequoiaglade_decisions.routing import (
     Dispatcher,
@@ -38,6 +38,32 @@
     context.dispatcher.observe_peers(counts, 0.0)
 
 
+@given(
+    "a dispatcher that hears of {count:d} batch slots at peers before its endpoint of"
+    " {slots:d} slots"
+)
+def make_dispatcher_after_peers(context, count, slots):
+    context.dispatcher = Dispatcher("yard-a", Random(3))
+    context.dispatcher.observe_peers({"writer-0": (0, count)}, 0.0)
+    snapshot = make_snapshot(1, make_document({"writer-0": slots}))
+    context.dispatcher.configure(snapshot, 0.1)
+
+
+@then("no batch ticket was granted, and {count:d} requests get the slots of peers")
+def check_asked_to_yield(context, count):
+    assert context.granted == []
+    effects, now = context.effects, 100.0
+    yielded_count = 0
+    while asked := of_kind(effects, YieldWanted):
+        yielded_count += asked[-1].count
+        now += 0.5
+        counts = {"writer-0": asked[-1].count}
+        effects = context.dispatcher.peers_yielded("writer", counts, now)
+        effects += context.dispatcher.tick(now)
+    assert yielded_count == count, yielded_count
+    assert context.dispatcher.in_flight_by_endpoint() == {"writer-0": (count, 0)}
+
+
 @given("peers whose short requests hold {count:d} slots of the first endpoint")
 def observe_short_requests(context, count):
     for number in range(10):
