--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -54,3 +54,14 @@
   Scenario: A gateway is suspended while it asks the store for ends
     Given a gateway that is suspended for 8 seconds while it asks the store for ends
     Then its next item is withheld, and the one after it is sent
+
+  Scenario Outline: The store is asked for ends at most once in 2 seconds
+    Given 1 gateway and 1 runner with few slots
+    When a job of <items> items is accepted at gateway 0, which watches the store
+    And its items are sent for <seconds> seconds
+    Then the store was asked for ends <least> to <most> times
+
+    Examples:
+      | items | seconds | least | most |
+      | 4     | 1.5     | 0     | 0    |
+      | 60    | 7       | 1     | 3    |
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -242,3 +242,16 @@
     job = SimpleNamespace(key="key", accepted_at=None)
     assert not context.job_ends.may_send(job, "item-0")
     assert context.job_ends.may_send(job, "item-1")
+
+
+@when("its items are sent for {seconds:g} seconds")
+def send_items(context, seconds):
+    time.sleep(seconds)
+    assert runs(context)
+
+
+@then("the store was asked for ends {least:d} to {most:d} times")
+def check_questions(context, least, most):
+    lines = context.gateways.metrics().splitlines()
+    asked = sum(float(line.split()[-1]) for line in lines if '"ends read"' in line)
+    assert least <= asked <= most, asked
