Send on to a leaving service for half of the deployment's drain time

The time was a constant of one second, half of the two seconds that endpoints serve on all known deployments; one with a shorter drain time would have got requests after it. The settings file now states drain_milliseconds.

--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .leaving import LeavingEndpoints
+from .leaving import DRAIN_SECONDS, LeavingEndpoints
 
 # Entries that expired during an outage of the store are written again within about two
 # seconds of its recovery, according to the platform's documentation.
@@ -54,12 +54,12 @@
     [1, 0]
     """
 
-    def __init__(self):
+    def __init__(self, drain_seconds=DRAIN_SECONDS):
         self._endpoint_by_id = {}
         self._drop_at_by_id = {}
         self._is_list_down = False
         self._recovered_at = None
-        self._leaving = LeavingEndpoints()
+        self._leaving = LeavingEndpoints(drain_seconds=drain_seconds)
 
     def note_outage(self):
         """Record that the list cannot be read."""
--- a/packages/decisions/sequoiaglade_decisions/gateway/leaving.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/leaving.py
@@ -7,9 +7,10 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-# The platform's endpoints go on serving for two seconds after their announcement; most
-# responses take less than one.
-SERVES_ON_SECONDS = 1.0
+# Fraction of the drain time in which requests are still sent to a leaving endpoint; the
+# rest is for their responses.
+SERVES_ON_FRACTION = 0.5
+DRAIN_SECONDS = 2.0
 # An endpoint that is not listed may be listed again after an outage of the store, and
 # then still be the one that announced its shutdown. Outages last up to some minutes.
 UNLISTED_RETENTION_SECONDS = 600.0
@@ -29,6 +30,7 @@
     ends with the process that made it: an endpoint that starts again under the same id
     has a later start time, and another endpoint at the same address has another id.
     Listed endpoints are kept; those that are not, for `UNLISTED_RETENTION_SECONDS`.
+    `drain_seconds` is how long endpoints serve new requests after the announcement.
 
     >>> leaving = LeavingEndpoints()
     >>> leaving.note("e-1", born=1000, is_listed=True, now=0.0)
@@ -41,8 +43,9 @@
     False
     """
 
-    def __init__(self, unlisted_max=UNLISTED_MAX):
+    def __init__(self, unlisted_max=UNLISTED_MAX, drain_seconds=DRAIN_SECONDS):
         self._unlisted_max = unlisted_max
+        self._serves_on_seconds = SERVES_ON_FRACTION * drain_seconds
         self._announcement_by_id = {}
         self._unlisted_at_by_id = OrderedDict()
 
@@ -81,9 +84,17 @@
         True
         >>> leaving.serves_on("e-1", now=0.9), leaving.serves_on("e-1", now=1.0)
         (True, False)
+        >>> leaving = LeavingEndpoints(drain_seconds=0.5)
+        >>> leaving.note("e-1", born=1000, is_listed=True, now=0.0)
+        True
+        >>> leaving.serves_on("e-1", now=0.3)
+        False
         """
         announcement = self._announcement_by_id.get(endpoint_id)
-        return bool(announcement and now - announcement.noted_at < SERVES_ON_SECONDS)
+        return (
+            announcement is not None
+            and now - announcement.noted_at < self._serves_on_seconds
+        )
 
     def note_listed(self, endpoint_id):
         """Record that the list contains an endpoint."""
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -80,7 +80,7 @@
         self._settings = settings
         self._clock = clock
         self._log = structlog.get_logger()
-        self._directory = EndpointDirectory()
+        self._directory = EndpointDirectory(settings.drain_milliseconds / 1000)
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._quarantine = Quarantine()
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -47,8 +47,9 @@
     Metrics are served under ``/metrics`` at the address `metrics`, if it is set.
     `seeds` are the peer addresses to contact first. `is_first_start` states that the
     whole system starts for the first time. The process is killed `grace_seconds` after
-    the request to stop. `directory_seconds` is the time to live of the addresses that
-    the directory returns.
+    the request to stop. Endpoints serve new requests for `drain_milliseconds` after
+    they announced their shutdown. `directory_seconds` is the time to live of the
+    addresses that the directory returns.
     """
 
     node_id: NodeId
@@ -59,6 +60,7 @@
     seeds: tuple[Address, ...] = ()
     is_first_start: bool = False
     grace_seconds: float = Field(default=8.0, gt=0, le=3600)
+    drain_milliseconds: int = Field(default=2000, ge=0, le=3_600_000)
     directory_seconds: float = Field(default=1.0, gt=0, le=60)
     limits: Limits = Limits()
     processor: Processor = Processor()
