Gossip at once that paying batch waits

First of three causes: that paying items wait was told with the next round of gossip, and counted with the next round of the node that heard it, one to two seconds later in all. The dispatcher now tells when paying batch of a target begins to wait, which starts a round, and a node that hears of it passes it on at once.

The new scenario in routing/dispatch.feature fails before, as there is no such effect.

--- a/packages/decisions/sequoiaglade_decisions/routing/dispatcher.py
+++ b/packages/decisions/sequoiaglade_decisions/routing/dispatcher.py
@@ -8,6 +8,7 @@
 from .effects import (
     Granted,
     LeavingSeen,
+    PayingBatchWaits,
     Preempted,
     Quarantined,
     Rejected,
@@ -37,6 +38,7 @@
         self._held = HeldTicketIndex()
         self._probes = ProbeScheduler(self.endpoints, self._held, self.crash_tracker)
         self._waiting = WaitingTickets()
+        self._paying_targets = set()
 
     # Events of configuration and load
 
@@ -126,8 +128,7 @@
             for name, pool in pools
             if pool.suspect_tickets or pool.waiting_online()
         )
-        for _, pool in pools:
-            pool.has_waiting_paying_batch(now)
+        effects += self._note_paying_batch(now)
         if self.crash_tracker.drop_expired(now):
             effects += self._reevaluate(self.endpoints.pool_by_target, now)
         effects += self._dispatch_all(targets, now)
@@ -254,6 +255,11 @@
         """The number of waiting tickets."""
         return len(self._waiting)
 
+    def _note_paying_batch(self, now):
+        targets = set(self.paying_batch_targets(now))
+        begun, self._paying_targets = targets - self._paying_targets, targets
+        return [PayingBatchWaits(target) for target in sorted(begun)]
+
     # Queueing
 
     def _note_leaving(self, endpoint_id, now):
--- a/packages/decisions/sequoiaglade_decisions/routing/effects.py
+++ b/packages/decisions/sequoiaglade_decisions/routing/effects.py
@@ -37,6 +37,13 @@
     count: int
 
 
+@dataclass(frozen=True)
+class PayingBatchWaits:
+    """Paying batch has begun to wait; trial batch of peers is to leave it the slots."""
+
+    target: str
+
+
 @dataclass(frozen=True)
 class Recalled:
     """The granted ticket may crash its endpoint; its run stops if it is repeatable."""
--- a/packages/node/sequoiaglade_node/actors/endpoints.py
+++ b/packages/node/sequoiaglade_node/actors/endpoints.py
@@ -14,6 +14,7 @@
     CrashConfirmed,
     CrashSuspected,
     LeavingSeen,
+    PayingBatchWaits,
     ProbeWanted,
     Quarantined,
     YieldWanted,
@@ -34,16 +35,20 @@
     """Executes the dispatcher's effects that need the network; a context manager.
 
     A call with an effect returns immediately. Results are passed to the dispatching
-    actor.
+    actor. `spread_state` sends this node's state to peers ahead of the next round of
+    gossip.
     """
 
-    def __init__(self, dispatch, endpoints, holder, platform, news, journal):
+    def __init__(
+        self, dispatch, endpoints, holder, platform, news, journal, spread_state
+    ):
         self._dispatch = dispatch
         self._endpoints = endpoints
         self._holder = holder
         self._platform = platform
         self._news = news
         self._journal = journal
+        self._spread_state = spread_state
         self._silent_since = {}
         self._pool = ThreadPoolExecutor(EFFECT_THREADS, "messenger")
 
@@ -77,6 +82,9 @@
             case YieldWanted(target=target, count=count):
                 slots = self._news.ask_to_yield(target, count)
                 self._dispatch.peers_yielded(target, slots)
+            case PayingBatchWaits(target=target):
+                structlog.get_logger().info("paying batch waits", target=target)
+                self._spread_state()
 
     def _has_crashed(self, endpoint_id):
         endpoint = self._holder.current.endpoint(endpoint_id)
--- a/packages/node/sequoiaglade_node/peers/gossip_rounds.py
+++ b/packages/node/sequoiaglade_node/peers/gossip_rounds.py
@@ -21,6 +21,7 @@
         self._parts = parts
         self._gossip_client = gossip_client
         self._asks_more_peers = False
+        self._paying_batch_targets = set()
         self.wake = lambda: None
 
     def own_digest(self):
@@ -36,9 +37,12 @@
         """Process a digest that a peer sent with its request.
 
         The message may have been delayed, so that its ages are not used as evidence.
+        Paying batch that waits at a peer counts at once, all else in the next round.
         """
         states = decode_states(digest)
         self._parts.membership.observe_states(states, decode_marks(digest))
+        if not _paying_batch_targets(states) <= self._paying_batch_targets:
+            self._notify_listeners()
         newest = max((state.revision for state in states), default=0)
         if self._parts.configuration.learn(newest).get():
             self._ask_more_peers()
@@ -101,6 +105,7 @@
 
     def _notify_listeners(self):
         live = self._parts.membership.live().get()
+        self._paying_batch_targets = _paying_batch_targets(live)
         for listener in self._parts.gossip_listeners:
             listener(live)
         return live
@@ -130,3 +135,7 @@
         for node_id in parts.membership.dead_since(REMOVE_AFTER_SECONDS).get():
             if is_remover(parts.settings.node_id, node_id, live_ids):
                 parts.directory.remove(node_id)
+
+
+def _paying_batch_targets(states):
+    return {target for state in states for target in state.paying_batch_targets}
--- a/packages/node/sequoiaglade_node/wiring/routing.py
+++ b/packages/node/sequoiaglade_node/wiring/routing.py
@@ -51,6 +51,7 @@
         parts.platform,
         news,
         parts.journal,
+        parts.peer_sources.wake,
     )
     parts.dispatch.attach(stack.enter_context(executor))
     watch = EndpointWatch(
--- a/tests/features/routing/dispatch.feature
+++ b/tests/features/routing/dispatch.feature
@@ -68,6 +68,11 @@
     When a peer's paying batch waits and 20 trial batch tickets come
     Then no trial batch ticket is granted until the peer's paying batch has slots
 
+  Scenario: Peers hear at once of paying batch that waits, and only once
+    Given a dispatcher with 2 endpoints of 8 slots
+    When 20 batch tickets and then 0 online request come
+    Then the next tick tells the peers that paying batch waits, and later ones do not
+
   Scenario: Batch that may not be repeated is not preempted
     Given a dispatcher with 2 endpoints of 8 slots
     When 16 batch tickets that may not be repeated and 1 online request come
--- a/tests/features/steps/routing_yield_steps.py
+++ b/tests/features/steps/routing_yield_steps.py
@@ -8,6 +8,7 @@
 from sequoiaglade_decisions.routing import (
     Dispatcher,
     Granted,
+    PayingBatchWaits,
     Preempted,
     Priority,
     RunOutcome,
@@ -144,6 +145,13 @@
     assert len(of_kind(effects, Granted)) == ALL_SLOTS - 1, effects
 
 
+@then("the next tick tells the peers that paying batch waits, and later ones do not")
+def check_told_once(context):
+    first, *later = (context.dispatcher.tick(100.1 + step) for step in range(20))
+    assert first == [PayingBatchWaits("writer")], first
+    assert not any(of_kind(effects, PayingBatchWaits) for effects in later), later
+
+
 @when("{count:d} batch tickets that may not be repeated and 1 online request come")
 def submit_unrepeatable(context, count):
     submit_batch(context, count, preemptible=False)
