Waiting trial items give their threads to paying items

Second cause why trial items took slots before paying ones: a thread that runs batch items waits up to 3 s for a slot of its item. While trial items were held back for paying ones of peers, they kept the threads, and the paying items that their node held did not get to wait for a slot. So a waiting item now gives up once an item of a higher tier is ready at its node.

--- a/packages/node/sequoiaglade_node/batch/attempts.py
+++ b/packages/node/sequoiaglade_node/batch/attempts.py
@@ -27,6 +27,8 @@
 
 GRANT_TIMEOUT_SECONDS = 2.0
 GRANT_SLACK_SECONDS = 1.0
+# Interval in which a waiting item looks for others that go before it.
+WAIT_STEP_SECONDS = 0.25
 RESPONSE_MAX_BYTES = 16_777_216
 ERROR_MAX_CHARACTERS = 500
 
@@ -71,7 +73,7 @@
         run = _AttemptRun(segment, pending, grant)
         self._dispatch.submit(grant)
         try:
-            endpoint_id = grant.wait(GRANT_TIMEOUT_SECONDS + GRANT_SLACK_SECONDS)
+            endpoint_id = self._wait(segment, grant)
             if not isinstance(endpoint_id, str):
                 return self._decide_not_granted(pending, endpoint_id), Usage()
             run.endpoint = snapshot.endpoint(endpoint_id)
@@ -84,6 +86,21 @@
         self._journal.attempt_ended(segment, pending, endpoint_id, run.journal_entry)
         return run.decision, run.usage
 
+    def _wait(self, segment, grant):
+        """Return the dispatcher's decision, or None if it is no longer waited for.
+
+        A thread whose ticket waits runs no other item, so that trial tickets that wait
+        for paying ones of peers could take the threads of this node's paying items.
+        """
+        deadline = grant.ticket.deadline + GRANT_SLACK_SECONDS
+        while time.monotonic() < deadline:
+            decision = grant.wait(WAIT_STEP_SECONDS)
+            if decision is not None:
+                return decision
+            if self._queue.has_item_before(segment):
+                return None
+        return None
+
     def _ticket(self, segment, pending, snapshot):
         workspace = snapshot.document.workspaces[segment.job.workspace]
         is_trial = workspace.tier is Tier.TRIAL
--- a/packages/node/sequoiaglade_node/batch/item_queue.py
+++ b/packages/node/sequoiaglade_node/batch/item_queue.py
@@ -76,6 +76,15 @@
             segment.in_flight[pending.number] = None
             return segment, pending
 
+    def has_item_before(self, segment):
+        """Return whether an item of a higher tier than the segment's is ready."""
+        own = segment.job.workspace
+        with self._changed:
+            now = self._clock()
+            names = {s.job.workspace for s in self._segments if _is_ready(s, now)}
+            share_by_name = self._shares_of(names | {own})
+        return any(share_by_name[n].rank < share_by_name[own].rank for n in names)
+
     def register_attempt(self, segment, number, attempt):
         """Register the `Attempt` of an item; return False if it must not start."""
         with self._changed:
