Trial items without slots do not pause the claims of paying ones

Trial segments that were held back for paying ones of peers paused the claims of paying jobs at their node too: in trials of "Paying work goes before trial work" with starts per 0.25 s the paying job nearly stood still from 3 s on (2 to 9 items in 0.25 s instead of 25 to 43), and trial items ran again once no paying item had waited for 6 s.

The pause now holds for jobs of the tier of the released segments and lower ones.

--- a/packages/node/sequoiaglade_node/batch/item_queue.py
+++ b/packages/node/sequoiaglade_node/batch/item_queue.py
@@ -127,7 +127,7 @@
     def release_starved(self, seconds):
         """Mark segments for release if no item got a slot for `seconds`.
 
-        Another node may have slots for them. Return whether there were any.
+        Another node may have slots for them. Return them.
         """
         before = self._clock() - seconds
         with self._changed:
@@ -142,7 +142,7 @@
             for segment in starved:
                 segment.is_releasing = True
                 segment.pending.clear()
-        return bool(starved)
+        return starved
 
     def abort_lost(self):
         """Drop the items of segments whose claim is lost and abort those in flight."""
--- a/packages/node/sequoiaglade_node/batch/worker.py
+++ b/packages/node/sequoiaglade_node/batch/worker.py
@@ -70,6 +70,7 @@
         self._lock = threading.Lock()
         self._claim_backoff_seconds = CLAIM_BACKOFF_MIN_SECONDS
         self._claims_paused_until = 0.0
+        self._paused_rank = 0
         self._draining = threading.Event()
         self._stopped = threading.Event()
         self._pool = ThreadPoolExecutor(COMMIT_THREADS, "batch-commit")
@@ -140,26 +141,31 @@
 
     @property
     def _may_claim(self):
-        return (
-            self._cancels_are_current_or_idle
-            and time.monotonic() >= self._claims_paused_until
-        )
-
-    @property
-    def _cancels_are_current_or_idle(self):
         return self._cancels.is_up_to_date or not self._queue.segments()
 
     def _release_starved(self):
         if not self._cancels.is_up_to_date:
             return
-        if self._queue.release_starved(STARVATION_SECONDS):
-            self._claim_backoff_seconds = min(
-                CLAIM_BACKOFF_MAX_SECONDS, self._claim_backoff_seconds * 2
-            )
-            self._claims_paused_until = time.monotonic() + self._claim_backoff_seconds
-            self._log.info(
-                "no slots for batch items", seconds=self._claim_backoff_seconds
-            )
+        starved = self._queue.release_starved(STARVATION_SECONDS)
+        if starved:
+            self._pause_claims({segment.job.workspace for segment in starved})
+
+    def _pause_claims(self, workspaces):
+        """Pause claims of jobs whose tier is not above that of the workspaces."""
+        now = time.monotonic()
+        ranks = [share.rank for share in self._shares_of(workspaces).values()]
+        if now < self._claims_paused_until:
+            ranks.append(self._paused_rank)
+        self._paused_rank = min(ranks)
+        self._claim_backoff_seconds = min(
+            CLAIM_BACKOFF_MAX_SECONDS, self._claim_backoff_seconds * 2
+        )
+        self._claims_paused_until = now + self._claim_backoff_seconds
+        self._log.info(
+            "no slots for batch items",
+            seconds=self._claim_backoff_seconds,
+            workspaces=sorted(workspaces),
+        )
 
     def _claim_segments(self):
         claimed = False
@@ -180,6 +186,8 @@
     def _contenders(self, exhausted):
         held_ids = {segment.job.job_id for segment in self._queue.segments()}
         is_full = self._queue.pending_count >= self._worker_count
+        jobs = [tracked.record for tracked in self._tracker.tracked()]
+        paused = self._paused_workspaces({job.workspace for job in jobs})
         return [
             Contender(job.job_id, job.workspace, job.due_at, left)
             for job, left in (
@@ -189,9 +197,16 @@
             )
             if left
             and job.job_id not in exhausted
+            and job.workspace not in paused
             and not (is_full and job.job_id in held_ids)
         ]
 
+    def _paused_workspaces(self, workspaces):
+        if time.monotonic() >= self._claims_paused_until:
+            return set()
+        shares = self._shares_of(workspaces).items()
+        return {name for name, share in shares if share.rank >= self._paused_rank}
+
     def _claim(self, tracked):
         progress = tracked.progress
         job = tracked.record
