--- a/tests/features/steps/batch_share_steps.py
+++ b/tests/features/steps/batch_share_steps.py
@@ -2,17 +2,19 @@
 
 import random
 import time
-from collections import Counter
+from collections import Counter, deque
+from types import SimpleNamespace
 
 from batch_once_steps import await_runs, item_runs
 from batch_steps import await_job, submit
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 from path_steps import make_client, make_items
 
 from sequoiaglade_decisions.jobs import Contender, FairScheduler, Share
+from sequoiaglade_node.batch.item_queue import ItemQueue
 
 TURNS = 600
 SHARE_SECONDS = 60.0
@@ -149,3 +151,38 @@
     done = late.request_counts.completed
     assert late.status == "in_progress", late
     assert done < context.late_count / 2, late
+
+
+@given("an item queue with a trial segment and a paying one")
+def make_item_queue(context):
+    shares = {"trial-a": Share(1, 1.0), "hays": Share(0, 1.0)}
+    context.queue = ItemQueue(lambda names: {name: shares[name] for name in names})
+    context.segment_by_workspace = {name: make_segment(name) for name in shares}
+    for segment in context.segment_by_workspace.values():
+        context.queue.add(segment)
+
+
+def make_segment(workspace):
+    items = [SimpleNamespace(number=number, not_before=0.0) for number in range(2)]
+    return SimpleNamespace(
+        job=SimpleNamespace(workspace=workspace, due_at=0.0),
+        pending=deque(items),
+        in_flight={},
+        unfinished_segment_count=1,
+    )
+
+
+@then("a paying item goes before the trial segment, until all paying ones are taken")
+def check_gives_way(context):
+    trial = context.segment_by_workspace["trial-a"]
+    for _ in range(2):
+        assert context.queue.has_item_before(trial)
+        segment, _ = context.queue.next_item()
+        assert segment is context.segment_by_workspace["hays"]
+    assert not context.queue.has_item_before(trial)
+
+
+@then("no item goes before the paying segment")
+def check_keeps_place(context):
+    paying = context.segment_by_workspace["hays"]
+    assert not context.queue.has_item_before(paying)
