--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -24,6 +24,7 @@
 
 from . import messages
 from .messages import (
+    AcceptsRequests,
     Admit,
     BatchPeers,
     BatchShare,
@@ -31,6 +32,7 @@
     CollectLoadReports,
     ConfigurationChanged,
     EndpointChanged,
+    EndpointLeaving,
     EndpointListReachable,
     EndpointSilent,
     EndpointsListed,
@@ -117,6 +119,11 @@
                 return self._scheduling.receive_report(report, now)
             case RequestEnded():
                 return self._end(message, now)
+            case AcceptsRequests(endpoint_id):
+                endpoint = self._directory.get(endpoint_id, now)
+                return endpoint is not None and endpoint.accepts_requests
+            case EndpointLeaving(endpoint_id, born):
+                return self._directory.note_leaving(endpoint_id, born, now)
             case EndpointSilent(endpoint_id):
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
@@ -137,8 +144,7 @@
                 return self._nodes.live(now, within)
             case PossibleHolders():
                 known = [s.node_id for s in self._nodes.possible_holders(now)]
-                live = {state.node_id for state in self._nodes.live(now)}
-                return HolderPeers(known, [n for n in known if n not in live])
+                return HolderPeers(known, self._nodes.lost(now))
             case LiveNodeFraction():
                 return self._quota_share(now)
             case BatchShare():
@@ -178,6 +184,10 @@
         if message.is_batch:
             return self._place_batch(message, now)
         endpoints = self._directory.usable(message.service, now, message.version)
+        if not endpoints:
+            endpoints = self._directory.serving_on(
+                message.service, now, message.version
+            )
         choice = self._loads.choose(
             endpoints, now, message.spread, message.excluded, message.headroom
         )
@@ -207,7 +217,7 @@
 
     def _begin_scheduled(self, message, now):
         endpoint = self._directory.get(message.endpoint_id, now)
-        if endpoint is None or endpoint.is_draining:
+        if endpoint is None or not endpoint.accepts_requests:
             return None
         is_batch = message.place.is_batch
         return self._begin(message.endpoint_id, False, is_batch, now)
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -21,6 +21,7 @@
     BatchService,
     ItemRunner,
     JobAdopter,
+    JobEnds,
     JobRegistry,
     JobStorage,
     ResultWriter,
@@ -33,7 +34,7 @@
 from .online import BatchPreemptor, OnlineService, StreamDirectory
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
-from .store_cache import KindWatcher, StoreCache
+from .store_cache import ConfigurationReader, KindWatcher, StoreCache
 
 # The platform allows callers to keep an address for this multiple of the directory's
 # time to live.
@@ -53,11 +54,13 @@
     store: Any
     coordinator: Any
     store_cache: Any
+    configuration_reader: Any
     hangups: Any
     response_memory: Any
     metrics: Any
     online: Any
     batch: Any
+    job_ends: Any
     peers: Any
     placer: Any
     preemptor: Any
@@ -154,6 +157,11 @@
         stack.callback(actor.stop, block=False)
         parts.coordinator = actor
         parts.store_cache = StoreCache(parts.dialect, actor)
+        parts.configuration_reader = stack.enter_context(
+            ConfigurationReader(
+                parts.store, parts.dialect.kinds.configuration, parts.store_cache
+            )
+        )
         parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.response_memory = ResponseMemory()
         parts.hangups = stack.enter_context(HangupWatcher())
@@ -162,6 +170,10 @@
         parts = self._parts
         registry = self._job_registry = JobRegistry()
         storage = JobStorage(parts.store, parts.settings.store.value_bytes)
+        self._ends_watcher = KindWatcher(
+            parts.store, ENDS_KIND, self._on_job_ends_listed, self._on_job_end_changed
+        )
+        parts.job_ends = JobEnds(registry, parts.metrics, self._ends_watcher.read_now)
         self._runner = ItemRunner(parts, registry)
         self._job_adopter = JobAdopter(parts, registry, storage)
         self._writer = parts.writer = ResultWriter(registry, storage)
@@ -213,12 +225,7 @@
                 cache.on_endpoint_changed,
                 cache.on_endpoints_reachable,
             ),
-            KindWatcher(
-                parts.store,
-                ENDS_KIND,
-                self._on_job_ends_listed,
-                self._on_job_end_changed,
-            ),
+            self._ends_watcher,
         )
         for watcher in watchers:
             stack.enter_context(watcher)
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -172,11 +172,8 @@
         self._parts.metrics.count("ended", outcome)
 
     def _try_once(self):
-        placed = self._reserved.take()
-        if placed is not None:
-            self._has_moved = True
-        else:
-            placed = self._place()
+        self._has_moved = self._has_moved or self._reserved.is_held
+        placed = self._reserved.take() or self._place()
         if isinstance(placed, Full):
             return self._refuse_full(placed)
         self._in_flight = placed
@@ -238,7 +235,7 @@
             self.last_event_id,
         )
         endpoint_request = EndpointRequest(
-            endpoint.address,
+            endpoint,
             request.call.method,
             request.call.target,
             headers,
@@ -260,6 +257,7 @@
             workspace=request.workspace,
             endpoint_id=endpoint.endpoint_id,
             endpoint_version=endpoint.version,
+            endpoint_is_leaving=endpoint.is_leaving,
             after_event=self.last_event_id,
             resumes=request.call.resumes or None,
             in_flight=self._in_flight.in_flight,
@@ -275,12 +273,11 @@
         with self._parts.preemptor.watching(endpoint.endpoint_id):
             answer = open_call(
                 endpoint_request,
-                self._parts.dialect,
+                self._parts,
                 self._attempt,
                 patience,
                 seconds_left,
                 self._response_bounds(seconds_left),
-                self._parts.response_memory,
             )
             return self._classify(answer)
 
