--- a/packages/node/sequoiaglade_node/batch/item_queue.py
+++ b/packages/node/sequoiaglade_node/batch/item_queue.py
@@ -76,6 +76,15 @@
             segment.in_flight[pending.number] = None
             return segment, pending
 
+    def has_item_before(self, segment):
+        """Return whether an item of a higher tier than the segment's is ready."""
+        own = segment.job.workspace
+        with self._changed:
+            now = self._clock()
+            names = {s.job.workspace for s in self._segments if _is_ready(s, now)}
+            share_by_name = self._shares_of(names | {own})
+        return any(share_by_name[n].rank < share_by_name[own].rank for n in names)
+
     def register_attempt(self, segment, number, attempt):
         """Register the `Attempt` of an item; return False if it must not start."""
         with self._changed:
@@ -118,7 +127,7 @@
     def release_starved(self, seconds):
         """Mark segments for release if no item got a slot for `seconds`.
 
-        Another node may have slots for them. Return whether there were any.
+        Another node may have slots for them. Return them.
         """
         before = self._clock() - seconds
         with self._changed:
@@ -133,7 +142,7 @@
             for segment in starved:
                 segment.is_releasing = True
                 segment.pending.clear()
-        return bool(starved)
+        return starved
 
     def abort_lost(self):
         """Drop the items of segments whose claim is lost and abort those in flight."""
