Scenarios of leaving endpoints wait until a caller got the announcement

A run at the runner was taken for its answer. Beside a load of 35 the gateway moved a request away from the silent runner before it read the head (log of the failed run: first_event_ms 1303, answered by runner 1), so that it knew nothing of the leave.

--- a/tests/features/steps/gateway_leaving_steps.py
+++ b/tests/features/steps/gateway_leaving_steps.py
@@ -45,7 +45,7 @@
 def leave_and_answer(context, number):
     runner = context.gateways.runners[number]
     runner.leave()
-    _send_until_run(context, runner, "/safe/first")
+    _send_until_answered(context, runner, "/safe/first")
     _note_runs(context)
 
 
@@ -203,8 +203,8 @@
 def check_log(context, endpoint_id):
     (line,) = _log_lines(context, "endpoint leaving")
     assert line["endpoint_id"] == endpoint_id, line
-    (run,) = context.gateways.runners[0].runs
-    assert line["request_id"] == run.request_id, line
+    request_ids = {run.request_id for run in context.gateways.runners[0].runs}
+    assert line["request_id"] in request_ids, line
 
 
 @then("the metrics count {count:d} leave")
@@ -288,13 +288,14 @@
     context.run_count_by_id = {r.runner_id: len(r.runs) for r in runners}
 
 
-def _send_until_run(context, runner, path):
-    run_count = len(runner.runs)
+def _send_until_answered(context, runner, path):
     for _ in range(40):
-        if len(runner.runs) > run_count:
+        answer = context.gateways.send(path)
+        assert answer.status == 200, answer
+        has_announcement = "Server-Leaving" in answer.headers
+        if has_announcement and answer.headers["Request-Id"] in runner.completed:
             return
-        assert context.gateways.send(path).status == 200
-    raise AssertionError("the runner got no request")
+    raise AssertionError("no response of the runner reached a caller")
 
 
 def _send_all(context, count, number):
