--- a/packages/node/sequoiaglade_node/peers/gossip_rounds.py
+++ b/packages/node/sequoiaglade_node/peers/gossip_rounds.py
@@ -21,6 +21,7 @@
         self._parts = parts
         self._gossip_client = gossip_client
         self._asks_more_peers = False
+        self._paying_batch_targets = set()
         self.wake = lambda: None
 
     def own_digest(self):
@@ -36,9 +37,12 @@
         """Process a digest that a peer sent with its request.
 
         The message may have been delayed, so that its ages are not used as evidence.
+        Paying batch that waits at a peer counts at once, all else in the next round.
         """
         states = decode_states(digest)
         self._parts.membership.observe_states(states, decode_marks(digest))
+        if not _paying_batch_targets(states) <= self._paying_batch_targets:
+            self._notify_listeners()
         newest = max((state.revision for state in states), default=0)
         if self._parts.configuration.learn(newest).get():
             self._ask_more_peers()
@@ -50,9 +54,7 @@
         count = OUTAGE_SAMPLE if is_failing or self._asks_more_peers else FANOUT
         self._asks_more_peers = False
         self.exchange(count, include_dead=is_failing)
-        live = parts.membership.live().get()
-        for listener in parts.gossip_listeners:
-            listener(live)
+        live = self._notify_listeners()
         if not is_failing:
             self._remove_dead(live)
         return FAILING_ROUND_SECONDS if is_failing else ROUND_SECONDS
@@ -77,13 +79,14 @@
         """Exchange digests until a peer answers, at most `FIRST_PEER_SECONDS`.
 
         This happens before the node serves, because peers may have a higher revision
-        than reads of the platform return.
+        than reads of the platform return, and fill the endpoints.
         """
         deadline = time.monotonic() + FIRST_PEER_SECONDS
         while not self.exchange(OUTAGE_SAMPLE, include_dead=True):
             if time.monotonic() > deadline:
                 return
             time.sleep(FIRST_PEER_RETRY_SECONDS)
+        self._notify_listeners()
 
     def announce(self):
         """Send this node's newer revision to some peers now."""
@@ -100,6 +103,13 @@
         channels = map(self._gossip_client.channel, addresses[:SOURCES_LIMIT])
         return [PeerSource(channel) for channel in channels]
 
+    def _notify_listeners(self):
+        live = self._parts.membership.live().get()
+        self._paying_batch_targets = _paying_batch_targets(live)
+        for listener in self._parts.gossip_listeners:
+            listener(live)
+        return live
+
     def _record_round(self, done):
         parts = self._parts
         reports = {}
@@ -125,3 +135,7 @@
         for node_id in parts.membership.dead_since(REMOVE_AFTER_SECONDS).get():
             if is_remover(parts.settings.node_id, node_id, live_ids):
                 parts.directory.remove(node_id)
+
+
+def _paying_batch_targets(states):
+    return {target for state in states for target in state.paying_batch_targets}
