--- a/tests/features/steps/gateway_endless_steps.py
+++ b/tests/features/steps/gateway_endless_steps.py
@@ -1,7 +1,6 @@
 """Steps for endpoints whose responses never end."""
 
 import contextlib
-import http.client
 import json
 import uuid
 from collections import Counter
@@ -170,11 +169,8 @@
 
 @when("a caller closes the connection after the head")
 def close_after_head(context):
-    connection = http.client.HTTPConnection(context.runner.address)
-    with contextlib.closing(connection):
-        headers = {"Request-Id": "r-1", "Expect-Instance": "runner-0"}
-        connection.request("POST", "/safe/1", b"{}", headers)
-        connection.getresponse().close()
+    with context.runner.open_request("/safe/1", "r-1") as response:
+        response.close()
 
 
 @then("the runner's record says that it was closed within {seconds:g} second")
--- a/tests/features/steps/gateway_leaving_steps.py
+++ b/tests/features/steps/gateway_leaving_steps.py
@@ -292,8 +292,7 @@
     for _ in range(40):
         answer = context.gateways.send(path)
         assert answer.status == 200, answer
-        has_announcement = "Server-Leaving" in answer.headers
-        if has_announcement and answer.headers["Request-Id"] in runner.completed:
+        if answer.announces_shutdown and answer.request_id in runner.completed:
             return
     raise AssertionError("no response of the runner reached a caller")
 
--- a/tests/features/steps/missing_route_steps.py
+++ b/tests/features/steps/missing_route_steps.py
@@ -11,9 +11,9 @@
 LATER_ANSWER_SECONDS = 1.0
 
 
-def _change_routes(context, changes):
+def _change_routes(context, prefix_by_route):
     fleet = context.gateways
-    fleet.route_changes = changes
+    fleet.prefix_by_route = prefix_by_route
     fleet.configure()
 
 
@@ -22,7 +22,7 @@
     fleet = context.gateways
     version = lambda: fleet.status()["configuration"]["version"]  # noqa: E731
     before = version()
-    _change_routes(context, {"batch": {"PathPrefix": "/elsewhere/"}})
+    _change_routes(context, {"batch": "elsewhere"})
     wait_until(lambda: version() > before, APPLY_SECONDS, "the route is removed")
     # The item runner sees the route missing in its next step.
     time.sleep(0.3)
