EventSplitter: do not copy an unfinished event at each read

Cause: each feed copied the buffer of the unfinished event, up to 1 MB, also when no event had ended; for a large chunk without end that was twice the memory, and time in the square of its size. Change: the buffer is cut only after an event.

--- a/packages/decisions/sequoiaglade_decisions/gateway/events.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/events.py
@@ -52,8 +52,9 @@
                 listed_end = match.end()
             start = match.end()
         events += self._unnumbered(listed_end, start)
-        # A buffer whose match object is still referenced can't be resized.
-        self._partial = self._partial[start:]
+        if start:
+            # A buffer whose match object is still referenced can't be resized.
+            self._partial = self._partial[start:]
         return events
 
     def _unnumbered(self, start, end):
