Keep response bodies outside the allocator until they are complete

Cause, suspected: blocks of bodies were freed by many threads to the allocator, which keeps part of them for each thread. Change: BodyBuffer keeps what exceeds 64 kB in anonymous maps.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -10,6 +10,7 @@
 from sequoiaglade_decisions.gateway import Fault, ResponsePart
 from sequoiaglade_endpoints.connections import TrackedConnection
 
+from .body_buffer import BodyBuffer
 from .bounded_reads import BoundedResponse
 from .leaving import note_leaving
 from .patient_socket import PatientSocket
@@ -18,8 +19,6 @@
 # latency objective of a request is about 300 ms; the rest is for another endpoint.
 CONNECT_SECONDS = 0.25
 READ_BYTES = 16_384
-# Size of the blocks in which a body is kept until its end.
-BLOCK_BYTES = 65_536
 # Keep-alive probes detect an unresponsive peer within three seconds.
 KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -196,21 +195,16 @@
 
 
 def _read_complete(connection, response, head, headers, attempt, bounded):
-    # A list of small chunks would take many times the memory of their bytes, and so
-    # would a single growing buffer in each of many threads.
-    blocks, block = [], bytearray()
-    try:
-        for chunk in _body_chunks(response, bounded):
-            block += chunk
-            if len(block) >= BLOCK_BYTES:
-                blocks.append(block)
-                block = bytearray()
-        if attempt.is_aborted:
-            return CallFault(Fault.BROKEN, "the call was aborted")
-        body = b"".join([*blocks, block])
-        return CompleteResponse(response.status, headers, body, head.is_signed)
-    finally:
-        _close(connection, response, attempt)
+    with BodyBuffer() as buffer:
+        try:
+            for chunk in _body_chunks(response, bounded):
+                buffer.append(chunk)
+            if attempt.is_aborted:
+                return CallFault(Fault.BROKEN, "the call was aborted")
+            body = buffer.read()
+            return CompleteResponse(response.status, headers, body, head.is_signed)
+        finally:
+            _close(connection, response, attempt)
 
 
 def _body_chunks(response, bounded):
