Renew watches of the store once open connections seem to be silent

Cause: a watch that waits can't tell silence from a lack of changes, TCP keep-alive probes are still acknowledged, and no other call on an older connection was made that could have told.

Change: `StoreContact` (pure) takes an answer as proof only if its connection was open when the connections were last proved sound. After 3 s without proof it has a read of a missing object sent, marked as one that may be outdated, on a connection kept for it. A call that waited 0.9 s or more and timed out on an open connection renews all connections, at most once in 3 s; after a shorter wait a probe is sent. `ObjectStore` takes new pools and shuts the waiting watches down; `KindWatcher` goes on from its revision with a short watch, without counting this as an outage. One log line and one count `watch renewed` for each. Watches of nodes of instances with a disk (retirements) are not guarded.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -46,6 +46,7 @@
     move_headroom,
     silence_step,
 )
+from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 
 __all__ = [
@@ -57,6 +58,7 @@
     "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
+    "ContactStep",
     "Endpoint",
     "EndpointDirectory",
     "EndpointHealth",
@@ -97,6 +99,8 @@
     "SendDecision",
     "SharedBytes",
     "SilenceStep",
+    "StoreCall",
+    "StoreContact",
     "StreamVersions",
     "Workspace",
     "batch_allowance",
--- a/packages/decisions/sequoiaglade_decisions/outcomes/failures.py
+++ b/packages/decisions/sequoiaglade_decisions/outcomes/failures.py
@@ -9,6 +9,7 @@
 
     CONFLICT = "conflict"
     EXPIRED = "expired"
+    INTERRUPTED = "interrupted"
     INVALID = "invalid"
     NOT_FOUND = "not_found"
     UNAVAILABLE = "unavailable"
@@ -19,6 +20,7 @@
     """A failed operation, returned instead of its result.
 
     ``EXPIRED`` means that a watch requested changes that are no longer stored,
+    ``INTERRUPTED`` that a watch was ended because its connection may be silent,
     ``UNAVAILABLE`` that the operation had no effect, and ``UNKNOWN`` that it may have
     had one.
 
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -34,7 +34,12 @@
 from .online import BatchPreemptor, OnlineService, StreamDirectory
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
-from .store_cache import ConfigurationReader, KindWatcher, StoreCache
+from .store_cache import (
+    ConfigurationReader,
+    KindWatcher,
+    StoreCache,
+    StoreContactKeeper,
+)
 
 # The platform allows callers to keep an address for this multiple of the directory's
 # time to live.
@@ -226,6 +231,7 @@
                 cache.on_endpoints_reachable,
             ),
             self._ends_watcher,
+            StoreContactKeeper(parts.store, parts.metrics),
         )
         for watcher in watchers:
             stack.enter_context(watcher)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
@@ -1,7 +1,8 @@
 """Local copy of the store's configuration and endpoints, and watchers of its kinds."""
 
 from .cache import StoreCache
+from .contact import StoreContactKeeper
 from .reader import ConfigurationReader
 from .watcher import KindWatcher
 
-__all__ = ["ConfigurationReader", "KindWatcher", "StoreCache"]
+__all__ = ["ConfigurationReader", "KindWatcher", "StoreCache", "StoreContactKeeper"]
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -10,8 +10,8 @@
 # Timeout of one watch call. Keep-alive probes detect a dead connection, so that a long
 # timeout delays no change and takes fewer calls.
 WATCH_TIMEOUT_SECONDS = 20.0
-# Timeout of the first watch call after a failure, so that a recovery of the store is
-# detected promptly even without a change.
+# Timeout of the first watch call after a failure or on a new connection, so that it is
+# known soon whether the store answers even without a change.
 PROBE_TIMEOUT_SECONDS = 0.02
 # Pause after a call that returned changes: a sequence of changes, as at the start of a
 # fleet, is read in few calls. It is a fifth of the 2 seconds in which a change has to
@@ -38,6 +38,7 @@
         self._on_reachable = on_reachable or (lambda is_reachable: None)
         self._revision = None
         self._is_reachable = True
+        self._is_interrupted = False
         self._log = structlog.get_logger()
 
     def read_now(self):
@@ -73,6 +74,11 @@
     def _run(self):
         while not self._stopped.is_set():
             failure = self._list() if self._revision is None else self._watch()
+            self._is_interrupted = (
+                failure is not None and failure.code is FailureCode.INTERRUPTED
+            )
+            if self._is_interrupted:
+                continue
             self._update_reachability(failure)
             if failure is None:
                 continue
@@ -91,7 +97,8 @@
         return None
 
     def _watch(self):
-        seconds = WATCH_TIMEOUT_SECONDS if self._is_reachable else PROBE_TIMEOUT_SECONDS
+        is_sound = self._is_reachable and not self._is_interrupted
+        seconds = WATCH_TIMEOUT_SECONDS if is_sound else PROBE_TIMEOUT_SECONDS
         result = self._store.watch(self._kind, self._revision, seconds)
         if isinstance(result, Failure):
             return result
--- a/packages/platform/sequoiaglade_platform/documents.py
+++ b/packages/platform/sequoiaglade_platform/documents.py
@@ -38,7 +38,7 @@
     Each method returns its result or a `Failure`: ``UNAVAILABLE`` if the call had no
     effect, ``UNKNOWN`` if it may have taken effect or may still do so, ``CONFLICT`` if
     a condition did not hold, ``EXPIRED`` if a watch asks for changes that the store no
-    longer has.
+    longer has, ``INTERRUPTED`` if a watch was ended by `renew_connections`.
     """
 
     def get(self, kind, name): ...
@@ -52,3 +52,12 @@
     def put_status(self, kind, name, status): ...
 
     def watch(self, kind, revision, seconds): ...
+
+    def observe(self, on_call):
+        """Call `on_call` with a `StoreCall` after each call that has evidence."""
+
+    def probe(self):
+        """Make a cheap call on a connection that is kept for probes."""
+
+    def renew_connections(self):
+        """Use new connections from now on; return the kinds of the ended watches."""
--- a/tests/features/gateway/silence.feature
+++ b/tests/features/gateway/silence.feature
@@ -52,3 +52,10 @@
     When all connections among "store" fall silent
     And the key "key-yard" is replaced by "key-new"
     Then within 7 seconds all gateways return 401 for "/safe/1" with key "key-yard"
+
+  Scenario: A removed endpoint is known soon after watches fell silent
+    Given 2 gateways and 1 runner whose connections can fall silent
+    When all connections among "store" fall silent
+    And the entry of runner 0 is removed
+    Then within 7 seconds all gateways refuse "/safe/1" with 503
+    And each gateway has renewed 3 watches
--- /dev/null
+++ b/tests/features/gateway/store_contact.feature
@@ -0,0 +1,62 @@
+Feature: Watches of the store are renewed once their connections seem to be silent
+
+  Scenario: No probe is sent while calls on older connections are answered
+    Given connections to the store that were proved sound
+    When calls on an older connection are answered every 2 seconds for 60 seconds
+    Then there were 0 probes and 0 renewals
+
+  Scenario: Answers on newer connections do not hide the silence of older ones
+    Given connections to the store that were proved sound
+    When all connections fall silent and calls on new ones are answered
+    Then the connections are renewed within 4.1 seconds
+
+  Scenario: A call that times out renews the connections at once
+    Given connections to the store that were proved sound
+    When a call on an older connection times out after 1.0 seconds
+    Then the connections are renewed within 0.1 seconds
+
+  Scenario: A call that waited a short time leads to a probe, and no renewal if answered
+    Given connections to the store that were proved sound
+    When a call on an older connection times out after 0.3 seconds
+    Then there were 1 probes and 0 renewals
+
+  Scenario: A store that never answers is asked at a bounded rate
+    Given connections to the store that were proved sound
+    When the store answers nothing for 60 seconds, and 20 calls a second time out
+    Then there were 15 to 60 probes and 10 to 20 renewals
+
+  Scenario: A time-out on a connection from before a renewal is no evidence
+    Given connections to the store that were proved sound
+    When a call on an older connection times out after 1.0 seconds
+    And calls that were sent before the renewal time out after it
+    Then there were 1 probes and 1 renewals
+
+  Scenario: A store that closes idle connections causes no renewal
+    Given connections to the store that were proved sound
+    When each probe is answered on a new connection for 60 seconds
+    Then there were 18 to 21 probes and 0 renewals
+
+  Scenario: A renewed watch tells each change once
+    Given a watcher of "batch-ends" whose connections can fall silent
+    When its connections fall silent and 3 documents are written
+    And the connections are renewed
+    And 2 documents are written
+    Then the watcher has told each of 5 documents once, without an outage
+
+  Scenario: Calls that begin during a renewal are not interrupted
+    Given a watcher of "batch-ends" whose connections can fall silent
+    When the connections are renewed 50 times while 4 threads read
+    Then no read fails
+
+  Scenario: Idle gateways send few probes and renew no watch
+    Given 2 gateways and 1 runner whose connections can fall silent
+    When nothing happens for 15 seconds
+    Then the store received 4 to 12 probes
+    And each gateway has renewed 0 watches
+
+  Scenario: A silent store is asked at a bounded rate and followed after its return
+    Given 2 gateways and 1 runner whose connections can fall silent
+    When the store answers nothing for 12 seconds
+    Then it received at most 80 calls in that time
+    When the key "key-yard" is replaced by "key-new"
+    Then within 7 seconds all gateways return 401 for "/safe/1" with key "key-yard"
--- a/tests/features/steps/gateway_silence_steps.py
+++ b/tests/features/steps/gateway_silence_steps.py
@@ -179,3 +179,26 @@
 def check_ended_stream(context, seconds):
     assert context.silent_seconds < seconds, context.silent_seconds
     assert len(runs(context)) == 1, runs(context)
+
+
+@when("the entry of runner 0 is removed")
+def remove_entry(context):
+    fleet = context.gateways
+    fleet.store.remove("servers", fleet.runners[0].runner_id)
+
+
+@then('within {seconds:d} seconds all gateways refuse "{path}" with {status:d}')
+def check_all_refuse(context, seconds, path, status):
+    fleet = context.gateways
+    nodes = range(len(fleet.nodes))
+    refused = lambda: all(fleet.send(path, n).status == status for n in nodes)  # noqa: E731
+    wait_until(refused, float(seconds), "all gateways refuse the path")
+
+
+@then("each gateway has renewed {count:d} watches")
+def check_renewed(context, count):
+    fleet = context.gateways
+    for number in range(len(fleet.nodes)):
+        lines = fleet.metrics(number).splitlines()
+        renewed = [line for line in lines if '"watch renewed"' in line]
+        assert sum(float(line.split()[-1]) for line in renewed) == count, renewed
--- /dev/null
+++ b/tests/features/steps/store_contact_steps.py
@@ -0,0 +1,257 @@
+"""Steps for probes and renewals of the connections to the store."""
+
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from emulator.fleet import wait_until
+from emulator.links import Link
+from emulator.store import EmulatedStore
+from fleet_adapter.objects import ObjectStore
+from sequoiaglade_gateway.store_cache import KindWatcher
+
+from sequoiaglade_decisions.gateway import ContactStep, StoreCall, StoreContact
+from sequoiaglade_decisions.outcomes import Failure
+
+TICK_SECONDS = 0.05
+PROBE_TIMEOUT_SECONDS = 1.0
+ANSWER_SECONDS = 0.05
+START = 100.0
+
+
+class ContactPlay:
+    """Plays the time of a `StoreContact` in small steps.
+
+    `answers` tells whether a probe is answered, by the time at which its connection was
+    opened.
+    """
+
+    def __init__(self):
+        self.now = START
+        self.contact = StoreContact()
+        self.answers = lambda connected_at: True
+        self.keeps_connection = True
+        self.steps = Counter()
+        self.renewed_at = None
+        self._probe_opened_at = None
+        self._probe = None
+
+    def run(self, seconds, on_tick=lambda: None):
+        end = self.now + seconds
+        while self.now < end:
+            on_tick()
+            self._end_probe()
+            if self._probe is None:
+                self._take_step()
+            self.now += TICK_SECONDS
+
+    def call(self, connected_at, seconds, is_answered):
+        """Note a call that ends now."""
+        sent_at = self.now - seconds
+        self.contact.note_call(StoreCall(connected_at, sent_at, self.now, is_answered))
+
+    def forget_steps(self):
+        self.steps.clear()
+        self.renewed_at = None
+
+    def _take_step(self):
+        step, _ = self.contact.next_step(self.now)
+        self.steps[step] += 1
+        if step is ContactStep.RENEW:
+            self.renewed_at = self.renewed_at or self.now
+            self._probe_opened_at = None
+        elif step is ContactStep.PROBE:
+            if self._probe_opened_at is None or not self.keeps_connection:
+                self._probe_opened_at = self.now
+            is_answered = self.answers(self._probe_opened_at)
+            seconds = ANSWER_SECONDS if is_answered else PROBE_TIMEOUT_SECONDS
+            ended_at = self.now + seconds
+            self._probe = StoreCall(
+                self._probe_opened_at, self.now, ended_at, is_answered, True
+            )
+
+    def _end_probe(self):
+        if self._probe is not None and self._probe.ended_at <= self.now:
+            self.contact.note_call(self._probe)
+            self._probe = None
+
+
+@given("connections to the store that were proved sound")
+def given_sound(context):
+    context.play = ContactPlay()
+    context.play.run(1.0)
+    assert context.play.steps[ContactStep.PROBE] == 1
+    context.play.forget_steps()
+
+
+@when("calls on an older connection are answered every 2 seconds for 60 seconds")
+def answer_calls(context):
+    for _ in range(30):
+        context.play.run(2.0)
+        context.play.call(START, ANSWER_SECONDS, True)
+
+
+@when("all connections fall silent and calls on new ones are answered")
+def silence_all(context):
+    play = context.play
+    context.event_at = silent_at = play.now
+    play.answers = lambda connected_at: connected_at > silent_at
+    play.run(6.0, lambda: play.call(play.now - 0.01, 0.01, True))
+
+
+@when("a call on an older connection times out after {seconds:g} seconds")
+def time_out(context, seconds):
+    play = context.play
+    play.run(1.5)
+    context.event_at = play.now
+    play.call(START, seconds, False)
+    play.run(1.0)
+
+
+@when("calls that were sent before the renewal time out after it")
+def time_out_later(context):
+    play = context.play
+    play.run(0.5)
+    play.call(START, play.now - play.renewed_at + 0.5, False)
+    play.run(0.5)
+
+
+@when("the store answers nothing for 60 seconds, and 20 calls a second time out")
+def answer_nothing(context):
+    play = context.play
+    play.answers = lambda connected_at: False
+    play.run(60.0, lambda: play.call(play.now - 1.0, 1.0, False))
+
+
+@when("each probe is answered on a new connection for 60 seconds")
+def answer_on_new_connections(context):
+    context.play.keeps_connection = False
+    context.play.run(60.0)
+
+
+@then("the connections are renewed within {seconds:g} seconds")
+def check_renewal(context, seconds):
+    play = context.play
+    assert play.renewed_at is not None
+    assert play.renewed_at - context.event_at <= seconds, play.renewed_at
+
+
+@then("there were {probes:d} probes and {renewals:d} renewals")
+def check_steps(context, probes, renewals):
+    steps = context.play.steps
+    assert steps[ContactStep.PROBE] == probes, steps
+    assert steps[ContactStep.RENEW] == renewals, steps
+
+
+@then("there were {least:d} to {most:d} probes and {fewest:d} to {maximum:d} renewals")
+@then("there were {least:d} to {most:d} probes and {fewest:d} renewals")
+def check_step_ranges(context, least, most, fewest, maximum=None):
+    steps = context.play.steps
+    assert least <= steps[ContactStep.PROBE] <= most, steps
+    maximum = fewest if maximum is None else maximum
+    assert fewest <= steps[ContactStep.RENEW] <= maximum, steps
+
+
+@given('a watcher of "{kind}" whose connections can fall silent')
+def given_watcher(context, kind):
+    context.kind = kind
+    context.emulated = context.stack.enter_context(EmulatedStore())
+    context.link = context.stack.enter_context(Link(context.emulated.address))
+    context.store = context.stack.enter_context(ObjectStore(context.link.address))
+    context.told, context.reachable = [], []
+    watcher = KindWatcher(
+        context.store,
+        kind,
+        lambda documents: context.told.extend(d.name for d in documents),
+        lambda change: context.told.append(change.name),
+        context.reachable.append,
+    )
+    context.stack.enter_context(watcher)
+    wait_until(lambda: kind in context.emulated.watched_kinds(), 5.0, "a watch waits")
+
+
+@when("its connections fall silent and {count:d} documents are written")
+def silence_watch(context, count):
+    assert context.link.silence()
+    write(context, count)
+    time.sleep(0.5)
+    assert not context.told, context.told
+
+
+@when("{count:d} documents are written")
+def write(context, count):
+    for _ in range(count):
+        name = f"document-{len(context.emulated.names(context.kind))}"
+        context.emulated.put(context.kind, name, {})
+
+
+@when("the connections are renewed")
+def renew(context):
+    assert context.store.renew_connections() == [context.kind]
+    wait_until(lambda: context.told, 1.0, "changes are told")
+    waits = lambda: context.kind in context.emulated.watched_kinds()  # noqa: E731
+    wait_until(waits, 3.0, "a watch waits again")
+
+
+@then("the watcher has told each of {count:d} documents once, without an outage")
+def check_told(context, count):
+    wait_until(lambda: len(context.told) >= count, 3.0, "all documents are told")
+    time.sleep(0.5)
+    assert sorted(context.told) == context.emulated.names(context.kind), context.told
+    assert len(context.told) == count
+    assert not context.reachable, context.reachable
+
+
+@when("the connections are renewed {count:d} times while {threads:d} threads read")
+def renew_often(context, count, threads):
+    is_over = []
+
+    def read():
+        found = []
+        while not is_over:
+            found.append(context.store.list(context.kind))
+        return found
+
+    with ThreadPoolExecutor(threads) as pool:
+        reads = [pool.submit(read) for _ in range(threads)]
+        for _ in range(count):
+            time.sleep(0.02)
+            context.store.renew_connections()
+        is_over.append(True)
+        context.outcomes = [outcome for r in reads for outcome in r.result()]
+
+
+@then("no read fails")
+def check_reads(context):
+    failures = [o for o in context.outcomes if isinstance(o, Failure)]
+    assert len(context.outcomes) > 100
+    assert not failures, failures[:3]
+
+
+@when("nothing happens for {seconds:d} seconds")
+def wait_idle(context, seconds):
+    store = context.gateways.store
+    before = store.probe_count
+    time.sleep(seconds)
+    context.probe_count = store.probe_count - before
+
+
+@then("the store received {least:d} to {most:d} probes")
+def check_probes(context, least, most):
+    assert least <= context.probe_count <= most, context.probe_count
+
+
+@when("the store answers nothing for {seconds:d} seconds")
+def silence_store(context, seconds):
+    store = context.gateways.store
+    before = store.call_count
+    store.set_silent(True)
+    time.sleep(seconds)
+    context.call_count = store.call_count - before
+    store.set_silent(False)
+
+
+@then("it received at most {count:d} calls in that time")
+def check_calls(context, count):
+    assert context.call_count <= count, context.call_count
