Gateway: the deadline of a request counts from its arrival

Callers saw: a request that found all threads of a gateway busy waited up to limits.queue_seconds (10 s) whatever its deadline, and its deadline began anew when a thread took it.

Neither the time in the kernel's buffer, while the process does not run, nor that in the queue of threads was part of it, or was logged anywhere.

Change: a request has its time of arrival, from the kernel's time since the last data (TCP_INFO) at the first read. A request waits for a thread for a quarter of its caller's deadline at most, and is then refused as not run, so that its caller can try another gateway. One whose deadline has passed before it is handled is refused as not run. The log of a placed request has arrival_wait_ms, a refusal without a thread is logged, and the histogram sequoiaglade.gateway.arrival_wait has all waits.

--- a/packages/gateway/sequoiaglade_gateway/metrics.py
+++ b/packages/gateway/sequoiaglade_gateway/metrics.py
@@ -8,7 +8,8 @@
 
     `sequoiaglade.gateway.events` counts decisions by `event` and `outcome`.
     `sequoiaglade.gateway.first_event` is the time to the first event of a stream in
-    seconds, by `route`.
+    seconds, by `route`. `sequoiaglade.gateway.arrival_wait` is the time in seconds from
+    a request's arrival at the machine until its handling begins.
     """
 
     def __init__(self, node_id):
@@ -19,6 +20,11 @@
         self._first_event = self._telemetry.histogram(
             "sequoiaglade.gateway.first_event", "s", "time to a stream's first event"
         )
+        self._arrival_wait = self._telemetry.histogram(
+            "sequoiaglade.gateway.arrival_wait",
+            "s",
+            "time from a request's arrival until its handling begins",
+        )
 
     def __enter__(self):
         self._telemetry.__enter__()
@@ -35,6 +41,10 @@
         """Record the time until the first event of an admitted request."""
         self._first_event.record(seconds, {"route": work.route.name})
 
+    def record_arrival_wait(self, seconds):
+        """Record the time from a request's arrival until its handling began."""
+        self._arrival_wait.record(seconds)
+
     def text(self):
         """Return all metrics in the text format, as bytes."""
         return self._telemetry.text()
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -257,7 +257,13 @@
         ):
             if address is None:
                 continue
-            listener = Listener(catch_errors(application), address, threads, limits)
+            listener = Listener(
+                catch_errors(application),
+                address,
+                threads,
+                limits,
+                parts.dialect.read_deadline,
+            )
             self._listeners.append(stack.enter_context(listener))
 
     def _status(self):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -262,6 +262,7 @@
             resumes=request.call.resumes or None,
             in_flight=self._in_flight.in_flight,
             placing_ms=round(self._placement_seconds * 1000),
+            arrival_wait_ms=round(request.arrival_wait_seconds * 1000),
             waited_ms=round((time.monotonic() - request.arrived_at) * 1000),
             seconds_left=round(seconds_left, 3),
             configuration_version=request.version,
--- a/packages/gateway/sequoiaglade_gateway/online/requests.py
+++ b/packages/gateway/sequoiaglade_gateway/online/requests.py
@@ -9,7 +9,10 @@
 
 
 class AdmittedRequest(NamedTuple):
-    """An admitted request; `arrived_at` and `end_at` are monotonic time in seconds."""
+    """An admitted request; `arrived_at` and `end_at` are monotonic time in seconds.
+
+    `arrival_wait_seconds` is the time from its arrival until its handling began.
+    """
 
     call: IncomingCall
     body: bytes
@@ -19,6 +22,7 @@
     service: str | None
     fingerprint: str
     arrived_at: float
+    arrival_wait_seconds: float
     end_at: float
     version: int
 
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -27,8 +27,10 @@
 
     def handle(self, request):
         """Return the `Response` to a request."""
-        arrived_at = time.monotonic()
+        arrived_at = request.arrived_at
+        wait_seconds = time.monotonic() - arrived_at
         parts = self._parts
+        parts.metrics.record_arrival_wait(wait_seconds)
         configuration = parts.store_cache.configuration
         call = parts.dialect.read_call(request)
         if configuration is None:
@@ -51,11 +53,23 @@
                 return self._refuse(call, refusal, configuration)
         if route.kind is RouteKind.BATCH:
             return parts.batch.submit(call, request, route, workspace)
+        end_at = arrived_at + min(
+            call.deadline or DEFAULT_DEADLINE_SECONDS, route.timeout
+        )
+        if time.monotonic() >= end_at:
+            refusal = GatewayRefusal(
+                503, "the deadline passed before the request was handled", 0.0
+            )
+            return self._refuse(
+                call, refusal, configuration, arrival_wait_ms=round(wait_seconds * 1000)
+            )
         return self._run_online(
-            call, request, route, workspace, arrived_at, configuration
+            call, request, route, workspace, end_at, wait_seconds, configuration
         )
 
-    def _run_online(self, call, request, route, workspace, arrived_at, configuration):
+    def _run_online(
+        self, call, request, route, workspace, end_at, wait_seconds, configuration
+    ):
         body = request.stream.read()
         request_fingerprint = fingerprint(
             workspace.name if workspace else "", call.target.encode() + body
@@ -73,7 +87,6 @@
                 return self._refuse(
                     call, refusal, configuration, fingerprint=request_fingerprint
                 )
-        deadline = call.deadline or DEFAULT_DEADLINE_SECONDS
         admitted = AdmittedRequest(
             call=call,
             body=body,
@@ -82,8 +95,9 @@
             priority=_priority(route, workspace),
             service=route.service_for(call.request_id),
             fingerprint=request_fingerprint,
-            arrived_at=arrived_at,
-            end_at=arrived_at + min(deadline, route.timeout),
+            arrived_at=request.arrived_at,
+            arrival_wait_seconds=wait_seconds,
+            end_at=end_at,
             version=configuration.version,
         )
         return Exchange(self._parts, admitted, request.disconnected).answer()
--- a/packages/node/sequoiaglade_node/web/channels.py
+++ b/packages/node/sequoiaglade_node/web/channels.py
@@ -2,7 +2,10 @@
 
 import json
 import socket
+import struct
+import time
 
+import structlog
 from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask, WSGITask
 
@@ -17,6 +20,14 @@
 ARRIVAL_BYTES_PER_SECOND = 16_384
 MAINTENANCE_SECONDS = 2
 LINGER_BYTES = 1_048_576
+# Environment key of the time at which a request arrived.
+ARRIVED_AT = "sequoiaglade.arrived_at"
+# Part of the time that a caller waits for which its request may wait for a thread. The
+# rest is left for another node.
+THREAD_WAIT_FRACTION = 0.25
+# Place of the milliseconds since data was last received in Linux's struct tcp_info.
+TCP_INFO_BYTES = 104
+LAST_DATA_RECEIVED_OFFSET = 52
 _CODE_BY_STATUS = {
     400: RefusalCode.INVALID_REQUEST,
     408: RefusalCode.REQUEST_TIMEOUT,
@@ -28,7 +39,16 @@
 
 
 class RequestTask(WSGITask):
-    """Closes the connection after its response if the listener is closing."""
+    """Closes the connection after its response if the listener is closing.
+
+    The environment tells when the request arrived.
+    """
+
+    def get_environment(self):
+        """Return the WSGI environment."""
+        environ = super().get_environment()
+        environ[ARRIVED_AT] = self.request.arrived_at
+        return environ
 
     def build_response_header(self):
         """Return the response head, with ``Connection: close`` if required."""
@@ -65,11 +85,28 @@
     """A caller's connection; `arrival_seconds` limits the arrival of a request's head.
 
     A body may take longer if it arrives at `ARRIVAL_BYTES_PER_SECOND` or faster.
+    `read_deadline` returns from a request's headers how many seconds its caller waits,
+    or None.
     """
 
     task_class = RequestTask
     error_task_class = RefusalTask
     arrival_seconds = 30.0
+    request_class = None
+    read_deadline = staticmethod(lambda headers: None)
+
+    def parser_class(self, adj):
+        """Return the parser of a new request whose first bytes were just read."""
+        return self.request_class(adj, time.monotonic() - _unread_seconds(self.socket))
+
+    @property
+    def wait_until(self):
+        """The time until which the next request may wait for a thread, or None."""
+        request = self.requests[0]
+        seconds = self.read_deadline(request.headers_by_name())
+        if seconds is None:
+            return None
+        return request.arrived_at + THREAD_WAIT_FRACTION * seconds
 
     @property
     def is_busy(self):
@@ -107,6 +144,12 @@
         """Refuse the next request because all threads are busy, without running it."""
         request = self.requests[0]
         request.error = request.error or ThreadsBusy("all threads of the node are busy")
+        structlog.get_logger().warning(
+            "request refused",
+            path=request.path,
+            reason=str(request.error.body),
+            waited_ms=round((time.monotonic() - request.arrived_at) * 1000),
+        )
         self.service()
 
     def _linger(self):
@@ -122,6 +165,20 @@
             return
 
 
+def _unread_seconds(sock):
+    """Return how long data that was just read had waited in the kernel's buffer.
+
+    A process that gets no processor time reads late. It is 0 where the kernel does not
+    tell it.
+    """
+    try:
+        data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (milliseconds,) = struct.unpack_from("I", data, LAST_DATA_RECEIVED_OFFSET)
+    except (AttributeError, OSError, struct.error):
+        return 0.0
+    return milliseconds / 1000
+
+
 def maintain(server, now):
     """Expire connections; close idle ones early when the limit is nearly reached."""
     channels = list(server.active_channels.values())
--- a/packages/node/sequoiaglade_node/web/listeners.py
+++ b/packages/node/sequoiaglade_node/web/listeners.py
@@ -20,10 +20,12 @@
     """Serves a WSGI application on an address; a context manager.
 
     Each listener has its own threads, so that health checks and operators are served
-    even when all threads of the data listener are busy.
+    even when all threads of the data listener are busy. `read_deadline` returns how
+    many seconds the caller of a request waits, from its headers by their lower-case
+    names, or None; a request waits for a thread for a part of this time only.
     """
 
-    def __init__(self, application, address, threads, limits):
+    def __init__(self, application, address, threads, limits, read_deadline=None):
         host, _, port = address.rpartition(":")
         self._sockets = {}
         self._server = create_server(
@@ -31,7 +33,9 @@
             map=self._sockets,
             host=host,
             port=int(port),
-            _dispatcher=GrowingDispatcher(threads, limits.queue_seconds),
+            _dispatcher=GrowingDispatcher(
+                threads, limits.queue_seconds, lambda channel: channel.wait_until
+            ),
             connection_limit=limits.connections,
             max_request_body_size=limits.file_bytes,
             max_request_header_size=limits.header_bytes,
@@ -46,9 +50,11 @@
         self._server.closes_after_answers = False
         parser_class = make_parser_class(limits)
         members = {
-            "parser_class": parser_class,
+            "request_class": parser_class,
             "arrival_seconds": limits.arrival_seconds,
         }
+        if read_deadline is not None:
+            members["read_deadline"] = staticmethod(read_deadline)
         self._server.channel_class = type("ListenerChannel", (Channel,), members)
         self._server.maintenance = lambda now: maintain(self._server, now)
         self._accept_one = self._server.handle_accept
--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -74,15 +74,17 @@
 
     The rest of a body over its limit is read and discarded up to `DISCARD_BYTES`, so
     that the caller can read the refusal. `make_parser_class` sets `call_bounds` and
-    `gate`.
+    `gate`. `arrived_at` is the time of the monotonic clock at which the first bytes
+    reached this machine.
     """
 
     call_bounds = None
     gate = None
 
-    def __init__(self, adj):
+    def __init__(self, adj, arrived_at=None):
         super().__init__(adj)
         self.created_at = time.time()
+        self.arrived_at = time.monotonic() if arrived_at is None else arrived_at
         self._is_discarding = False
         self._holds_place = False
 
@@ -107,6 +109,10 @@
             self._discard()
         return consumed
 
+    def headers_by_name(self):
+        """Return the headers by their lower-case names."""
+        return {n.replace("_", "-").lower(): v for n, v in self.headers.items()}
+
     def close(self):
         """Release the body's buffer and end its upload."""
         super().close()
--- a/packages/node/sequoiaglade_node/web/requests.py
+++ b/packages/node/sequoiaglade_node/web/requests.py
@@ -1,12 +1,15 @@
 """A caller's HTTP request from the WSGI environment."""
 
 import re
+import time
 import uuid
 from typing import Any, Callable, NamedTuple
 from urllib.parse import urlsplit
 
 from sequoiaglade_decisions.outcomes import Refusal, RefusalCode
 
+from .channels import ARRIVED_AT
+
 _ODD_CHARACTERS = re.compile(r"[\x00-\x1f\x7f\\]")
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9_.:\-]{1,128}\Z")
 
@@ -17,6 +20,7 @@
     `path` is decoded; `target` is the path and query as the caller sent them. `stream`
     reads the body, and `disconnected` returns whether the caller has disconnected.
     `has_generated_id` states that this node generated the request id, which is unique.
+    `arrived_at` is the time of the monotonic clock at which the request arrived.
     """
 
     method: str
@@ -30,6 +34,7 @@
     has_generated_id: bool
     disconnected: Callable[[], bool]
     environ: dict
+    arrived_at: float
 
     def header(self, name):
         """Return the value of a header by its lower-case name, or None."""
@@ -61,6 +66,7 @@
         has_generated_id=not is_valid,
         disconnected=environ.get("waitress.client_disconnected", lambda: False),
         environ=environ,
+        arrived_at=environ.get(ARRIVED_AT) or time.monotonic(),
     )
 
 
--- a/packages/node/sequoiaglade_node/web/threads.py
+++ b/packages/node/sequoiaglade_node/web/threads.py
@@ -26,24 +26,30 @@
     An idle node therefore uses no memory for threads that were never needed. Threads
     are kept for later tasks. A task that no thread has started within `wait_seconds`
     is refused by a separate thread, which calls its method ``refuse`` instead of
-    ``service``.
+    ``service``. `wait_until` returns the time of the monotonic clock from which a task
+    is refused earlier, or None.
     """
 
-    def __init__(self, max_threads, wait_seconds):
+    def __init__(self, max_threads, wait_seconds, wait_until=lambda task: None):
         super().__init__()
         self._max_threads = max_threads
         self._wait_seconds = wait_seconds
+        self._wait_until = wait_until
         self._overdue = threading.Condition(self.lock)
         self._has_refuser = False
         self._is_stopped = False
 
     def add_task(self, task):
         """Queue `task`; start a thread if none is idle and the limit allows it."""
+        deadline = time.monotonic() + self._wait_seconds
+        wait_until = self._wait_until(task)
+        if wait_until is not None:
+            deadline = min(deadline, wait_until)
         with self.lock:
             self._grow(len(self.queue) + 1)
             if len(self.queue) >= self._idle_count():
                 self._watch_queue()
-        super().add_task(_Waiting(task, time.monotonic() + self._wait_seconds))
+        super().add_task(_Waiting(task, deadline))
 
     def shutdown(self, cancel_pending=True, timeout=5):
         """Stop starting threads and wait up to `timeout` seconds for all to end."""
@@ -86,8 +92,10 @@
                 if not self.queue:
                     self._overdue.wait()
                     continue
-                left = self.queue[0].deadline - time.monotonic()
+                first = min(self.queue, key=lambda waiting: waiting.deadline)
+                left = first.deadline - time.monotonic()
                 if left <= 0:
-                    return self.queue.popleft()
+                    self.queue.remove(first)
+                    return first
                 self._overdue.wait(left)
         return None
