Listener: a task is refused in time though the queue was empty just before

Callers could see: a request that no thread takes is not refused until another one arrives, at a node whose threads are all busy. The refusing thread was notified before the task was in the queue. It could look at the queue in between, find it empty and sleep without end. Not seen in operation.

--- a/packages/node/sequoiaglade_node/web/threads.py
+++ b/packages/node/sequoiaglade_node/web/threads.py
@@ -47,9 +47,11 @@
             deadline = min(deadline, wait_until)
         with self.lock:
             self._grow(len(self.queue) + 1)
-            if len(self.queue) >= self._idle_count():
-                self._watch_queue()
         super().add_task(_Waiting(task, deadline))
+        # After the task is queued: the refusing thread sleeps while the queue is empty.
+        with self.lock:
+            if len(self.queue) > self._idle_count():
+                self._watch_queue()
 
     def shutdown(self, cancel_pending=True, timeout=5):
         """Stop starting threads and wait up to `timeout` seconds for all to end."""
--- a/tests/features/input/input.feature
+++ b/tests/features/input/input.feature
@@ -50,6 +50,11 @@
     Then 4 of them run concurrently, and the others after these have ended
     And no more than 4 threads were started
 
+  Scenario: A task is refused though the refusing thread found the queue empty before it
+    Given a listener whose only thread is busy, and tasks may wait 0.5 s
+    When a task is added, and the refusing thread looks at the queue just before
+    Then the task is refused within 3 s
+
   Scenario: A task that may wait a short time is refused before one that may wait long
     Given a listener whose only thread is busy, and tasks may wait 60 s
     When a task that may wait long is added, then one that may wait 0.5 s
