--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -9,6 +9,11 @@
     Then the days of seeds 0 to 199 are the same when drawn again
     And they have every kind of fault alone and beside others
 
+  Scenario: Requests sent again as a whole may get another version
+    Given the records of a day that kept the rules
+    When three whole requests are cut and answered by another version
+    Then no rule is broken
+
   Scenario Outline: The check of a rule finds a day that breaks it
     Given the records of a day that kept the rules
     When <change>
@@ -20,6 +25,7 @@
       | ORDER    | a stream lacks an event                                        |
       | ORDER    | a stream has an event twice                                    |
       | ORDER    | a stream ends as complete before its last event                |
+      | ORDER    | three whole responses are joined of two versions               |
       | ORDER    | an item's output is of two versions                            |
       | TWICE    | a request that may not be repeated runs at two runners         |
       | TWICE    | an item is listed at two positions                             |
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -91,6 +91,26 @@
     _change(context, "resume", 3, events=events)
 
 
+@when("three whole responses are joined of two versions")
+def join_whole(context):
+    events = EVENTS[:5] + tuple((number, "v2") for number, _ in EVENTS[5:])
+    _change(context, "safe", 3, events=events)
+
+
+@when("three whole requests are cut and answered by another version")
+def answer_again(context):
+    fault = Disturbance("Crashes", None, 0.0, FAULT_AT)
+    context.evidence.disturbances.append(fault)
+    events = tuple((number, "v2") for number, _ in EVENTS)
+    online = context.evidence.online
+    whole = [n for n, request in enumerate(online) if request.route == "safe"]
+    for number in whole[:3]:
+        cut = online[number].attempts[0]._replace(end="broken", events=EVENTS[:5])
+        again = _attempt(f"{cut.request_id}-again", cut.ended_at)
+        attempts = (cut, again._replace(events=events))
+        online[number] = OnlineRequest("safe", attempts)
+
+
 @when("a stream lacks an event")
 def lack_event(context):
     _change(context, "resume", 1, events=EVENTS[:4] + EVENTS[5:])
@@ -277,6 +297,12 @@
     context.evidence.errors.append("StoreAway: OSError()")
 
 
+@then("no rule is broken")
+def check_kept(context):
+    broken = find_broken_rules(context.evidence)
+    assert not broken, broken
+
+
 @then('the rule "{rule}" is broken, and no other')
 def check_broken(context, rule):
     broken = find_broken_rules(context.evidence)
