--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -47,6 +47,7 @@
       | SILENCE  | a runner that was silent gets no request                       |
       | ENDLESS  | an endless response is closed late                             |
       | ENDLESS  | an endless response is closed after too many bytes             |
+      | ENDLESS  | a request waits for an endless response until its deadline     |
       | MEMORY   | a gateway's memory grows                                       |
       | RECOVER  | no request reaches a gateway after a power loss                |
       | RECOVER  | all requests are refused after a power loss                    |
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -254,6 +254,12 @@
     context.evidence.endless_calls.append(EndlessCall("r-1", 16_000_001, 1.0))
 
 
+@when("a request waits for an endless response until its deadline")
+def wait_until_deadline(context):
+    (attempt,) = _change(context, "safe", 1)
+    context.evidence.endless_calls.append(EndlessCall(attempt.request_id, 1000, 3.5))
+
+
 @when("a gateway's memory grows")
 def grow(context):
     context.evidence.memory_growths.append((0, 20_000_001))
