--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -45,6 +45,7 @@
       | MIXED    | a result lacks a part of its output                            |
       | DRAIN    | a gateway sends a runner a request long after its announcement |
       | SILENCE  | a runner that was silent gets no request                       |
+      | SILENCE  | a gateway sends no request to a runner that was silent         |
       | ENDLESS  | an endless response is closed late                             |
       | ENDLESS  | an endless response is closed after too many bytes             |
       | ENDLESS  | a request waits for an endless response until its deadline     |
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -244,6 +244,20 @@
     runs[:] = [run for run in runs if run.began_at < FAULT_AT]
 
 
+@when("a gateway sends no request to a runner that was silent")
+def avoid_by_gateway(context):
+    evidence = context.evidence
+    fault = Disturbance("RunnersSilent", None, FAULT_AT, FAULT_AT + 1)
+    evidence.disturbances.append(fault)
+    evidence.outages.append(("runner-2", FAULT_AT, FAULT_AT + 1))
+    ids = {run.request_id for run in evidence.runs["runner-2"]}
+    for number, request in enumerate(evidence.online):
+        (attempt,) = request.attempts
+        if attempt.request_id in ids:
+            attempt = attempt._replace(gateway=1)
+            evidence.online[number] = OnlineRequest(request.route, (attempt,))
+
+
 @when("an endless response is closed late")
 def close_late(context):
     context.evidence.endless_calls.append(EndlessCall("r-1", 1000, 4.1))
