--- a/tests/features/gateway/waiting.feature
+++ b/tests/features/gateway/waiting.feature
@@ -19,6 +19,12 @@
     Then the request is complete, and was given no more than the rest of its time
     And the gateway's metrics and log tell that it waited
 
+  Scenario: A request that arrived while a gateway was suspended has its answer by the deadline
+    Given 1 gateway and 1 runner
+    And the runner is silent for 10 s
+    When a request with a deadline of 3 s arrives while gateway 0 is suspended for 1 s
+    Then it is answered at most 0.5 s after its deadline
+
   Scenario: A request whose deadline passed while a gateway was suspended is refused
     Given 1 gateway and 1 runner
     When a request with a deadline of 1 s arrives while gateway 0 is suspended for 2 s
--- a/tests/features/steps/gateway_waiting_steps.py
+++ b/tests/features/steps/gateway_waiting_steps.py
@@ -66,6 +66,11 @@
     context.sent = [Sent(context, f"/once/{n}", float(s)) for n in range(count)]
 
 
+@given("the runner is silent for {seconds:d} s")
+def fall_silent(context, seconds):
+    context.gateways.runners[0].fall_silent(seconds)
+
+
 @when(
     "a request with a deadline of {s:d} s arrives while gateway 0 is suspended "
     "for {seconds:d} s"
@@ -133,6 +138,13 @@
     assert line["arrival_wait_ms"] > 500 * context.waited_seconds, line
 
 
+@then("it is answered at most {seconds:g} s after its deadline")
+def check_answered_in_time(context, seconds):
+    (request,) = context.sent
+    assert request.answer is not None
+    assert request.seconds <= request.deadline + seconds, request.seconds
+
+
 @then("it is refused as not run when the gateway goes on")
 def check_refused_late(context):
     (request,) = context.sent
