--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -91,6 +91,26 @@
     _change(context, "resume", 3, events=events)
 
 
+@when("three whole responses are joined of two versions")
+def join_whole(context):
+    events = EVENTS[:5] + tuple((number, "v2") for number, _ in EVENTS[5:])
+    _change(context, "safe", 3, events=events)
+
+
+@when("three whole requests are cut and answered by another version")
+def answer_again(context):
+    fault = Disturbance("Crashes", None, 0.0, FAULT_AT)
+    context.evidence.disturbances.append(fault)
+    events = tuple((number, "v2") for number, _ in EVENTS)
+    online = context.evidence.online
+    whole = [n for n, request in enumerate(online) if request.route == "safe"]
+    for number in whole[:3]:
+        cut = online[number].attempts[0]._replace(end="broken", events=EVENTS[:5])
+        again = _attempt(f"{cut.request_id}-again", cut.ended_at)
+        attempts = (cut, again._replace(events=events))
+        online[number] = OnlineRequest("safe", attempts)
+
+
 @when("a stream lacks an event")
 def lack_event(context):
     _change(context, "resume", 1, events=EVENTS[:4] + EVENTS[5:])
@@ -224,6 +244,20 @@
     runs[:] = [run for run in runs if run.began_at < FAULT_AT]
 
 
+@when("a gateway sends no request to a runner that was silent")
+def avoid_by_gateway(context):
+    evidence = context.evidence
+    fault = Disturbance("RunnersSilent", None, FAULT_AT, FAULT_AT + 1)
+    evidence.disturbances.append(fault)
+    evidence.outages.append(("runner-2", FAULT_AT, FAULT_AT + 1))
+    ids = {run.request_id for run in evidence.runs["runner-2"]}
+    for number, request in enumerate(evidence.online):
+        (attempt,) = request.attempts
+        if attempt.request_id in ids:
+            attempt = attempt._replace(gateway=1)
+            evidence.online[number] = OnlineRequest(request.route, (attempt,))
+
+
 @when("an endless response is closed late")
 def close_late(context):
     context.evidence.endless_calls.append(EndlessCall("r-1", 1000, 4.1))
@@ -234,6 +268,12 @@
     context.evidence.endless_calls.append(EndlessCall("r-1", 16_000_001, 1.0))
 
 
+@when("a request waits for an endless response until its deadline")
+def wait_until_deadline(context):
+    (attempt,) = _change(context, "safe", 1)
+    context.evidence.endless_calls.append(EndlessCall(attempt.request_id, 1000, 3.5))
+
+
 @when("a gateway's memory grows")
 def grow(context):
     context.evidence.memory_growths.append((0, 20_000_001))
@@ -277,6 +317,12 @@
     context.evidence.errors.append("StoreAway: OSError()")
 
 
+@then("no rule is broken")
+def check_kept(context):
+    broken = find_broken_rules(context.evidence)
+    assert not broken, broken
+
+
 @then('the rule "{rule}" is broken, and no other')
 def check_broken(context, rule):
     broken = find_broken_rules(context.evidence)
