The scheduler of a large fleet checks quotas in its Schedule call

Cause: each node charges its peers' admissions when their gossip arrives. In a fleet of 51 nodes that has rounds of 1 s and several hops, so that all nodes together admit about two seconds of the offered load before any of them knows.

All refusals have a share of 1, no gateway had been restarted, and requests are placed within milliseconds, which excludes partial shares, restarts and queues.

Change: the quota is checked where a request is placed. A node without a scheduler, or with one of a release that doesn't check quotas, checks its own bucket as before. Only requests that get a place are counted. Counts of a peer may now arrive in any order.

--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -25,10 +25,12 @@
 
     A workspace may send many times its rate through all nodes together. Each node
     keeps a token bucket for the whole fleet. It charges its own admissions immediately
-    and those of its peers when their gossip arrives, a fraction of a second later; any
-    excess admitted in between becomes a debt of the bucket. A node that is in contact
-    with only a part of the fleet uses that part's share of rate and burst, so that the
-    limit also holds during a partition.
+    and those of its peers when their counts arrive; any excess admitted in between
+    becomes a debt of the bucket. In a small fleet counts arrive by gossip within a
+    fraction of a second. In a large one gossip takes seconds, so that the bucket of the
+    scheduler decides, which charges the requests that it places for its peers
+    immediately. A node that is in contact with only a part of the fleet uses that
+    part's share of rate and burst, so that the limit also holds during a partition.
 
     >>> quotas = FleetQuotas(is_first_start=True)
     >>> quotas.configure({"w": (1.0, 2.0)}, now=0.0)
@@ -61,16 +63,37 @@
 
     def take(self, workspace, now, share):
         """Admit a request and return None, or return the seconds until admission."""
+        seconds = self.seconds_until_admission(workspace, now, share)
+        if seconds is None:
+            self.note_admitted(workspace, now, share)
+        return seconds
+
+    def seconds_until_admission(self, workspace, now, share):
+        """Return None if a request may be admitted now, without admitting it."""
         bucket = self._bucket_by_workspace.get(workspace)
-        if bucket is not None:
-            bucket.refill(now, share)
-            if bucket.level < 1.0:
-                return (1.0 - bucket.level) / (bucket.rate * share)
-            bucket.level -= 1.0
+        if bucket is None:
+            return None
+        bucket.refill(now, share)
+        if bucket.level < 1.0:
+            return (1.0 - bucket.level) / (bucket.rate * share)
+        return None
+
+    def note_admitted(self, workspace, now, share):
+        """Count and charge a request of this node that was admitted."""
+        self._charge(workspace, 1, now, share)
         count = self._admitted_by_workspace.get(workspace, 0)
         self._admitted_by_workspace[workspace] = count + 1
         self._admitted_at_by_workspace[workspace] = now
-        return None
+
+    def note_peer_admitted(self, node_id, incarnation, workspace, now, share):
+        """Charge a request of a peer that this node admitted as a scheduler.
+
+        The peer's next count includes it and does not charge it again.
+        """
+        self._charge(workspace, 1, now, share)
+        counts = self._admitted_by_peer.get((node_id, incarnation))
+        if counts is not None:
+            counts[workspace] = counts.get(workspace, 0) + 1
 
     def admitted(self):
         """Return the number of requests admitted since the start, by workspace."""
@@ -95,22 +118,38 @@
         """Charge a peer's admissions, given as counts since the peer's start.
 
         Workspaces may be left out. The first counts of a peer that was not known
-        before only set the baseline.
+        before only set the baseline. Counts may arrive in any order: those that are
+        not higher than the known ones have no effect.
+
+        >>> quotas = FleetQuotas(is_first_start=True)
+        >>> quotas.configure({"w": (1.0, 9.0)}, now=0.0)
+        >>> for count in (4, 6, 5, 6):
+        ...     quotas.update_peer("n", 1, {"w": count}, now=0.0, share=1.0)
+        >>> quotas.levels()["w"]
+        (1.0, 9.0, 7.0)
         """
         key = (node_id, incarnation)
+        if any(n == node_id and i > incarnation for n, i in self._admitted_by_peer):
+            return
         previous = self._admitted_by_peer.get(key)
         for stale in [
             k for k in self._admitted_by_peer if k[0] == node_id and k != key
         ]:
             del self._admitted_by_peer[stale]
             previous = previous or {}
-        self._admitted_by_peer[key] = {**(previous or {}), **admitted_by_workspace}
         if previous is None:
+            self._admitted_by_peer[key] = dict(admitted_by_workspace)
             return
+        self._admitted_by_peer[key] = previous
         for workspace, count in admitted_by_workspace.items():
-            bucket = self._bucket_by_workspace.get(workspace)
-            if bucket is None:
-                continue
+            known_count = previous.get(workspace, 0)
+            if count > known_count:
+                previous[workspace] = count
+                self._charge(workspace, count - known_count, now, share)
+
+    def _charge(self, workspace, count, now, share):
+        bucket = self._bucket_by_workspace.get(workspace)
+        if bucket is not None:
             bucket.refill(now, share)
-            level = bucket.level - (count - previous.get(workspace, 0))
-            bucket.level = max(level, -DEBT_MAX_SECONDS * bucket.rate)
+            debt_max = DEBT_MAX_SECONDS * bucket.rate
+            bucket.level = max(bucket.level - count, -debt_max)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -25,7 +25,6 @@
 from . import messages
 from .messages import (
     AcceptsRequests,
-    Admit,
     BatchPeers,
     BatchShare,
     BeginRequest,
@@ -42,6 +41,7 @@
     GetStatus,
     HolderPeers,
     InFlightRequest,
+    IsQuarantined,
     Leave,
     LiveNodeFraction,
     LiveNodes,
@@ -51,7 +51,6 @@
     PossibleHolders,
     Publish,
     Published,
-    Quarantined,
     QuotaExceeded,
     RequestEnded,
     Schedule,
@@ -96,15 +95,19 @@
             cores=settings.processor.share * settings.processor.cores,
         )
         self._scheduling = FleetScheduling(
-            lambda: self._state, self._directory, self._nodes, self._loads
+            lambda: self._state,
+            self._directory,
+            self._nodes,
+            self._loads,
+            self._quotas,
         )
 
     def on_receive(self, message):
         """Handle one of the messages of `messages` and return its reply."""
         now = self._clock()
         match message:
-            case Admit():
-                return self._admit(message, now)
+            case IsQuarantined(fingerprint):
+                return self._quarantine.is_quarantined(fingerprint, now)
             case PlaceRequest():
                 return self._place(message, now)
             case FindSchedulers(service, spread):
@@ -116,7 +119,7 @@
             case CollectLoadReports():
                 return self._scheduling.collect_reports(now)
             case LoadReportReceived(report):
-                return self._scheduling.receive_report(report, now)
+                return self._receive_report(report, now)
             case RequestEnded():
                 return self._end(message, now)
             case AcceptsRequests(endpoint_id):
@@ -167,14 +170,18 @@
             case GetStatus():
                 return self._status(now)
 
-    def _admit(self, message, now):
-        if self._quarantine.is_quarantined(message.fingerprint, now):
-            return Quarantined()
-        if message.workspace is None:
+    def _check_quota(self, place, now):
+        """Return `QuotaExceeded` if a request has to wait for its quota, or None."""
+        if place.workspace is None or place.is_admitted:
             return None
         share = self._quota_share(now)
-        wait = self._quotas.take(message.workspace, now, share)
-        return None if wait is None else QuotaExceeded(wait, share)
+        seconds = self._quotas.seconds_until_admission(place.workspace, now, share)
+        return None if seconds is None else QuotaExceeded(seconds, share)
+
+    def _note_admitted(self, place, now):
+        if place.workspace is not None:
+            share = self._quota_share(now)
+            self._quotas.note_admitted(place.workspace, now, share)
 
     def _quota_share(self, now):
         least = 1 + sum(s != self._settings.listen.peer for s in self._settings.seeds)
@@ -183,6 +190,9 @@
     def _place(self, message, now):
         if message.is_batch:
             return self._place_batch(message, now)
+        refusal = self._check_quota(message, now)
+        if refusal is not None:
+            return refusal
         endpoints = self._directory.usable(message.service, now, message.version)
         if not endpoints:
             endpoints = self._directory.serving_on(
@@ -195,6 +205,7 @@
             case Full():
                 return choice
             case Placed(endpoint_id, preempts):
+                self._note_admitted(message, now)
                 return self._begin(endpoint_id, preempts, False, now)
 
     def _place_batch(self, message, now):
@@ -208,7 +219,19 @@
 
     def _schedule(self, message, now):
         """Return the placement, and the peer address of the node to be preempted."""
+        report, workspace = message.report, message.place.workspace
+        self._receive_report(report, now)
+        refusal = self._check_quota(message.place, now)
+        if refusal is not None:
+            return refusal, None
         placement = self._scheduling.schedule(message, now)
+        is_peer = report.node_id != self._settings.node_id
+        if isinstance(placement, Scheduled) and workspace is not None and is_peer:
+            share = self._quota_share(now)
+            incarnation, _ = report.number
+            self._quotas.note_peer_admitted(
+                report.node_id, incarnation, workspace, now, share
+            )
         address = None
         if isinstance(placement, Scheduled) and placement.preempted_node is not None:
             state = self._nodes.state(placement.preempted_node)
@@ -219,9 +242,19 @@
         endpoint = self._directory.get(message.endpoint_id, now)
         if endpoint is None or not endpoint.accepts_requests:
             return None
+        self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
         return self._begin(message.endpoint_id, False, is_batch, now)
 
+    def _receive_report(self, report, now):
+        self._scheduling.receive_report(report, now)
+        if report.node_id != self._settings.node_id:
+            incarnation, _ = report.number
+            share = self._quota_share(now)
+            self._quotas.update_peer(
+                report.node_id, incarnation, report.admitted_by_workspace, now, share
+            )
+
     def _batch_peers(self, endpoint_id, now):
         if self._nodes.is_large:
             return []
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -5,10 +5,9 @@
 from sequoiaglade_decisions.gateway import NodeState
 
 
-class Admit(NamedTuple):
-    """Asks to admit a request; the reply is None, `QuotaExceeded` or `Quarantined`."""
+class IsQuarantined(NamedTuple):
+    """Asks whether requests with a fingerprint are rejected; the reply is a bool."""
 
-    workspace: str | None
     fingerprint: str
 
 
@@ -22,10 +21,6 @@
     share: float
 
 
-class Quarantined(NamedTuple):
-    """The request is rejected because it crashed endpoints before."""
-
-
 class PlaceRequest(NamedTuple):
     """Asks for an endpoint for a request; the reply is `InFlightRequest` or `Full`.
 
@@ -33,7 +28,10 @@
     text of the request by which requests are hashed over endpoints. `headroom` is how
     many fewer requests than usual may queue at an endpoint. `is_late` states that a
     batch item can no longer be completed by its due time. `version` restricts the
-    choice to endpoints of that software version; None allows all.
+    choice to endpoints of that software version; None allows all. `workspace` is the
+    one whose quota the request uses when it is placed; None if the request uses none or
+    was counted before. The reply is `QuotaExceeded` if that quota is used up, which is
+    not checked again if the request `is_admitted`.
     """
 
     service: str
@@ -43,6 +41,8 @@
     is_batch: bool = False
     is_late: bool = False
     version: str | None = None
+    workspace: str | None = None
+    is_admitted: bool = False
 
 
 class EndpointResult(NamedTuple):
@@ -62,12 +62,15 @@
 
     `number` is the pair of the node's incarnation and a number that increases with
     each report. `counts_by_id` has pairs of online and batch requests by endpoint id.
+    `admitted_by_workspace` has the requests admitted since the node's start, of the
+    workspaces with recent ones.
     """
 
     node_id: str
     number: tuple[int, int]
     counts_by_id: dict
     results: tuple[EndpointResult, ...] = ()
+    admitted_by_workspace: dict = {}
 
 
 class FindSchedulers(NamedTuple):
@@ -98,8 +101,8 @@
 class Schedule(NamedTuple):
     """Asks this node, as a scheduler, to place a request of the reporting node.
 
-    The reply is a pair: `Scheduled` or `Full`, and the peer address of the node whose
-    batch item is to be preempted (None if there is none).
+    The reply is a pair: `Scheduled`, `Full` or `QuotaExceeded`, and the peer address of
+    the node whose batch item is to be preempted (None if there is none).
     """
 
     report: LoadReport
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -32,6 +32,7 @@
     STOPPED,
     EventIntervalObserved,
     PlaceRequest,
+    QuotaExceeded,
     RequestEnded,
 )
 from .refusals import GatewayRefusal, refusal_response
@@ -63,6 +64,7 @@
         self._excluded = frozenset()
         self._reserved = self._stack.enter_context(ReservedPlace(parts))
         self._has_moved = False
+        self._is_admitted = False
         self._counts = AttemptCounts(0, 0)
         self._placement_seconds = 0.0
         self._log = structlog.get_logger()
@@ -176,7 +178,10 @@
         placed = self._reserved.take() or self._place()
         if isinstance(placed, Full):
             return self._refuse_full(placed)
+        if isinstance(placed, QuotaExceeded):
+            return self._refuse_quota(placed)
         self._in_flight = placed
+        self._is_admitted = True
         if placed.preempts:
             self._parts.batch.preempt(placed.endpoint.endpoint_id)
         outcome = self._send(placed.endpoint)
@@ -204,6 +209,7 @@
                 self._excluded,
                 request.priority,
                 version=self._version,
+                workspace=None if self._is_admitted else request.workspace,
             )
             started_at = time.monotonic()
             placed = self._parts.placer.place(place)
@@ -345,6 +351,21 @@
             return self._give_up(502, reason)
         return self._give_up(503, reason, full.retry_after)
 
+    def _refuse_quota(self, exceeded):
+        refusal = GatewayRefusal(429, "the quota is exhausted", exceeded.retry_after)
+        self._log.info(
+            "request refused",
+            request_id=self.request.call.request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            workspace=self.request.workspace,
+            retry_after=refusal.retry_after,
+            share=exceeded.share,
+            configuration_version=self.request.version,
+        )
+        self._parts.metrics.count("refused", str(refusal.status))
+        return refusal
+
     def _give_up(self, status, reason, retry_after=None):
         if status == 502 and time.monotonic() >= self.request.end_at:
             status = 504
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -7,7 +7,7 @@
 from sequoiaglade_decisions.gateway import RouteKind
 from sequoiaglade_decisions.poison import fingerprint
 
-from ..messages import Admit, Quarantined, QuotaExceeded
+from ..messages import IsQuarantined
 from .exchange import Exchange
 from .refusals import GatewayRefusal, refusal_response
 from .requests import AdmittedRequest
@@ -61,18 +61,13 @@
             workspace.name if workspace else "", call.target.encode() + body
         )
         name = workspace.name if workspace else None
-        decision = self._parts.coordinator.ask(Admit(name, request_fingerprint))
-        match decision:
-            case QuotaExceeded(retry_after, share):
-                refusal = GatewayRefusal(429, "the quota is exhausted", retry_after)
-                return self._refuse(call, refusal, configuration, share=share)
-            case Quarantined():
-                refusal = GatewayRefusal(
-                    503, "the request is quarantined after it crashed endpoints"
-                )
-                return self._refuse(
-                    call, refusal, configuration, fingerprint=request_fingerprint
-                )
+        if self._parts.coordinator.ask(IsQuarantined(request_fingerprint)):
+            refusal = GatewayRefusal(
+                503, "the request is quarantined after it crashed endpoints"
+            )
+            return self._refuse(
+                call, refusal, configuration, fingerprint=request_fingerprint
+            )
         deadline = call.deadline or DEFAULT_DEADLINE_SECONDS
         admitted = AdmittedRequest(
             call=call,
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -88,7 +88,10 @@
         return None
 
     def schedule(self, address, query, place):
-        """Ask a scheduler to place a request; return `Placed`, `Full` or None."""
+        """Ask a scheduler to place a request.
+
+        Return `Placed`, `Full`, `QuotaExceeded`, or None without a usable answer.
+        """
         request = encode_schedule_request(query, place)
         reply = self._call(address, "Schedule", request, SCHEDULE_SECONDS, True)
         return reply and decode_placement(reply)
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -12,7 +12,13 @@
 )
 from sequoiaglade_protocol import fleet_pb2
 
-from ..messages import EndpointResult, LoadReport, PlaceRequest, Schedule
+from ..messages import (
+    EndpointResult,
+    LoadReport,
+    PlaceRequest,
+    QuotaExceeded,
+    Schedule,
+)
 
 MS_PER_SECOND = 1000
 
@@ -30,10 +36,7 @@
         is_gone=state.is_gone,
         configuration_version=state.configuration_version,
         loads=_encode_loads(state.load_by_endpoint),
-        admitted=[
-            fleet_pb2.AdmittedCount(workspace=name, count=count)
-            for name, count in state.admitted_by_workspace.items()
-        ],
+        admitted=_encode_admitted(state.admitted_by_workspace),
         batch_backlog=state.batch_backlog,
         batch_running=state.batch_running,
         jobs=[fleet_pb2.HeldJob(**job._asdict()) for job in state.jobs],
@@ -63,7 +66,7 @@
         is_gone=message.is_gone,
         configuration_version=message.configuration_version,
         load_by_endpoint=_decode_loads(message.loads),
-        admitted_by_workspace={row.workspace: row.count for row in message.admitted},
+        admitted_by_workspace=_decode_admitted(message.admitted),
         batch_backlog=message.batch_backlog,
         batch_running=message.batch_running,
         jobs=tuple(
@@ -93,6 +96,7 @@
         number=report.number[1],
         loads=_encode_loads(report.counts_by_id),
         results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
+        admitted=_encode_admitted(report.admitted_by_workspace),
     )
 
 
@@ -106,6 +110,7 @@
             EndpointResult(row.endpoint_id, row.outcome, row.pause_seconds)
             for row in message.results
         ),
+        _decode_admitted(message.admitted),
     )
 
 
@@ -121,6 +126,7 @@
         headroom=place.headroom,
         is_batch=place.is_batch,
         is_late=place.is_late,
+        workspace=None if place.is_admitted else place.workspace,
     )
 
 
@@ -133,24 +139,43 @@
         message.headroom,
         message.is_batch,
         message.is_late,
+        workspace=message.workspace or None,
     )
     report = decode_report(message.report)
     return Schedule(report, place, message.group, message.group_count)
 
 
 def encode_placement(placement):
-    """Return the message for a `Scheduled` or `Full`."""
+    """Return the message for a `Scheduled`, `Full` or `QuotaExceeded`."""
     match placement:
+        case QuotaExceeded(retry_after, share):
+            return fleet_pb2.ScheduleReply(
+                is_quota_checked=True,
+                is_quota_exceeded=True,
+                retry_after=retry_after,
+                quota_share=share,
+            )
         case Full(retry_after, has_endpoints):
             return fleet_pb2.ScheduleReply(
-                retry_after=retry_after, has_endpoints=has_endpoints
+                is_quota_checked=True,
+                retry_after=retry_after,
+                has_endpoints=has_endpoints,
             )
         case Scheduled(endpoint_id):
-            return fleet_pb2.ScheduleReply(endpoint_id=endpoint_id)
+            return fleet_pb2.ScheduleReply(
+                is_quota_checked=True, endpoint_id=endpoint_id
+            )
 
 
 def decode_placement(message):
-    """Return the `Placed` or `Full` of a message."""
+    """Return the `Placed`, `Full` or `QuotaExceeded` of a message.
+
+    Return None if the scheduler runs a release that does not check quotas.
+    """
+    if not message.is_quota_checked:
+        return None
+    if message.is_quota_exceeded:
+        return QuotaExceeded(message.retry_after, message.quota_share)
     if message.endpoint_id:
         return Placed(message.endpoint_id)
     return Full(message.retry_after, message.has_endpoints)
@@ -217,5 +242,16 @@
     ]
 
 
+def _encode_admitted(count_by_workspace):
+    return [
+        fleet_pb2.AdmittedCount(workspace=name, count=count)
+        for name, count in count_by_workspace.items()
+    ]
+
+
+def _decode_admitted(messages):
+    return {row.workspace: row.count for row in messages}
+
+
 def _decode_loads(messages):
     return {load.endpoint_id: (load.online, load.batch) for load in messages}
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import Full, Placed
+from sequoiaglade_decisions.gateway import Full, Placed, Scheduled
 from sequoiaglade_node.threads import OwnedThread
 
 from .messages import (
@@ -12,6 +12,7 @@
     CollectLoadReports,
     FindSchedulers,
     LoadReportReceived,
+    QuotaExceeded,
     Schedule,
     UsableVersions,
 )
@@ -38,7 +39,7 @@
         self._log = structlog.get_logger()
 
     def place(self, place):
-        """Return the `InFlightRequest` for a `PlaceRequest`, or `Full`.
+        """Return the `InFlightRequest` for a `PlaceRequest`, `Full` or `QuotaExceeded`.
 
         A request for one of several software versions is placed by this node, since the
         group that a scheduler places in may have no endpoint of that version.
@@ -63,15 +64,16 @@
                     running = coordinator.ask(BeginRequest(place, endpoint_id))
                     if running is not None:
                         return running
-                    place = place._replace(excluded=place.excluded | {endpoint_id})
-                case Full(_, True):
+                    excluded = place.excluded | {endpoint_id}
+                    place = place._replace(excluded=excluded, is_admitted=True)
+                case Full(_, True) | QuotaExceeded():
                     return placement
                 case _:
                     break
         return coordinator.ask(place)
 
     def schedule(self, request):
-        """Return the `Scheduled` or `Full` for a node's `Schedule`."""
+        """Return the `Scheduled`, `Full` or `QuotaExceeded` for a node's `Schedule`."""
         placement, address = self._parts.coordinator.ask(request)
         if address == self._parts.settings.listen.peer:
             self._parts.batch.preempt(placement.endpoint_id)
@@ -102,10 +104,11 @@
         if node_id != query.report.node_id:
             return self._client.schedule(address, query, place)
         request = Schedule(query.report, place, query.group, query.group_count)
-        placement = self.schedule(request)
-        if isinstance(placement, Full):
-            return placement
-        return Placed(placement.endpoint_id)
+        match self.schedule(request):
+            case Scheduled(endpoint_id):
+                return Placed(endpoint_id)
+            case refusal:
+                return refusal
 
 
 class LoadReporter(OwnedThread):
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -25,19 +25,24 @@
 REPORT_REPEAT_SECONDS = 1.0
 # A batch item that got no slot may be offered again after this time.
 BATCH_RETRY_SECONDS = 0.3
+# Reports include the workspaces with requests admitted within this time; a lost report
+# is replaced by a later one.
+ADMITTED_SECONDS = 1.0
 
 
 class FleetScheduling:
     """Finds schedulers for requests, and places requests as a scheduler.
 
-    The coordinator owns it; it reads the coordinator's directory, nodes and loads.
+    The coordinator owns it; it reads the coordinator's directory, nodes, loads and
+    quotas.
     """
 
-    def __init__(self, own_state, directory, nodes, loads):
+    def __init__(self, own_state, directory, nodes, loads, quotas):
         self._get_own_state = own_state
         self._directory = directory
         self._nodes = nodes
         self._loads = loads
+        self._quotas = quotas
         self._scheduler = GroupScheduler()
         self._number = 0
         self._results = []
@@ -59,11 +64,14 @@
         node_ids = schedulers(service, group, eligible)
         candidates = [(i, state_by_id[i].peer_address) for i in node_ids]
         leaving_ids = self._directory.leaving_ids(service, now)
-        return SchedulerQuery(candidates, group, count, self._report(), leaving_ids)
+        report = self._report(now)
+        return SchedulerQuery(candidates, group, count, report, leaving_ids)
 
     def schedule(self, request, now):
-        """Place a request of another node or this one; return `Scheduled` or `Full`."""
-        self.receive_report(request.report, now)
+        """Place a request of another node or this one; return `Scheduled` or `Full`.
+
+        The report in the request was received before.
+        """
         place = request.place
         endpoints = [
             endpoint
@@ -144,7 +152,7 @@
             return []
         self._has_changes = False
         self._reported_at = now
-        report = self._report(self._results)
+        report = self._report(now, self._results)
         self._results = []
         if report.node_id in recipients:
             self.receive_report(report, now)
@@ -166,11 +174,16 @@
             for group in range(self._group_count(service, state_by_id, eligible, now))
         }
 
-    def _report(self, results=()):
+    def _report(self, now, results=()):
         self._number += 1
         own = self._get_own_state()
-        number = (own.incarnation, self._number)
-        return LoadReport(own.node_id, number, self._loads.own(), tuple(results))
+        return LoadReport(
+            own.node_id,
+            (own.incarnation, self._number),
+            self._loads.own(),
+            tuple(results),
+            self._quotas.admitted_since(now, ADMITTED_SECONDS),
+        )
 
     def _eligible(self, now):
         """Return the states of nodes by id, and the ids of those that may schedule."""
--- a/tests/features/gateway/decisions.feature
+++ b/tests/features/gateway/decisions.feature
@@ -5,6 +5,23 @@
     Then no window of 5 seconds admits more than the bound
     And at least nine tenths of the rate is admitted
 
+  Scenario: A workspace exceeds its quota in a fleet whose gossip takes seconds
+    Given a fleet of 51 nodes and a quota with a rate and burst of 28
+    When a workspace sends 17 requests per second for 8 seconds
+    Then none of them was refused
+    When it sends 8 times its rate for 10 seconds
+    Then no window of 5 seconds admits more than the bound of its quota
+    And at least nine tenths of its rate was admitted
+
+  Scenario: A new scheduler does not know what its predecessor admitted
+    Given a fleet of 51 nodes and a quota with a rate and burst of 28
+    When a workspace sends 17 requests per second for 8 seconds
+    And it sends 8 times its rate for 5 seconds
+    And the scheduler is killed
+    And it sends 8 times its rate for 7 seconds
+    Then no window of 5 seconds admits more than the bound of its quota
+    And at least nine tenths of its rate was admitted
+
   Scenario: Quotas hold during a network partition
     When 9 nodes are partitioned 3 from 6 and receive 8 times a rate of 18
     Then no window of 5 seconds admits more than the bound
--- /dev/null
+++ b/tests/features/steps/quota_fleet.py
@@ -0,0 +1,165 @@
+"""A large fleet of coordinators with simulated time, to count admitted requests."""
+
+import heapq
+import random
+from types import SimpleNamespace
+
+from sequoiaglade_gateway.coordinator import Coordinator
+from sequoiaglade_gateway.messages import (
+    DONE,
+    CollectLoadReports,
+    ConfigurationChanged,
+    EndpointsListed,
+    GetStatus,
+    InFlightRequest,
+    LiveNodes,
+    PeerStatesReceived,
+    PlaceRequest,
+    Publish,
+    RequestEnded,
+)
+from sequoiaglade_gateway.peers.codec import (
+    decode_placement,
+    decode_report,
+    decode_schedule_request,
+    decode_state,
+    encode_placement,
+    encode_report,
+    encode_schedule_request,
+    encode_state,
+)
+from sequoiaglade_gateway.peers.gossip import LARGE_FANOUT, LARGE_ROUND_SECONDS
+from sequoiaglade_gateway.placing import REPORT_INTERVAL_SECONDS, Placer
+from sequoiaglade_gateway.settings import GatewaySettings
+
+from sequoiaglade_decisions.gateway import Endpoint
+
+STEP_SECONDS = 0.01
+REQUEST_SECONDS = 0.3
+SERVICE = "s"
+
+
+class _Node:
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        address = f"10.0.0.{number}:7000"
+        self.settings = GatewaySettings(
+            node_id=f"n{number:02}",
+            failure_domain=f"d{number % 4}",
+            listen=dict.fromkeys(("data", "readiness", "directory", "peer"), address),
+            store={"address": "10.0.1.1:7000"},
+            is_first_start=True,
+            processor={"share": 1.0, "cores": 2.0 if number % 6 == 0 else 0.5},
+        )
+        self.address = address
+        self.coordinator = Coordinator(self.settings, 1, lambda: fleet.now)
+        parts = SimpleNamespace(
+            settings=self.settings, coordinator=self, batch=SimpleNamespace()
+        )
+        self.placer = Placer(parts, fleet)
+        self.round_at = fleet.random.random() * LARGE_ROUND_SECONDS
+        self.ask = self.tell = self.coordinator.on_receive
+
+    def digest(self):
+        published = self.ask(Publish(0, 0, (), True))
+        states = [published.own, *published.others]
+        return [decode_state(encode_state(state)) for state in states]
+
+    def run_round(self):
+        self.round_at += LARGE_ROUND_SECONDS * (0.8 + 0.4 * self.fleet.random.random())
+        live = self.ask(LiveNodes())
+        for state in self.fleet.random.sample(live, min(LARGE_FANOUT, len(live))):
+            self.exchange(self.fleet.node_by_address[state.peer_address])
+
+    def exchange(self, peer):
+        digest, reply = self.digest(), peer.digest()
+        peer.ask(PeerStatesReceived(digest))
+        self.ask(PeerStatesReceived(reply))
+
+    def send_reports(self):
+        for address, report in self.ask(CollectLoadReports()) or ():
+            if not self.fleet.is_lost(address):
+                received = decode_report(encode_report(report))
+                self.fleet.node_by_address[address].placer.receive_report(received)
+
+
+class QuotaFleet:
+    """Nodes that gossip and schedule as a large fleet does; also their peer client.
+
+    Messages between nodes take no time. `admitted_at` has the times of the requests of
+    workspace "w" that were sent to an endpoint.
+    """
+
+    def __init__(self, node_count, rate, burst, seed=7):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.admitted_at = []
+        self.asked_count = 0
+        self._ends = []
+        self._lost_addresses = set()
+        self.nodes = [_Node(self, number) for number in range(node_count)]
+        self.node_by_address = {node.address: node for node in self.nodes}
+        workspace = SimpleNamespace(name="w", rate=rate, burst=burst)
+        configuration = SimpleNamespace(
+            version=1, workspace_by_name={workspace.name: workspace}
+        )
+        endpoints = [
+            Endpoint(f"e{number}", SERVICE, "", f"d{number % 4}", 8)
+            for number in range(60)
+        ]
+        for node in self.nodes:
+            node.ask(ConfigurationChanged(configuration))
+            node.ask(EndpointsListed(endpoints))
+        states = [node.digest()[0] for node in self.nodes]
+        for node in self.nodes:
+            node.ask(PeerStatesReceived(states))
+
+    def is_lost(self, address):
+        """Return whether the node at an address was killed."""
+        return address in self._lost_addresses
+
+    def kill_scheduler(self):
+        """Kill the node that schedules the endpoints."""
+        ids = self.nodes[0].ask(GetStatus())["scheduler_by_group"].values()
+        lost = [node for node in self.nodes if node.settings.node_id in ids]
+        self._lost_addresses |= {node.address for node in lost}
+        self.nodes = [node for node in self.nodes if node not in lost]
+
+    def play(self, requests_per_second, until):
+        """Send requests at a mean rate to random nodes until a time."""
+        next_at = self.now
+        report_at = self.now
+        while self.now < until:
+            self.now += STEP_SECONDS
+            while self._ends and self._ends[0][0] <= self.now:
+                _, _, node, endpoint_id = heapq.heappop(self._ends)
+                node.tell(RequestEnded(endpoint_id, False, DONE))
+            for node in self.nodes:
+                if self.now >= node.round_at:
+                    node.run_round()
+            if self.now >= report_at:
+                report_at += REPORT_INTERVAL_SECONDS
+                for node in self.nodes:
+                    node.send_reports()
+            while next_at < self.now:
+                next_at += self.random.expovariate(requests_per_second)
+                self._send_request(self.random.choice(self.nodes))
+
+    def schedule(self, address, query, place):
+        """Ask the scheduler at an address, as `PeerClient.schedule` does."""
+        if self.is_lost(address):
+            return None
+        request = decode_schedule_request(encode_schedule_request(query, place))
+        placement = self.node_by_address[address].placer.schedule(request)
+        return decode_placement(encode_placement(placement))
+
+    def _send_request(self, node):
+        self.asked_count += 1
+        request_id = str(self.asked_count)
+        place = PlaceRequest(SERVICE, request_id, workspace="w")
+        placed = node.placer.place(place)
+        if isinstance(placed, InFlightRequest):
+            self.admitted_at.append(self.now)
+            end = self.now + REQUEST_SECONDS
+            row = (end, self.asked_count, node, placed.endpoint.endpoint_id)
+            heapq.heappush(self._ends, row)
