A restarted scheduler doesn't charge what peers admitted long before

Callers inside their rate were refused for some seconds after the scheduler of a large fleet had been restarted.

Cause: a node that starts takes the first counts of a peer as the baseline. In a large fleet these omit workspaces without a recent request; when such a workspace appeared later, its whole count since the peer's start was charged at once.

Change: states tell whether their counts are complete. A workspace that is missing in a peer's counts only counts as 0 once a complete state of that peer was received, or if the peer started since.

--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -35,7 +35,8 @@
     """State of a node as gossiped; the highest incarnation and sequence wins.
 
     `load_by_endpoint` has pairs of online and batch requests in flight,
-    `admitted_by_workspace` the requests admitted since the node's start.
+    `admitted_by_workspace` the requests admitted since the node's start, of all
+    workspaces with requests if `is_admitted_complete`.
     `batch_backlog` and `batch_running` count unfinished and running items. `crashes`
     are triples of fingerprint, endpoint key and age in seconds. `cores` is the node's
     processor capacity.
@@ -58,6 +59,7 @@
     crashes: tuple = ()
     is_store_reachable: bool = True
     cores: float = 1.0
+    is_admitted_complete: bool = True
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -20,6 +20,29 @@
         self.level = min(self.burst * share, self.level + elapsed * self.rate * share)
 
 
+class _PeerCounts:
+    """Requests that a peer admitted since its start, by workspace.
+
+    If `is_complete` is true, the counts of all other workspaces were 0 when they began.
+    """
+
+    def __init__(self, is_complete):
+        self.is_complete = is_complete
+        self.count_by_workspace = {}
+
+    def add(self, workspace):
+        """Count a request, unless the count before it is unknown."""
+        if self.is_complete or workspace in self.count_by_workspace:
+            self.raise_to(workspace, self.count_by_workspace.get(workspace, 0) + 1)
+
+    def raise_to(self, workspace, count):
+        """Raise a count; return by how much, 0 if it was unknown."""
+        unknown_count = 0 if self.is_complete else count
+        previous = self.count_by_workspace.get(workspace, unknown_count)
+        self.count_by_workspace[workspace] = max(previous, count)
+        return max(0, count - previous)
+
+
 class FleetQuotas:
     """Admits requests of workspaces within their rates and bursts.
 
@@ -43,7 +66,7 @@
         self._bucket_by_workspace = {}
         self._admitted_by_workspace = {}
         self._admitted_at_by_workspace = {}
-        self._admitted_by_peer = {}
+        self._counts_by_peer = {}
 
     def configure(self, limit_by_workspace, now):
         """Set the pairs of rate and burst by workspace; a rate of 0 is no limit."""
@@ -91,9 +114,9 @@
         The peer's next count includes it and does not charge it again.
         """
         self._charge(workspace, 1, now, share)
-        counts = self._admitted_by_peer.get((node_id, incarnation))
+        counts = self._counts_by_peer.get((node_id, incarnation))
         if counts is not None:
-            counts[workspace] = counts.get(workspace, 0) + 1
+            counts.add(workspace)
 
     def admitted(self):
         """Return the number of requests admitted since the start, by workspace."""
@@ -114,12 +137,20 @@
             for workspace, bucket in self._bucket_by_workspace.items()
         }
 
-    def update_peer(self, node_id, incarnation, admitted_by_workspace, now, share):
+    def update_peer(
+        self,
+        node_id,
+        incarnation,
+        admitted_by_workspace,
+        now,
+        share,
+        is_complete=True,
+    ):
         """Charge a peer's admissions, given as counts since the peer's start.
 
-        Workspaces may be left out. The first counts of a peer that was not known
-        before only set the baseline. Counts may arrive in any order: those that are
-        not higher than the known ones have no effect.
+        Workspaces may be left out where the counts are not complete. The first count
+        of a peer that was not known before only sets the baseline. Counts may arrive
+        in any order: those that are not higher than the known ones have no effect.
 
         >>> quotas = FleetQuotas(is_first_start=True)
         >>> quotas.configure({"w": (1.0, 9.0)}, now=0.0)
@@ -129,23 +160,20 @@
         (1.0, 9.0, 7.0)
         """
         key = (node_id, incarnation)
-        if any(n == node_id and i > incarnation for n, i in self._admitted_by_peer):
-            return
-        previous = self._admitted_by_peer.get(key)
-        for stale in [
-            k for k in self._admitted_by_peer if k[0] == node_id and k != key
-        ]:
-            del self._admitted_by_peer[stale]
-            previous = previous or {}
-        if previous is None:
-            self._admitted_by_peer[key] = dict(admitted_by_workspace)
+        known = [k for k in self._counts_by_peer if k[0] == node_id]
+        if any(k > key for k in known):
             return
-        self._admitted_by_peer[key] = previous
+        counts = self._counts_by_peer.get(key)
+        if counts is None:
+            # A peer that restarts counts from 0.
+            counts = self._counts_by_peer[key] = _PeerCounts(is_complete=bool(known))
+            for stale in known:
+                del self._counts_by_peer[stale]
         for workspace, count in admitted_by_workspace.items():
-            known_count = previous.get(workspace, 0)
-            if count > known_count:
-                previous[workspace] = count
-                self._charge(workspace, count - known_count, now, share)
+            raised_by = counts.raise_to(workspace, count)
+            if raised_by:
+                self._charge(workspace, raised_by, now, share)
+        counts.is_complete = counts.is_complete or is_complete
 
     def _charge(self, workspace, count, now, share):
         bucket = self._bucket_by_workspace.get(workspace)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -252,7 +252,12 @@
             incarnation, _ = report.number
             share = self._quota_share(now)
             self._quotas.update_peer(
-                report.node_id, incarnation, report.admitted_by_workspace, now, share
+                report.node_id,
+                incarnation,
+                report.admitted_by_workspace,
+                now,
+                share,
+                is_complete=False,
             )
 
     def _batch_peers(self, endpoint_id, now):
@@ -317,12 +322,16 @@
     def _publish(self, message, now):
         is_large = self._loads.is_fleet_large = self._nodes.is_large
         admitted = self._quotas.admitted()
-        if is_large and self._state.sequence % MESSAGES_PER_RELAY:
+        is_admitted_complete = not (
+            is_large and self._state.sequence % MESSAGES_PER_RELAY
+        )
+        if not is_admitted_complete:
             admitted = self._quotas.admitted_since(now, ADMITTED_WINDOW_SECONDS)
         self._state = self._state._replace(
             sequence=self._state.sequence + 1,
             load_by_endpoint=self._loads.own(),
             admitted_by_workspace=admitted,
+            is_admitted_complete=is_admitted_complete,
             batch_backlog=message.batch_backlog,
             batch_running=message.batch_running,
             jobs=message.jobs,
@@ -350,6 +359,7 @@
                 state.admitted_by_workspace,
                 now,
                 share,
+                state.is_admitted_complete,
             )
             for fingerprint, key, age in state.crashes:
                 self._quarantine.note_crash(fingerprint, key, now - age)
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -50,6 +50,7 @@
         ],
         is_store_reachable=state.is_store_reachable,
         cores=state.cores,
+        is_admitted_partial=not state.is_admitted_complete,
     )
 
 
@@ -85,6 +86,7 @@
         ),
         is_store_reachable=message.is_store_reachable,
         cores=message.cores,
+        is_admitted_complete=not message.is_admitted_partial,
     )
 
 
--- a/tests/features/gateway/decisions.feature
+++ b/tests/features/gateway/decisions.feature
@@ -22,6 +22,13 @@
     Then no window of 5 seconds admits more than the bound of its quota
     And at least nine tenths of its rate was admitted
 
+  Scenario: A restarted scheduler charges what was admitted long before
+    Given a fleet of 51 nodes and a quota with a rate and burst of 28
+    When a workspace sends 17 requests per second for 20 seconds
+    And the scheduler is restarted
+    And a workspace sends 17 requests per second for 12 seconds
+    Then none of them was refused
+
   Scenario: Quotas hold during a network partition
     When 9 nodes are partitioned 3 from 6 and receive 8 times a rate of 18
     Then no window of 5 seconds admits more than the bound
--- a/tests/features/steps/gateway_quota_steps.py
+++ b/tests/features/steps/gateway_quota_steps.py
@@ -37,6 +37,11 @@
     context.quota_fleet.kill_scheduler()
 
 
+@when("the scheduler is restarted")
+def restart_scheduler(context):
+    context.quota_fleet.restart_scheduler()
+
+
 @then("no window of 5 seconds admits more than the bound of its quota")
 def check_bound(context):
     times = context.quota_fleet.admitted_at
--- a/tests/features/steps/quota_fleet.py
+++ b/tests/features/steps/quota_fleet.py
@@ -40,25 +40,30 @@
 
 
 class _Node:
-    def __init__(self, fleet, number):
+    def __init__(self, fleet, number, incarnation=1):
         self.fleet = fleet
+        self.number = number
+        self.incarnation = incarnation
         address = f"10.0.0.{number}:7000"
         self.settings = GatewaySettings(
             node_id=f"n{number:02}",
             failure_domain=f"d{number % 4}",
             listen=dict.fromkeys(("data", "readiness", "directory", "peer"), address),
             store={"address": "10.0.1.1:7000"},
-            is_first_start=True,
+            is_first_start=incarnation == 1,
             processor={"share": 1.0, "cores": 2.0 if number % 6 == 0 else 0.5},
         )
         self.address = address
-        self.coordinator = Coordinator(self.settings, 1, lambda: fleet.now)
+        clock = lambda: fleet.now  # noqa: E731
+        self.coordinator = Coordinator(self.settings, incarnation, clock)
         parts = SimpleNamespace(
             settings=self.settings, coordinator=self, batch=SimpleNamespace()
         )
         self.placer = Placer(parts, fleet)
-        self.round_at = fleet.random.random() * LARGE_ROUND_SECONDS
+        self.round_at = fleet.now + fleet.random.random() * LARGE_ROUND_SECONDS
         self.ask = self.tell = self.coordinator.on_receive
+        self.ask(ConfigurationChanged(fleet.configuration))
+        self.ask(EndpointsListed(fleet.endpoints))
 
     def digest(self):
         published = self.ask(Publish(0, 0, (), True))
@@ -97,19 +102,16 @@
         self.asked_count = 0
         self._ends = []
         self._lost_addresses = set()
-        self.nodes = [_Node(self, number) for number in range(node_count)]
-        self.node_by_address = {node.address: node for node in self.nodes}
         workspace = SimpleNamespace(name="w", rate=rate, burst=burst)
-        configuration = SimpleNamespace(
+        self.configuration = SimpleNamespace(
             version=1, workspace_by_name={workspace.name: workspace}
         )
-        endpoints = [
+        self.endpoints = [
             Endpoint(f"e{number}", SERVICE, "", f"d{number % 4}", 8)
             for number in range(60)
         ]
-        for node in self.nodes:
-            node.ask(ConfigurationChanged(configuration))
-            node.ask(EndpointsListed(endpoints))
+        self.nodes = [_Node(self, number) for number in range(node_count)]
+        self.node_by_address = {node.address: node for node in self.nodes}
         states = [node.digest()[0] for node in self.nodes]
         for node in self.nodes:
             node.ask(PeerStatesReceived(states))
@@ -120,11 +122,19 @@
 
     def kill_scheduler(self):
         """Kill the node that schedules the endpoints."""
-        ids = self.nodes[0].ask(GetStatus())["scheduler_by_group"].values()
-        lost = [node for node in self.nodes if node.settings.node_id in ids]
+        lost = self._schedulers()
         self._lost_addresses |= {node.address for node in lost}
         self.nodes = [node for node in self.nodes if node not in lost]
 
+    def restart_scheduler(self):
+        """Replace the node that schedules the endpoints by a new incarnation of it."""
+        for node in self._schedulers():
+            successor = _Node(self, node.number, node.incarnation + 1)
+            self.nodes[self.nodes.index(node)] = successor
+            self.node_by_address[node.address] = successor
+            self._ends = [row for row in self._ends if row[2] is not node]
+            heapq.heapify(self._ends)
+
     def play(self, requests_per_second, until):
         """Send requests at a mean rate to random nodes until a time."""
         next_at = self.now
@@ -153,6 +163,10 @@
         placement = self.node_by_address[address].placer.schedule(request)
         return decode_placement(encode_placement(placement))
 
+    def _schedulers(self):
+        ids = self.nodes[0].ask(GetStatus())["scheduler_by_group"].values()
+        return [node for node in self.nodes if node.settings.node_id in ids]
+
     def _send_request(self, node):
         self.asked_count += 1
         request_id = str(self.asked_count)
