Quotas: counts of peers by node, and the share of live nodes for 0.1 s at a time

Reports bring counts many times a second, for which the share of the live nodes and the known incarnations of a peer were looked up each time.

--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -21,12 +21,13 @@
 
 
 class _PeerCounts:
-    """Requests that a peer admitted since its start, by workspace.
+    """Requests that an incarnation of a peer admitted since its start, by workspace.
 
     If `is_complete` is true, the counts of all other workspaces were 0 when they began.
     """
 
-    def __init__(self, is_complete):
+    def __init__(self, incarnation, is_complete):
+        self.incarnation = incarnation
         self.is_complete = is_complete
         self.count_by_workspace = {}
 
@@ -114,8 +115,8 @@
         The peer's next count includes it and does not charge it again.
         """
         self._charge(workspace, 1, now, share)
-        counts = self._counts_by_peer.get((node_id, incarnation))
-        if counts is not None:
+        counts = self._counts_by_peer.get(node_id)
+        if counts is not None and counts.incarnation == incarnation:
             counts.add(workspace)
 
     def admitted(self):
@@ -159,16 +160,13 @@
         >>> quotas.levels()["w"]
         (1.0, 9.0, 7.0)
         """
-        key = (node_id, incarnation)
-        known = [k for k in self._counts_by_peer if k[0] == node_id]
-        if any(k > key for k in known):
+        counts = self._counts_by_peer.get(node_id)
+        if counts is not None and counts.incarnation > incarnation:
             return
-        counts = self._counts_by_peer.get(key)
-        if counts is None:
+        if counts is None or counts.incarnation < incarnation:
             # A peer that restarts counts from 0.
-            counts = self._counts_by_peer[key] = _PeerCounts(is_complete=bool(known))
-            for stale in known:
-                del self._counts_by_peer[stale]
+            counts = _PeerCounts(incarnation, is_complete=counts is not None)
+            self._counts_by_peer[node_id] = counts
         for workspace, count in admitted_by_workspace.items():
             raised_by = counts.raise_to(workspace, count)
             if raised_by:
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -67,6 +67,9 @@
 # In a large fleet a state omits the workspaces without a request within this time; a
 # node that missed a round receives their counts in a later one.
 ADMITTED_WINDOW_SECONDS = 5.0
+# The share of the quotas is computed anew after this time, a small part of the time
+# after which a peer counts as lost.
+SHARE_SECONDS = 0.1
 
 
 class Coordinator(pykka.ThreadingActor):
@@ -84,6 +87,8 @@
         self._quotas = FleetQuotas(settings.is_first_start)
         self._quarantine = Quarantine()
         self._nodes = NodeTable(settings.node_id)
+        self._share = 1.0
+        self._share_expires_at = 0.0
         self._active_configuration = (None, None)
         self._state = NodeState(
             node_id=settings.node_id,
@@ -184,8 +189,12 @@
             self._quotas.note_admitted(place.workspace, now, share)
 
     def _quota_share(self, now):
-        least = 1 + sum(s != self._settings.listen.peer for s in self._settings.seeds)
-        return self._nodes.quota_share(now, least)
+        if now >= self._share_expires_at:
+            seeds = self._settings.seeds
+            least = 1 + sum(seed != self._settings.listen.peer for seed in seeds)
+            self._share = self._nodes.quota_share(now, least)
+            self._share_expires_at = now + SHARE_SECONDS
+        return self._share
 
     def _place(self, message, now):
         if message.is_batch:
