--- a/packages/gateway/sequoiaglade_gateway/metrics.py
+++ b/packages/gateway/sequoiaglade_gateway/metrics.py
@@ -8,7 +8,8 @@
 
     `sequoiaglade.gateway.events` counts decisions by `event` and `outcome`.
     `sequoiaglade.gateway.first_event` is the time to the first event of a stream in
-    seconds, by `route`.
+    seconds, by `route`. `sequoiaglade.gateway.store_calls` counts calls to the store by
+    `call`, `kind` of documents and `outcome`.
     """
 
     def __init__(self, node_id):
@@ -16,6 +17,9 @@
         self._events = self._telemetry.counter(
             "sequoiaglade.gateway.events", "1", "decisions by event and outcome"
         )
+        self._store_calls = self._telemetry.counter(
+            "sequoiaglade.gateway.store_calls", "1", "calls to the platform's store"
+        )
         self._first_event = self._telemetry.histogram(
             "sequoiaglade.gateway.first_event", "s", "time to a stream's first event"
         )
@@ -31,6 +35,10 @@
         """Count a decision."""
         self._events.add(1, {"event": event, "outcome": outcome})
 
+    def count_store_call(self, call, kind, outcome):
+        """Count a call to the platform's store."""
+        self._store_calls.add(1, {"call": call, "kind": kind, "outcome": outcome})
+
     def record_first_event(self, work, seconds):
         """Record the time until the first event of an admitted request."""
         self._first_event.record(seconds, {"route": work.route.name})
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -35,6 +35,7 @@
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
 from .store_cache import ConfigurationReader, KindWatcher, StoreCache
+from .store_calls import CountedStore
 
 # The platform allows callers to keep an address for this multiple of the directory's
 # time to live.
@@ -156,13 +157,14 @@
         actor = Coordinator.start(parts.settings, incarnation)
         stack.callback(actor.stop, block=False)
         parts.coordinator = actor
+        parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
+        parts.store = CountedStore(parts.store, parts.metrics)
         parts.store_cache = StoreCache(parts.dialect, actor)
         parts.configuration_reader = stack.enter_context(
             ConfigurationReader(
                 parts.store, parts.dialect.kinds.configuration, parts.store_cache
             )
         )
-        parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.response_memory = ResponseMemory()
         parts.hangups = stack.enter_context(HangupWatcher())
 
