Watch the ends of jobs by calls that may be outdated

No rule rests on the age of that watch. Whether an item may still be sent is decided by a linearizable read that is at most 2 s old (JobEnds), and the gateway that takes the call tells the holders. So the watch and its list allow the store to answer from outdated state, at a tenth of the price. read_now stays linearizable.

The emulated store knows such reads, their price, and answers them from the state of some seconds ago on request. Another scenario ends a job while outdated reads lag by 8 s: no item is sent later than 3 s after the end.

--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -172,8 +172,13 @@
         parts = self._parts
         registry = self._job_registry = JobRegistry()
         storage = JobStorage(parts.store, parts.settings.store.value_bytes)
+        # `JobEnds` decides by `read_now` what may still be sent.
         self._ends_watcher = KindWatcher(
-            parts.store, ENDS_KIND, self._on_job_ends_listed, self._on_job_end_changed
+            parts.store,
+            ENDS_KIND,
+            self._on_job_ends_listed,
+            self._on_job_end_changed,
+            may_be_outdated=True,
         )
         parts.job_ends = JobEnds(registry, parts.metrics, self._ends_watcher.read_now)
         self._runner = ItemRunner(parts, registry)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -26,16 +26,25 @@
 
     `on_list` is called with the list of `Document`, `on_change` with each
     `DocumentChange`, and `on_reachable` with whether the store answers when that
-    changes.
+    changes. With `may_be_outdated` this may be told seconds late; `read_now` never is.
     """
 
-    def __init__(self, store, kind, on_list, on_change, on_reachable=None):
+    def __init__(
+        self,
+        store,
+        kind,
+        on_list,
+        on_change,
+        on_reachable=None,
+        may_be_outdated=False,
+    ):
         super().__init__(f"watch {kind}", join_seconds=0.2)
         self._store = store
         self._kind = kind
         self._on_list = on_list
         self._on_change = on_change
         self._on_reachable = on_reachable or (lambda is_reachable: None)
+        self._may_be_outdated = may_be_outdated
         self._revision = None
         self._is_reachable = True
         self._log = structlog.get_logger()
@@ -82,7 +91,7 @@
             self._stopped.wait(RETRY_SECONDS * (0.75 + 0.5 * random.random()))
 
     def _list(self):
-        listing = self._store.list(self._kind)
+        listing = self._store.list(self._kind, self._may_be_outdated)
         if isinstance(listing, Failure):
             return listing
         self._update_reachability(None)
@@ -92,7 +101,9 @@
 
     def _watch(self):
         seconds = WATCH_TIMEOUT_SECONDS if self._is_reachable else PROBE_TIMEOUT_SECONDS
-        result = self._store.watch(self._kind, self._revision, seconds)
+        result = self._store.watch(
+            self._kind, self._revision, seconds, self._may_be_outdated
+        )
         if isinstance(result, Failure):
             return result
         self._update_reachability(None)
--- a/packages/gateway/sequoiaglade_gateway/store_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/store_calls.py
@@ -7,20 +7,23 @@
     """A `DocumentStore` that counts its calls by call, kind of documents and outcome.
 
     The outcome is "answered", "empty" for a watch without changes, or the failure's
-    code. A list of several pages counts once.
+    code. A list of several pages counts once. Reads that may be outdated count as
+    calls of their own, since they have a lower price.
     """
 
     def __init__(self, store, metrics):
         self._store = store
         self._metrics = metrics
 
-    def get(self, kind, name):
+    def get(self, kind, name, may_be_outdated=False):
         """Return the `Document`, or a `Failure`."""
-        return self._count("get", kind, self._store.get(kind, name))
+        found = self._store.get(kind, name, may_be_outdated)
+        return self._count(_read_name("get", may_be_outdated), kind, found)
 
-    def list(self, kind):
+    def list(self, kind, may_be_outdated=False):
         """Return the `Listing` of a kind, or a `Failure`."""
-        return self._count("list", kind, self._store.list(kind))
+        listing = self._store.list(kind, may_be_outdated)
+        return self._count(_read_name("list", may_be_outdated), kind, listing)
 
     def create(self, kind, name, value, *seconds):
         """Create a document; return it, or a `Failure`."""
@@ -37,12 +40,13 @@
         outcome = self._store.put_status(kind, name, status)
         return self._count("put status", kind, outcome)
 
-    def watch(self, kind, revision, seconds):
+    def watch(self, kind, revision, seconds, may_be_outdated=False):
         """Wait up to `seconds` for `Changes` after `revision`, or a `Failure`."""
-        result = self._store.watch(kind, revision, seconds)
+        result = self._store.watch(kind, revision, seconds, may_be_outdated)
+        call = _read_name("watch", may_be_outdated)
         if isinstance(result, Failure) or result.changes:
-            return self._count("watch", kind, result)
-        self._metrics.count_store_call("watch", kind, "empty")
+            return self._count(call, kind, result)
+        self._metrics.count_store_call(call, kind, "empty")
         return result
 
     def _count(self, call, kind, result):
@@ -50,3 +54,7 @@
         outcome = result.code.name.lower() if is_failure else "answered"
         self._metrics.count_store_call(call, kind, outcome)
         return result
+
+
+def _read_name(call, may_be_outdated):
+    return f"outdated {call}" if may_be_outdated else call
--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -37,6 +37,13 @@
     And the end of the job is written by a gateway that is lost at once
     Then no item of it is sent later than 3 seconds after the end
 
+  Scenario: Outdated reads of the store show the end only later
+    Given 1 gateway and 1 runner with few slots
+    And outdated reads of the store show what it held 8 seconds before
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And the end of the job is written by a gateway that is lost at once
+    Then no item of it is sent later than 3 seconds after the end
+
   Scenario: Items of a held job go on during an outage of the store
     Given 1 gateway and 1 runner with few slots
     When a job of 60 items is accepted at gateway 0, which watches the store
--- a/tests/features/gateway/store_calls.feature
+++ b/tests/features/gateway/store_calls.feature
@@ -5,3 +5,13 @@
     When a job of 3 items is accepted at gateway 0, which watches the store
     And all items of the job are listed
     Then the metrics of gateway 0 count the calls that the store received for "batch-jobs, batch-parts, batch-results"
+
+  Scenario Outline: The price of an ended job hardly grows with the fleet
+    Given <nodes> gateways and 1 runner
+    When 5 jobs of 1 item are ended 1 second apart
+    Then calls of at most <price> full prices were made for "batch-ends"
+
+    Examples:
+      | nodes | price |
+      | 4     | 8     |
+      | 12    | 12    |
--- a/tests/features/steps/memory_store.py
+++ b/tests/features/steps/memory_store.py
@@ -1,6 +1,7 @@
 """The platform's store in memory, with writes that take effect late."""
 
 import json
+from collections import Counter
 from typing import Any, NamedTuple
 
 from sequoiaglade_gateway.batch.storage import RESULTS_KIND
@@ -67,14 +68,21 @@
         self._clock = clock
         self.is_reachable = True
         self.call_count = 0
+        # Whether reads that may be outdated show no documents.
+        self.is_outdated = False
+        self.outdated_reads = Counter()
         # Delays until the next writes of result pages take effect, unanswered.
         self.late_seconds = []
 
-    def get(self, kind, name):
-        return self._call(self._store.get, kind, name)
+    def get(self, kind, name, may_be_outdated=False):
+        self.outdated_reads[kind] += may_be_outdated
+        store = MemoryStore() if may_be_outdated and self.is_outdated else self._store
+        return self._call(store.get, kind, name)
 
-    def list(self, kind):
-        return self._call(self._store.list, kind)
+    def list(self, kind, may_be_outdated=False):
+        self.outdated_reads[kind] += may_be_outdated
+        store = MemoryStore() if may_be_outdated and self.is_outdated else self._store
+        return self._call(store.list, kind)
 
     def create(self, kind, name, value, seconds=None):
         return self._write(kind, name, None, value)
--- a/tests/features/steps/store_call_steps.py
+++ b/tests/features/steps/store_call_steps.py
@@ -1,11 +1,20 @@
-"""Steps for the number of calls to the store."""
+"""Steps for the number and the price of calls to the store."""
 
 import re
+import time
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
 from emulator.fleet import wait_until
+from holders_steps import submit
+from sequoiaglade_gateway.batch.storage import JOBS_KIND
+from sequoiaglade_gateway.interface import ReadJob
 
 LISTED_SECONDS = 15.0
+# The fleet takes longer to list and watch at its start on a busy machine.
+SETTLE_SECONDS = 3.0
+# A peer that is not heard of counts as lost after this time.
+LOST_SECONDS = 3.0
 
 
 @when("all items of the job are listed")
@@ -32,3 +41,66 @@
     lines = fleet.metrics().splitlines()
     calls = [line for line in lines if re.search(rf'store_calls.*kind="{kind}"', line)]
     return sum(float(line.split()[-1]) for line in calls if "_total{" in line)
+
+
+@when("{count:d} jobs of 1 item are ended {seconds:g} second apart")
+def end_jobs(context, count, seconds):
+    fleet = context.gateways
+    time.sleep(SETTLE_SECONDS)
+    context.price_before = fleet.store.price("batch-ends")
+    for number in range(count):
+        job_id, answer = fleet.submit([(f"item-{number}", "/batch/x/1")])
+        assert answer.status == 202, answer
+        assert fleet.end(job_id).status == 200
+        time.sleep(seconds)
+
+
+@then('calls of at most {price:g} full prices were made for "{kind}"')
+def check_price(context, price, kind):
+    paid = context.gateways.store.price(kind) - context.price_before
+    assert 0 < paid <= price, paid
+
+
+@given("outdated reads of the store show what it held {seconds:g} seconds before")
+def given_outdated(context, seconds):
+    context.gateways.store.set_outdated(seconds)
+
+
+@when('"{name}" is cut off, and outdated reads of the store show no documents')
+def cut_with_outdated(context, name):
+    cut(context, name)
+    context.simulation.gateway_by_name[name].store.is_outdated = True
+
+
+@when('"{name}" is cut off')
+def cut(context, name):
+    submit(context, "b")
+    context.simulation.cut(name)
+    context.simulation.run(LOST_SECONDS)
+
+
+@then('a read at "{name}" returns {count:d} result')
+def check_read(context, name, count):
+    gateway = context.simulation.gateway_by_name[name]
+    assert not gateway.holds(context.key)
+    assert len(gateway.read(context.job_id)) == count
+
+
+@then('an unknown job is not found at "{name}"')
+def check_unknown(context, name):
+    gateway = context.simulation.gateway_by_name[name]
+    call = SimpleNamespace(request_id="r", key=None, path="/jobs/none")
+    read = ReadJob("none", 0)
+    response = gateway.batch.handle(read, call, None, context.simulation.configuration)
+    assert response.status == 404, response
+
+
+@then(
+    'a read at "{name}" returns {count:d} result, and reads the header by an outdated '
+    "read"
+)
+def check_outdated_read(context, name, count):
+    store = context.simulation.gateway_by_name[name].store
+    before = store.outdated_reads.copy()
+    check_read(context, name, count)
+    assert store.outdated_reads - before == {JOBS_KIND: 1}, store.outdated_reads
