--- a/packages/gateway/sequoiaglade_gateway/batch/storage.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/storage.py
@@ -65,8 +65,14 @@
         return self._store.create(JOBS_KIND, spec.key, value, SUBMIT_TIMEOUT_SECONDS)
 
     def read_header(self, key):
-        """Return the `JobHeader` of a job, or a `Failure`."""
-        found = self._store.get(JOBS_KIND, key)
+        """Return the `JobHeader` of a job, or a `Failure`.
+
+        `is_finished` and `revision` may be outdated; the rest of a header never
+        changes. That there is no job is never concluded from an outdated read.
+        """
+        found = self._store.get(JOBS_KIND, key, may_be_outdated=True)
+        if isinstance(found, Failure) and found.code is FailureCode.NOT_FOUND:
+            found = self._store.get(JOBS_KIND, key)
         return found if isinstance(found, Failure) else _decode_header(found)
 
     def list_headers(self):
--- a/tests/features/gateway/store_calls.feature
+++ b/tests/features/gateway/store_calls.feature
@@ -15,3 +15,14 @@
       | nodes | price |
       | 4     | 8     |
       | 12    | 12    |
+
+  Scenario: Outdated reads of the store do not show a job yet
+    Given gateways "a, b, c", and "a" holds a job with 1 listed result
+    When "c" is cut off, and outdated reads of the store show no documents
+    Then a read at "c" returns 1 result
+    And an unknown job is not found at "c"
+
+  Scenario: A job whose holder is unknown is found by an outdated read
+    Given gateways "a, b, c", and "a" holds a job with 1 listed result
+    When "c" is cut off
+    Then a read at "c" returns 1 result, and reads the header by an outdated read
