Write results of a job together that finish within half a second

A finished result now waits up to 0.5 s for others of its job, unless the job is complete, late or due within 2 s, or the node is stopping. Given up: a holder that is lost takes results of the last half second along, whose items run again; callers, who read twice a second, see results up to 0.5 s later.

--- a/tests/features/gateway/store_calls.feature
+++ b/tests/features/gateway/store_calls.feature
@@ -26,3 +26,9 @@
     Given gateways "a, b, c", and "a" holds a job with 1 listed result
     When "c" is cut off
     Then a read at "c" returns 1 result, and reads the header by an outdated read
+
+  Scenario: Results that finish shortly one after the other are written together
+    Given 1 gateway and 1 runner with few slots
+    When a job of 30 items is accepted at gateway 0, which watches the store
+    And all items of the job are listed
+    Then its results were written at most 2 times a second
