End quiet watches before the store discards the revision they began at

The store keeps 20 s of history, and a watch begins 0.4 s after the revision of the changes before it.

A watch now waits for 18 s.

--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -8,8 +8,10 @@
 from sequoiaglade_node.threads import OwnedThread
 
 # Timeout of one watch call. Keep-alive probes detect a dead connection, so that a long
-# timeout delays no change and takes fewer calls.
-WATCH_TIMEOUT_SECONDS = 20.0
+# timeout delays no change and takes fewer calls. With `COALESCE_SECONDS` it is shorter
+# than the history of 20 seconds that the store keeps: a watch from a revision before
+# that has to list all documents anew.
+WATCH_TIMEOUT_SECONDS = 18.0
 # Timeout of the first watch call after a failure, so that a recovery of the store is
 # detected promptly even without a change.
 PROBE_TIMEOUT_SECONDS = 0.02
--- a/tests/features/gateway/store_calls.feature
+++ b/tests/features/gateway/store_calls.feature
@@ -32,3 +32,9 @@
     When a job of 30 items is accepted at gateway 0, which watches the store
     And all items of the job are listed
     Then its results were written at most 2 times a second
+
+  Scenario: A quiet watch does not outlast the history of the store
+    Given 1 gateway and 1 runner
+    And a store that keeps 20 seconds of history
+    When the configuration changes once, and other documents for 22 seconds
+    Then at most 2 calls were made for "config" meanwhile
--- a/tests/features/steps/store_call_steps.py
+++ b/tests/features/steps/store_call_steps.py
@@ -71,6 +71,30 @@
     assert 0 < writes <= writes_max < len(context.items), (writes, writes_max)
 
 
+@given("a store that keeps {seconds:d} seconds of history")
+def given_history(context, seconds):
+    context.gateways.store.keep_history(seconds)
+
+
+@when("the configuration changes once, and other documents for {seconds:d} seconds")
+def change_others(context, seconds):
+    store = context.gateways.store
+    wait_until(
+        lambda: "config" in store.watched_kinds(), LISTED_SECONDS, "config is watched"
+    )
+    context.gateways.configure()
+    before = store.calls_by_kind["config"]
+    for number in range(10 * seconds):
+        store.put("notes", "n", {"number": number})
+        time.sleep(0.1)
+    context.call_count = store.calls_by_kind["config"] - before
+
+
+@then('at most {count:d} calls were made for "config" meanwhile')
+def check_config_calls(context, count):
+    assert context.call_count <= count, context.call_count
+
+
 @given("outdated reads of the store show what it held {seconds:g} seconds before")
 def given_outdated(context, seconds):
     context.gateways.store.set_outdated(seconds)
