--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -13,7 +13,6 @@
 from .job_ends import EndsKnowledge, SendDecision
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .leaving import LeavingEndpoints
-from .listing import seconds_until_listing
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
@@ -111,7 +110,6 @@
     "next_step",
     "run_order",
     "schedulers",
-    "seconds_until_listing",
     "silence_step",
     "stable_hash",
     "stream_keepers",
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -38,8 +38,6 @@
         self.accepted_at = accepted_at
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
-        # When the oldest result that is not listed yet was first seen, None if none is.
-        self.unlisted_since = None
         self.validity = PageValidity(accepted_at)
         self.batch.note_listed(self.pages.results)
 
--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -1,11 +1,9 @@
 """Writes of finished results to the stored lists, from which callers read them."""
 
 import threading
-import time
 
 import structlog
 
-from sequoiaglade_decisions.gateway import seconds_until_listing
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.threads import OwnedThread
 
@@ -21,17 +19,16 @@
     """One thread that writes the pages of results; a context manager.
 
     Callers see a result only after its page is written, so that it never changes or
-    disappears afterwards. `wall_clock` returns the time of day that jobs are due at.
+    disappears afterwards.
     """
 
-    def __init__(self, registry, storage, wall_clock=time.time):
+    def __init__(self, registry, storage):
         super().__init__("result writer")
         self._registry = registry
         self._storage = storage
-        self._wall_clock = wall_clock
         self._log = structlog.get_logger()
+        self._is_failing = False
         self._wakeup = threading.Event()
-        self.is_leaving = False
 
     def wake(self):
         """Write soon the results that are finished."""
@@ -44,47 +41,15 @@
             done = self._write(job) and done
         return done
 
-    def write_due(self):
-        """Write the results that need not wait for others.
-
-        Return after how many seconds this is to be called again.
-        """
-        pauses = [IDLE_CHECK_SECONDS]
-        for job in self._registry.jobs():
-            seconds = self._seconds_until_due(job)
-            if seconds <= 0.0:
-                if self._write(job):
-                    job.unlisted_since = None
-                else:
-                    seconds = RETRY_SECONDS
-            if seconds > 0.0:
-                pauses.append(seconds)
-        return min(pauses)
-
-    def _seconds_until_due(self, job):
-        now = self._registry.clock()
-        with self._registry.lock:
-            if not job.batch.unlisted():
-                job.unlisted_since = None
-                return 0.0
-            if job.unlisted_since is None:
-                job.unlisted_since = now
-            return seconds_until_listing(
-                now - job.unlisted_since,
-                job.batch.due - self._wall_clock(),
-                self.is_leaving or not job.batch.unfinished_count,
-            )
-
     def _interrupt(self):
         self._wakeup.set()
 
     def _run(self):
-        pause = IDLE_CHECK_SECONDS
         while not self._stopped.is_set():
-            self._wakeup.wait(pause)
+            self._wakeup.wait(RETRY_SECONDS if self._is_failing else IDLE_CHECK_SECONDS)
             self._stopped.wait(WRITE_COALESCING_SECONDS)
             self._wakeup.clear()
-            pause = self.write_due()
+            self._is_failing = not self.write_waiting()
 
     def _write(self, job):
         with self._registry.lock:
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -129,8 +129,6 @@
         self._parts.coordinator.tell(Leave())
         self._runner.is_leaving = True
         self._job_adopter.is_leaving = True
-        self._writer.is_leaving = True
-        self._writer.wake()
         data = self._listeners[0]
         data.close_after_answers()
         expired_at = started_at + ADDRESS_TTL_FACTOR * settings.directory_seconds
