--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -173,6 +173,12 @@
     """Return the `Placed`, `Full` or `QuotaExceeded` of a message.
 
     Return None if the scheduler runs a release that does not check quotas.
+
+    >>> decode_placement(encode_placement(Scheduled("e-1")))
+    Placed(endpoint_id='e-1', preempts=False)
+    >>> decode_placement(encode_placement(QuotaExceeded(0.5, share=1.0)))
+    QuotaExceeded(retry_after=0.5, share=1.0)
+    >>> decode_placement(fleet_pb2.ScheduleReply(endpoint_id="e-1"))
     """
     if not message.is_quota_checked:
         return None
