Channels to peers reconnect within 0.25 s

What callers saw: a stream that began at a gateway right after another one had started was refused with 503 there when the first one was lost ('no node knows the stream to be taken up'), although its version served.

Cause: the note of the stream's version waited for the channel, whose attempts to connect to the peer that had not started yet were up to 1.2 s apart.

Change: the pause between attempts is 0.1 s at first and 0.25 s at most.

--- a/packages/node/sequoiaglade_node/peers/tracing.py
+++ b/packages/node/sequoiaglade_node/peers/tracing.py
@@ -12,7 +12,10 @@
 
 from .channels import RenewedChannel
 
-MAX_RECONNECT_BACKOFF_MS = 1000
+# Streams that begin while a peer can't be reached are unknown to it, so that they can't
+# be taken up there if this node is lost meanwhile.
+FIRST_RECONNECT_BACKOFF_MS = 100
+MAX_RECONNECT_BACKOFF_MS = 250
 UNTRACED_CALLS = frozenset(("Gossip/Exchange", "Limits/Poll"))
 
 _tracer = trace.get_tracer("sequoiaglade.node")
@@ -24,7 +27,10 @@
     After a lost connection it reconnects within `MAX_RECONNECT_BACKOFF_MS` plus jitter;
     a connection on which calls time out is replaced.
     """
-    options = [("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_BACKOFF_MS)]
+    options = [
+        ("grpc.initial_reconnect_backoff_ms", FIRST_RECONNECT_BACKOFF_MS),
+        ("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_BACKOFF_MS),
+    ]
     channel = RenewedChannel(address, options)
     if not _is_exported():
         return channel
--- a/tests/features/membership/channels.feature
+++ b/tests/features/membership/channels.feature
@@ -15,3 +15,8 @@
     When the open connections of the link fall silent
     And a call on the channel is cancelled every 0.1 seconds
     Then within 2 seconds a call on the channel succeeds
+
+  Scenario: A channel connects soon after its peer has started
+    Given a channel on which calls fail for 2.5 seconds without a peer
+    When the peer server starts
+    Then a call on the channel that waits for the connection succeeds within 0.5 seconds
--- a/tests/features/steps/channel_steps.py
+++ b/tests/features/steps/channel_steps.py
@@ -1,5 +1,6 @@
 """Steps for the gRPC channels between nodes."""
 
+import contextlib
 import threading
 import time
 
@@ -42,6 +43,36 @@
     assert context.call(b"0", timeout=5.0) == b"0"
 
 
+@given("a channel on which calls fail for {seconds:g} seconds without a peer")
+def given_unconnected_channel(context, seconds):
+    (port,) = context.stack.enter_context(PortBlock()).take(1)
+    context.address = f"127.0.0.1:{port}"
+    channel = open_channel(context.address)
+    context.stack.callback(channel.close)
+    context.call = channel.unary_unary(METHOD)
+    end_at = time.monotonic() + seconds
+    while time.monotonic() < end_at:
+        with contextlib.suppress(grpc.RpcError):
+            context.call(b"0", timeout=CALL_SECONDS)
+            raise AssertionError("the call succeeded without a peer")
+        time.sleep(0.05)
+
+
+@when("the peer server starts")
+def start_peer(context):
+    server = PeerServer(context.address, [(add_echo, None)])
+    context.stack.enter_context(server)
+
+
+@then(
+    "a call on the channel that waits for the connection succeeds within "
+    "{seconds:g} seconds"
+)
+def check_connects(context, seconds):
+    reply = context.call(b"0", timeout=seconds, wait_for_ready=True)
+    assert reply == b"0"
+
+
 @when("the open connections of the link fall silent")
 def silence(context):
     context.link.silence_open_connections()
