A request that arrived while a node was suspended may wait for a thread

Cause: the quarter of the deadline for which a request may wait for a thread counted from its arrival; after a suspension it had passed before the request was queued, and the refusing thread took it before another one did.

--- a/packages/node/sequoiaglade_node/web/channels.py
+++ b/packages/node/sequoiaglade_node/web/channels.py
@@ -22,8 +22,8 @@
 LINGER_BYTES = 1_048_576
 # Environment key of the time at which a request arrived.
 ARRIVED_AT = "sequoiaglade.arrived_at"
-# Part of the time that a caller waits for which its request may wait for a thread. The
-# rest is left for another node.
+# Part of the time that a caller still waits for which its request may wait for a
+# thread. The rest is left for another node.
 THREAD_WAIT_FRACTION = 0.25
 # Place of the milliseconds since data was last received in Linux's struct tcp_info.
 TCP_INFO_BYTES = 104
@@ -101,12 +101,17 @@
 
     @property
     def wait_until(self):
-        """The time until which the next request may wait for a thread, or None."""
+        """The time until which the next request may wait from now on for a thread.
+
+        It is None if its caller states no deadline.
+        """
         request = self.requests[0]
         seconds = self.read_deadline(request.headers_by_name())
         if seconds is None:
             return None
-        return request.arrived_at + THREAD_WAIT_FRACTION * seconds
+        now = time.monotonic()
+        seconds_left = max(0.0, request.arrived_at + seconds - now)
+        return now + THREAD_WAIT_FRACTION * seconds_left
 
     @property
     def is_busy(self):
