Stop test: the main thread's number may be the highest

The step took the highest thread number for a thread other than the main one; numbers start anew at 32768, so that it may be the main one's. Now the main one is left out before the choice. As strict: the signal still goes to a thread other than the main one.

--- a/tests/features/steps/stop_steps.py
+++ b/tests/features/steps/stop_steps.py
@@ -13,9 +13,11 @@
 
 def send_to_thread(pid, number):
     """Send a signal to the newest thread of a process, which isn't its main one."""
-    threads = sorted(int(name) for name in os.listdir(f"/proc/{pid}/task"))
-    thread = threads[-1]
-    assert thread != pid, "the process has one thread"
+    # Numbers of threads start anew at the system's limit, so that the main thread's may
+    # be the highest.
+    threads = {int(name) for name in os.listdir(f"/proc/{pid}/task")} - {pid}
+    assert threads, "the process has one thread"
+    thread = max(threads)
     if LIBC.tgkill(pid, thread, number) != 0:
         raise OSError(ctypes.get_errno(), "tgkill failed")
 
