Stand-ins: a write whose connection ends within its body is not stored

Cause: the stand-in stores read what there was of a body when the connection ended, and stored it, an empty value where the writer was killed between head and body. A store that does so is none that the product has to serve.

--- a/packages/standins/sequoiaglade_standins/http.py
+++ b/packages/standins/sequoiaglade_standins/http.py
@@ -38,8 +38,12 @@
         return self.server.state
 
     def body(self):
-        """Return the request's body as bytes."""
-        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        """Return the request's body as bytes; raise `ConnectionError` if it is cut."""
+        size = int(self.headers.get("Content-Length", 0))
+        data = self.rfile.read(size)
+        if len(data) < size:
+            raise ConnectionError(f"{size - len(data)} bytes of the body are missing")
+        return data
 
     def json_body(self):
         """Return the request's body decoded from JSON; an empty body gives `{}`."""
--- a/tests/features/standins/standins.feature
+++ b/tests/features/standins/standins.feature
@@ -27,3 +27,9 @@
     Then an answer over the link has 1000 bytes
     And an answer over the link has 1000 bytes
     And an answer to 2 lines is reset within 1500 bytes
+
+  Scenario: A write whose connection ends within its body is not stored
+    Given a platform stand-in
+    When connections end after 0 and after 5 bytes of a body of 10 bytes
+    Then the stand-in stores none of these writes
+    And a complete write is stored
