--- a/tests/features/gateway/silence.feature
+++ b/tests/features/gateway/silence.feature
@@ -59,3 +59,17 @@
     And the entry of runner 0 is removed
     Then within 7 seconds all gateways refuse "/safe/1" with 503
     And each gateway has renewed 3 watches
+
+  # The watches of all gateways begin together after a change, so that a short silence of
+  # the store can take them all.
+  Scenario: A change of the configuration is read soon after its watches alone fell silent
+    Given 2 gateways and 1 runner
+    When the store loses the responses to watches of "config"
+    And the key "key-yard" is replaced by "key-new"
+    Then within 3 seconds all gateways return 401 for "/safe/1" with key "key-yard"
+
+  Scenario: A removed endpoint is known soon after its watches alone fell silent
+    Given 2 gateways and 1 runner
+    When the store loses the responses to watches of "servers"
+    And the entry of runner 0 is removed
+    Then within 5 seconds all gateways refuse "/safe/1" with 503
