A second watch notices that a watch of the store misses changes

What callers saw: requests handled by configurations that had been replaced more than 2 s before (CONFIG).

Cause: a watch tells nothing while it waits, and counted as sound as long as other connections were. A call that the store never received is not answered, and is noticed only at its time-out after 19 s, unless another call times out meanwhile. The watches of all gateways begin together, 0.4 s after each change, so that a silence of a fraction of a second takes them all, and no gateway is left that could tell the others.

Change: a `WatchGuard` for the watches of the configuration and of endpoints, at a tenth of the price. Its calls end after 1.8 s, so that one that was lost times out soon, which renews all connections. If it tells of a change that the guarded watch does not know 0.8 s later, that watch is renewed and asks again from its revision. It begins its next call at another time than the guarded watch, so that a short silence takes one of them.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -48,9 +48,11 @@
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
+from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
 
 __all__ = [
     "DEFAULT_SLOTS",
+    "GUARD_SECONDS",
     "OWN_BYTES",
     "RESERVE_SLOTS",
     "SHARED_BYTES_MAX",
@@ -72,6 +74,7 @@
     "FleetQuotas",
     "Full",
     "GroupScheduler",
+    "GuardStep",
     "IsolationGuard",
     "Item",
     "ItemOutcome",
@@ -102,12 +105,14 @@
     "StoreCall",
     "StoreContact",
     "StreamVersions",
+    "WatchPosition",
     "Workspace",
     "batch_allowance",
     "batch_targets",
     "eligible_nodes",
     "group_count",
     "group_of",
+    "guard_step",
     "job_holder",
     "job_key",
     "move_headroom",
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -39,6 +39,7 @@
     KindWatcher,
     StoreCache,
     StoreContactKeeper,
+    WatchGuard,
 )
 from .store_calls import CountedStore
 
@@ -223,25 +224,29 @@
         parts = self._parts
         cache = parts.store_cache
         kinds = parts.dialect.kinds
-        watchers = (
-            KindWatcher(
-                parts.store,
-                kinds.configuration,
-                cache.on_configurations_listed,
-                cache.on_configuration_changed,
-            ),
-            KindWatcher(
-                parts.store,
-                kinds.endpoints,
-                cache.on_endpoints_listed,
-                cache.on_endpoint_changed,
-                cache.on_endpoints_reachable,
-            ),
+        configuration_watcher = KindWatcher(
+            parts.store,
+            kinds.configuration,
+            cache.on_configurations_listed,
+            cache.on_configuration_changed,
+        )
+        endpoint_watcher = KindWatcher(
+            parts.store,
+            kinds.endpoints,
+            cache.on_endpoints_listed,
+            cache.on_endpoint_changed,
+            cache.on_endpoints_reachable,
+        )
+        for thread in (
+            configuration_watcher,
+            endpoint_watcher,
             self._ends_watcher,
+            # Ends are confirmed by `JobEnds` instead.
+            WatchGuard(parts.store, configuration_watcher, parts.metrics),
+            WatchGuard(parts.store, endpoint_watcher, parts.metrics),
             StoreContactKeeper(parts.store, parts.metrics),
-        )
-        for watcher in watchers:
-            stack.enter_context(watcher)
+        ):
+            stack.enter_context(thread)
 
     def _on_job_ends_listed(self, documents):
         for document in documents:
--- a/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
@@ -2,7 +2,14 @@
 
 from .cache import StoreCache
 from .contact import StoreContactKeeper
+from .guard import WatchGuard
 from .reader import ConfigurationReader
 from .watcher import KindWatcher
 
-__all__ = ["ConfigurationReader", "KindWatcher", "StoreCache", "StoreContactKeeper"]
+__all__ = [
+    "ConfigurationReader",
+    "KindWatcher",
+    "StoreCache",
+    "StoreContactKeeper",
+    "WatchGuard",
+]
--- a/packages/gateway/sequoiaglade_gateway/store_cache/contact.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/contact.py
@@ -23,7 +23,6 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._woken = threading.Event()
-        self._log = structlog.get_logger()
         # Nodes that start together probe at different times.
         self._contact = StoreContact(
             PROBE_INTERVAL_SECONDS * (0.9 + 0.2 * random.random())
@@ -48,11 +47,13 @@
                 case ContactStep.PROBE:
                     self._store.probe()
                 case ContactStep.RENEW:
-                    self._renew()
+                    renew_watches(self._store, self._metrics, "a call timed out")
                 case ContactStep.WAIT:
                     self._woken.wait(seconds)
 
-    def _renew(self):
-        for kind in self._store.renew_connections():
-            self._metrics.count("watch renewed", kind)
-            self._log.info("watch renewed", kind=kind, reason="a call timed out")
+
+def renew_watches(store, metrics, reason):
+    """Renew the connections of a `DocumentStore`, and log the kinds of its watches."""
+    for kind in store.renew_connections():
+        metrics.count("watch renewed", kind)
+        structlog.get_logger().info("watch renewed", kind=kind, reason=reason)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -1,9 +1,11 @@
 """Watches one kind of documents: a list first, then a watch from its revision."""
 
 import random
+import time
 
 import structlog
 
+from sequoiaglade_decisions.gateway import WatchPosition
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.threads import OwnedThread
 
@@ -42,7 +44,7 @@
     ):
         super().__init__(f"watch {kind}", join_seconds=0.2)
         self._store = store
-        self._kind = kind
+        self.kind = kind
         self._on_list = on_list
         self._on_change = on_change
         self._on_reachable = on_reachable or (lambda is_reachable: None)
@@ -50,8 +52,17 @@
         self._revision = None
         self._is_reachable = True
         self._is_interrupted = False
+        self._waiting_since = None
         self._log = structlog.get_logger()
 
+    @property
+    def position(self):
+        """The `WatchPosition`, None before the first list."""
+        revision = self._revision
+        if revision is None:
+            return None
+        return WatchPosition(revision, self._waiting_since)
+
     def read_now(self):
         """Read the changes since the last response; return None or a `Failure`.
 
@@ -61,7 +72,7 @@
         revision = self._revision
         if revision is None:
             return self._read_list()
-        result = self._store.watch(self._kind, revision, PROBE_TIMEOUT_SECONDS)
+        result = self._store.watch(self.kind, revision, PROBE_TIMEOUT_SECONDS)
         if isinstance(result, Failure):
             return self._read_list() if result.code is FailureCode.EXPIRED else result
         for change in result.changes:
@@ -69,14 +80,14 @@
         if result.changes:
             self._log.info(
                 "changes read beside the watch",
-                kind=self._kind,
+                kind=self.kind,
                 revision=revision,
                 count=len(result.changes),
             )
         return None
 
     def _read_list(self):
-        listing = self._store.list(self._kind)
+        listing = self._store.list(self.kind)
         if isinstance(listing, Failure):
             return listing
         self._on_list(listing.documents)
@@ -99,7 +110,7 @@
             self._stopped.wait(RETRY_SECONDS * (0.75 + 0.5 * random.random()))
 
     def _list(self):
-        listing = self._store.list(self._kind, self._may_be_outdated)
+        listing = self._store.list(self.kind, self._may_be_outdated)
         if isinstance(listing, Failure):
             return listing
         self._update_reachability(None)
@@ -110,9 +121,13 @@
     def _watch(self):
         is_sound = self._is_reachable and not self._is_interrupted
         seconds = WATCH_TIMEOUT_SECONDS if is_sound else PROBE_TIMEOUT_SECONDS
-        result = self._store.watch(
-            self._kind, self._revision, seconds, self._may_be_outdated
-        )
+        self._waiting_since = time.monotonic() if is_sound else None
+        try:
+            result = self._store.watch(
+                self.kind, self._revision, seconds, self._may_be_outdated
+            )
+        finally:
+            self._waiting_since = None
         if isinstance(result, Failure):
             return result
         self._update_reachability(None)
@@ -131,7 +146,7 @@
         self._on_reachable(is_reachable)
         self._log.info(
             "store reachable again" if is_reachable else "store unreachable",
-            kind=self._kind,
+            kind=self.kind,
             revision=self._revision,
             reason=failure and failure.reason,
         )
