--- a/packages/gateway/sequoiaglade_gateway/metrics.py
+++ b/packages/gateway/sequoiaglade_gateway/metrics.py
@@ -11,7 +11,8 @@
     seconds, by `route`. `sequoiaglade.gateway.arrival_wait` is the time in seconds from
     a request's arrival at the machine until its handling begins.
     `sequoiaglade.gateway.store_calls` counts calls to the store by `call`, `kind` of
-    documents and `outcome`.
+    documents and `outcome`. `sequoiaglade.gateway.configuration_version` is the version
+    in force.
     """
 
     def __init__(self, node_id):
@@ -46,6 +47,15 @@
         """Count a call to the platform's store."""
         self._store_calls.add(1, {"call": call, "kind": kind, "outcome": outcome})
 
+    def observe_configuration(self, read_version):
+        """Add a gauge of the configuration's version, which `read_version` returns."""
+        self._telemetry.gauge(
+            "sequoiaglade.gateway.configuration_version",
+            "",
+            "version of the configuration in force",
+            read_version,
+        )
+
     def record_first_event(self, work, seconds):
         """Record the time until the first event of an admitted request."""
         self._first_event.record(seconds, {"route": work.route.name})
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -166,6 +166,7 @@
         parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.store = CountedStore(parts.store, parts.metrics)
         parts.store_cache = StoreCache(parts.dialect, actor)
+        parts.metrics.observe_configuration(lambda: parts.store_cache.version)
         parts.configuration_reader = stack.enter_context(
             ConfigurationReader(
                 parts.store, parts.dialect.kinds.configuration, parts.store_cache
--- a/tests/features/gateway/silence.feature
+++ b/tests/features/gateway/silence.feature
@@ -67,6 +67,7 @@
     When the store loses the responses to watches of "config"
     And the key "key-yard" is replaced by "key-new"
     Then within 3 seconds all gateways return 401 for "/safe/1" with key "key-yard"
+    And the metrics of each gateway tell the newest version of the configuration
 
   Scenario: A removed endpoint is known soon after its watches alone fell silent
     Given 2 gateways and 1 runner
--- a/tests/features/steps/gateway_silence_steps.py
+++ b/tests/features/steps/gateway_silence_steps.py
@@ -202,3 +202,16 @@
         lines = fleet.metrics(number).splitlines()
         renewed = [line for line in lines if '"watch renewed"' in line]
         assert sum(float(line.split()[-1]) for line in renewed) == count, renewed
+
+
+@then("the metrics of each gateway tell the newest version of the configuration")
+def check_version_metric(context):
+    fleet = context.gateways
+    for number in range(len(fleet.nodes)):
+        lines = fleet.metrics(number).splitlines()
+        values = [
+            float(line.split()[-1])
+            for line in lines
+            if line.startswith("sequoiaglade_gateway_configuration_version")
+        ]
+        assert values == [fleet.configuration_version], values
