--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -9,6 +9,19 @@
     Then the days of seeds 0 to 199 are the same when drawn again
     And they have every kind of fault alone and beside others
 
+  # Faults are named by the seeds that found them, also in KNOWN-RED.txt.
+  Scenario: Seeds below 1000 draw the days that they drew before new kinds came
+    Then the days of seeds 0 to 999 have the digest "065760c03a2b55fd"
+    And these seeds have these faults
+      | seed | faults                                                             |
+      | 12   | EndlessResponses at 3.64, interim responses; RunnersLeaving at 3.95 |
+      | 17   | ConnectionsSilent at 4.92                                          |
+      | 91   | RunnersSilent at 4.54; Crashes at 5.35                             |
+
+  Scenario: Seeds from 1000 on have a new kind of fault, and half of them a second one
+    Then all days of seeds 1000 to 1399 have a new kind of fault
+    And 170 to 230 of them have a second kind, all new and old ones among them
+
   Scenario: Requests sent again as a whole may get another version
     Given the records of a day that kept the rules
     When three whole requests are cut and answered by another version
--- a/tests/features/steps/gateway_hunt_steps.py
+++ b/tests/features/steps/gateway_hunt_steps.py
@@ -1,5 +1,7 @@
 """Steps for days of faults that are drawn from seeds."""
 
+import hashlib
+import json
 import subprocess
 import sys
 import tempfile
@@ -7,6 +9,7 @@
 
 from behave import then, when
 from emulator.hunt.days import draw_day
+from emulator.hunt.later_kinds import LATER_KINDS
 
 ROOT = Path(__file__).resolve().parent.parent.parent.parent
 HUNT_TIMEOUT_SECONDS = 240
@@ -54,3 +57,37 @@
     alone = {day.kinds[0] for day in context.days if len(day.kinds) == 1}
     paired = {kind for day in context.days if len(day.kinds) == 2 for kind in day.kinds}
     assert len(all_kinds) == 10 and alone == paired == all_kinds, (alone, paired)
+
+
+@then('the days of seeds {first:d} to {last:d} have the digest "{digest}"')
+def check_digest(context, first, last, digest):
+    rows = [draw_day(seed).describe() for seed in range(first, last + 1)]
+    text = json.dumps(rows, sort_keys=True)
+    assert hashlib.sha256(text.encode()).hexdigest().startswith(digest)
+
+
+@then("these seeds have these faults")
+def check_recorded(context):
+    for row in context.table:
+        faults = draw_day(int(row["seed"])).faults
+        texts = [f"{type(fault).__name__} at {fault.at}" for fault in faults]
+        places = [getattr(fault, "place", "") for fault in faults]
+        pairs = zip(texts, places, strict=True)
+        found = "; ".join(", ".join(filter(None, pair)) for pair in pairs)
+        assert found == row["faults"], found
+
+
+@then("all days of seeds {first:d} to {last:d} have a new kind of fault")
+def check_later(context, first, last):
+    context.days = [draw_day(seed) for seed in range(first, last + 1)]
+    context.later = {kind.__name__ for kind in LATER_KINDS}
+    assert all(context.later & set(day.kinds) for day in context.days)
+
+
+@then("{low:d} to {high:d} of them have a second kind, all new and old ones among them")
+def check_second(context, low, high):
+    paired = [day for day in context.days if len(day.faults) == 2]
+    assert low <= len(paired) <= high, len(paired)
+    old = {kind for seed in range(100) for kind in draw_day(seed).kinds}
+    kinds = {kind for day in paired for kind in day.kinds}
+    assert kinds == old | context.later, kinds
