--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -27,6 +27,45 @@
     When three whole requests are cut and answered by another version
     Then no rule is broken
 
+  Scenario Outline: The checks of changes find no rule broken where one is excused
+    Given the records of a day that kept the rules
+    And the configuration changed at 3 s and at 5 s
+    When <excused>
+    Then no rule is broken
+
+    Examples:
+      | excused                                                          |
+      | a key that was replaced opens 1.9 s later                        |
+      | a removed route is served 4 s later by a gateway without a store |
+      | a route is served 4 s after its removal was sent, 1 s after its late acknowledgement |
+      | a gateway that was killed goes back to an older version          |
+      | an item runs 2.9 s after the end of its job                      |
+      | an item runs 4 s after the end of its job while a gateway is killed |
+
+  Scenario Outline: The check of changes finds a day that breaks a rule
+    Given the records of a day that kept the rules
+    And the configuration changed at 3 s and at 5 s
+    When <change>
+    Then the rule "<rule>" is broken, and no other
+
+    Examples:
+      | rule    | change                                                  |
+      | CONFIG  | a key that was replaced opens 2.1 s later               |
+      | CONFIG  | a key that was added is refused 2.1 s later             |
+      | CONFIG  | a removed route is served 4 s later                     |
+      | CONFIG  | an added route is refused 4 s later                     |
+      | CONFIG  | a removed route is served 4 s later beside another gateway without a store |
+      | CONFIG  | a gateway goes back to an older version                 |
+      | CONFIG  | a gateway serves the route of an invalid document       |
+      | UNASKED | an item runs 4 s after the end of its job               |
+
+  Scenario: A day's figures tell the slowest change and the last item of an ended job
+    Given the records of a day that kept the rules
+    And the configuration changed at 3 s and at 5 s
+    When the gateways show the changes 0.2, 0.9 and 0.4 s after their acknowledgement
+    And an item runs 2.9 s after the end of its job
+    Then the day's figures are 0.9 s and 2.9 s
+
   Scenario Outline: The check of a rule finds a day that breaks it
     Given the records of a day that kept the rules
     When <change>
