A gateway asks another peer for a configuration when the newest one's does not answer

Cause: each gossip round asked the first peer with the newest version again.

Change: ConfigurationSources leaves out a peer that did not answer in the last 5 s, or that gossip does not reach, while another peer knows a newer version than the node's own.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
+from .configuration_sources import ConfigurationSources
 from .endpoints import Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
 from .groups import eligible_nodes, group_count, group_of, schedulers
@@ -60,6 +61,7 @@
     "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
+    "ConfigurationSources",
     "ContactStep",
     "Endpoint",
     "EndpointDirectory",
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import PeerAcks
+from sequoiaglade_decisions.gateway import ConfigurationSources, PeerAcks
 from sequoiaglade_node.threads import OwnedThread
 from sequoiaglade_protocol import fleet_pb2
 
@@ -70,6 +70,7 @@
         self._is_busy = False
         self._is_large = False
         self._peer_acks = PeerAcks()
+        self._configuration_sources = ConfigurationSources()
         self._round_at = self._resumed_at = self._clock()
         self._failing_since_by_address = {}
         self._is_exclusive = True
@@ -190,12 +191,26 @@
             if lost and not self._is_large:
                 self._on_peer_lost()
         self._log_exclusivity()
-        newest = max(live, key=lambda s: s.configuration_version, default=None)
+        self._learn_configuration(live)
+
+    def _learn_configuration(self, live):
+        """Ask a peer with a newer configuration for it, if there is one."""
         cache = self._parts.store_cache
-        if newest and newest.configuration_version > cache.version:
-            exported = self._client.fetch_store_cache(newest.peer_address)
-            if exported is not None:
-                cache.import_from_peer(*exported, source=newest.node_id)
+        unreachable_ids = {
+            state.node_id
+            for state in live
+            if state.peer_address in self._failing_since_by_address
+        }
+        source = self._configuration_sources.choose(
+            live, cache.version, unreachable_ids, self._clock()
+        )
+        if source is None:
+            return
+        exported = self._client.fetch_store_cache(source.peer_address)
+        if exported is not None:
+            cache.import_from_peer(*exported, source=source.node_id)
+        if cache.version < source.configuration_version:
+            self._configuration_sources.note_failure(source.node_id, self._clock())
 
     def _log_reachability(self, address, is_reachable):
         """Log when calls to a peer begin to fail, and when one succeeds again."""
--- /dev/null
+++ b/tests/features/steps/configuration_peer_steps.py
@@ -0,0 +1,112 @@
+"""Steps for configurations that gateways learn from their peers."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+from emulator import RunnerPlan
+from gateway_calls import start
+from holder_simulation import ROUND_SECONDS, HolderSimulation
+from holders_steps import names_in
+from sequoiaglade_gateway.peers.client import CALL_SECONDS
+from sequoiaglade_gateway.store_cache import StoreCache
+
+from sequoiaglade_decisions.gateway import FleetConfiguration
+from sequoiaglade_platform import Document
+
+DOCUMENTS_CALL = "Knowledge"
+
+
+@given('gateways "{names}", of which "{name}" has lost its watch of the configuration')
+def given_gateways(context, names, name):
+    # Gateways of the simulation read only what `read_versions` gives them.
+    context.simulation = context.stack.enter_context(HolderSimulation(names_in(names)))
+    context.stack.callback(lambda: print(context.simulation.trace_text()))
+    for gateway in context.simulation.running():
+        gateway.use_store_cache(lambda coordinator: _make_cache(context, coordinator))
+    context.simulation.run(1.0)
+
+
+def _make_cache(context, coordinator):
+    routes = context.simulation.configuration.routes
+    dialect = SimpleNamespace(
+        read_configuration=lambda document: FleetConfiguration(
+            document.value["version"], routes, (), ()
+        ),
+        read_endpoint=None,
+    )
+    return StoreCache(dialect, coordinator)
+
+
+@given('calls for documents from "{source}" to "{names}" get no answer')
+def fail_document_calls(context, source, names):
+    _fail_calls(
+        context,
+        {(source, name) for name in names_in(names)},
+        {DOCUMENTS_CALL},
+        float("inf"),
+    )
+
+
+@given(
+    'calls for documents from "{source}" to "{names}" get no answer for {seconds:d}'
+    " second"
+)
+def fail_document_calls_for(context, source, names, seconds):
+    pairs = {(source, name) for name in names_in(names)}
+    _fail_calls(context, pairs, {DOCUMENTS_CALL}, context.simulation.now + seconds)
+
+
+@given('no calls between "{source}" and "{names}" get an answer')
+def fail_all_calls(context, source, names):
+    others = names_in(names)
+    pairs = {(source, name) for name in others} | {(name, source) for name in others}
+    _fail_calls(context, pairs, {DOCUMENTS_CALL, "Gossip"}, float("inf"))
+
+
+def _fail_calls(context, pairs, calls, until):
+    """Let calls wait until their time-out. Others go on meanwhile."""
+    simulation = context.simulation
+    call = simulation.call
+
+    def fail(source, target, name, request):
+        pair = source.partition(":")[0], target.partition(":")[0]
+        if pair not in pairs or name not in calls or simulation.now >= until:
+            return call(source, target, name, request)
+        # Calls of gossip run beside each other and have a shorter time-out.
+        if name == DOCUMENTS_CALL:
+            simulation.pass_time(CALL_SECONDS)
+        return None
+
+    simulation.call = fail
+
+
+@when("versions of the configuration are read: {versions}")
+def read_versions(context, versions):
+    for text in names_in(versions):
+        name, version = text.split(": ")
+        document = Document("main", 0, {"version": int(version)})
+        gateway = context.simulation.gateway_by_name[name]
+        gateway.store_cache.apply_configuration(document, "store")
+
+
+@then('"{name}" has version {version:d} within {seconds:d} seconds')
+def check_version(context, name, version, seconds):
+    simulation = context.simulation
+    deadline = simulation.now + seconds
+    cache = simulation.gateway_by_name[name].store_cache
+    while cache.version < version and simulation.now < deadline:
+        simulation.run(ROUND_SECONDS)
+    assert cache.version >= version and simulation.now <= deadline, (
+        cache.version,
+        simulation.now - deadline + seconds,
+    )
+
+
+@given("3 gateways and 1 runner, with an entrance of the store for each gateway")
+def given_entrances(context):
+    start(context, 3, [RunnerPlan()], has_entrances=True)
+
+
+@when("the store answers gateway {number:d} no more")
+def silence_entrance(context, number):
+    context.gateways.entrances[number].set_silent(True)
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -152,6 +152,18 @@
         )
         return parts
 
+    @property
+    def store_cache(self):
+        """The gateway's local copy of the store."""
+        return self._parts.store_cache
+
+    def use_store_cache(self, make_cache):
+        """Use the cache that a function makes with the coordinator."""
+        self._parts.store_cache = make_cache(self._parts.coordinator)
+        self.servicer = FleetServicer(
+            self.gossip, self.store_cache, self.registry, self.batch, None, None
+        )
+
     def _steady_seconds(self):
         return self._simulation.now - self.suspended_seconds
 
