--- a/tests/features/gateway/configuration_from_peers.feature
+++ b/tests/features/gateway/configuration_from_peers.feature
@@ -28,3 +28,18 @@
     When the store answers gateway 0 no more
     And the key "key-yard" is replaced by "key-new"
     Then within 2 seconds all gateways return 401 for "/safe/1" with key "key-yard"
+
+  # The pages promise that the store does not do this, and a response without events may
+  # name a newer revision at any time, since other kinds change it.
+  Scenario: The store tells one gateway's watch of a newer revision, not of the change
+    Given 3 gateways and 1 runner, with an entrance of the store for each gateway
+    When the store skips the next change in 1 watch of the configuration
+    And the key "key-yard" is replaced by "key-new"
+    Then within 2 seconds all gateways return 401 for "/safe/1" with key "key-yard"
+
+  Scenario: The store skips a change in all watches, and tells them of the next one
+    Given 3 gateways and 1 runner, with an entrance of the store for each gateway
+    When the store skips the next change in 6 watches of the configuration
+    And the key "key-yard" is replaced by "key-new"
+    And 2 seconds later the key "key-new" is replaced by "key-newest"
+    Then within 2 seconds all gateways return 401 for "/safe/1" with key "key-yard"
--- a/tests/features/steps/configuration_peer_steps.py
+++ b/tests/features/steps/configuration_peer_steps.py
@@ -1,5 +1,6 @@
 """Steps for configurations that gateways learn from their peers."""
 
+import time
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -110,3 +111,19 @@
 @when("the store answers gateway {number:d} no more")
 def silence_entrance(context, number):
     context.gateways.entrances[number].set_silent(True)
+
+
+@when("the store skips the next change in {count:d} watch of the configuration")
+@when("the store skips the next change in {count:d} watches of the configuration")
+def skip_changes(context, count):
+    # Each gateway has two watches, and each is answered once.
+    context.gateways.store.skip_changes("config", count)
+
+
+@when('{seconds:d} seconds later the key "{old}" is replaced by "{new}"')
+def replace_key_later(context, seconds, old, new):
+    time.sleep(seconds)
+    fleet = context.gateways
+    assert fleet.workspaces["yard"]["keys"] == [old], fleet.workspaces
+    fleet.workspaces["yard"]["keys"] = [new]
+    fleet.configure()
