--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -9,6 +9,12 @@
     Then the days of seeds 0 to 199 are the same when drawn again
     And they have every kind of fault alone and beside others
 
+  Scenario: An entrance of the emulated store that fails leaves the others sound
+    Given an emulated store with 2 entrances
+    When entrance 0 is silent while a watch waits there, and a document changes
+    Then the watch and new calls at entrance 0 get no answer, those at entrance 1 get one
+    And entrance 0 refuses calls with 429 while it shall, and answers them afterwards
+
   # Faults are named by the seeds that found them, also in KNOWN-RED.txt.
   Scenario: Seeds below 1000 draw the days that they drew before new kinds came
     Then the days of seeds 0 to 999 have the digest "065760c03a2b55fd"
