An end of a job is logged when it is news

Cause: JobRegistry.end returned whether the job is held, not whether its end was news. It returns the latter now; "job adopted" says whether the end was known before. stop_job is then called for the first end only: an item that is sent later is checked against the known ends right before.

--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -179,6 +179,7 @@
             job=spec.key,
             accepted_by=spec.accepted_by,
             listed=pages.count,
+            is_ended=job.batch.is_ended,
             age_seconds=round(time.time() - spec.submitted_at, 3),
         )
         return True
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -85,13 +85,17 @@
             return self._job_by_key.pop(key, None)
 
     def end(self, key):
-        """Mark a job as ended, so that no item starts; return whether it is held."""
+        """Mark a job as ended, so that no item starts.
+
+        Return whether it is held and its end was not known yet.
+        """
         with self.lock:
             self._ended_keys.add(key)
             job = self._job_by_key.get(key)
-            if job is not None:
-                job.batch.is_ended = True
-            return job is not None
+            if job is None or job.batch.is_ended:
+                return False
+            job.batch.is_ended = True
+            return True
 
     def is_ended(self, key):
         """Return whether the end of a job is known, also of one that is not held."""
--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -44,6 +44,13 @@
     And the end of the job is written by a gateway that is lost at once
     Then no item of it is sent later than 3 seconds after the end
 
+  # Each answer of the store that named the end again was logged.
+  Scenario: The end of a job is logged once, however often it is heard of
+    Given 1 gateway and 1 runner with few slots
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And a caller ends the job 3 times
+    Then the end of the job is logged once
+
   Scenario: Items of a held job go on during an outage of the store
     Given 1 gateway and 1 runner with few slots
     When a job of 60 items is accepted at gateway 0, which watches the store
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -18,6 +18,8 @@
 OTHER_JOB = "other-job"
 RUNNER_JOB = "yard.job"
 SETUP_SECONDS = 10.0
+# A watch tells of an end again within this time.
+LOG_SETTLE_SECONDS = 1.0
 # With the few items that run at once, a job of 60 items runs for over 10 seconds.
 FEW_ITEMS = RunnerPlan(slots=4, event_count=12, event_seconds=0.05)
 
@@ -222,6 +224,26 @@
     context.gateways.store.compact()
 
 
+@when("a caller ends the job {count:d} times")
+def end_repeatedly(context, count):
+    wait_until(lambda: runs(context), SETUP_SECONDS, "an item runs")
+    for _ in range(count):
+        assert context.gateways.end(context.job_id).status == 200
+
+
+@then("the end of the job is logged once")
+def check_logged_once(context):
+    key = f"yard.{context.job_id}"
+
+    def logged():
+        lines = context.gateways.nodes[0].log_lines()
+        return [r for r in lines if r.get("event") == "job ended" and r["job"] == key]
+
+    wait_until(logged, SETUP_SECONDS, "the end is logged")
+    time.sleep(LOG_SETTLE_SECONDS)
+    assert len(logged()) == 1, logged()
+
+
 @given(
     "a gateway that is suspended for {seconds:d} seconds while it asks the store for "
     "ends"
