A watch from an outdated list that expires is followed by a newest list

Outdated reads may lag for seconds.

Cause: an expired watch is followed by a list at once. An outdated list names a revision before the dropped history, so that its watch expires at once as well.

Change: the second expired watch in a row is followed by a list that is not outdated, and each further one by the pause after a failure. The first list stays outdated, since most drops of the history need no more and the price of ends has to stay flat in a large fleet.

The bound of the scenario: 3 watches and 2 lists, and before items, once in 2 s, at most a watch and a list, which makes 11 calls in 4 s.

--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -21,6 +21,9 @@
 # fleet, is read in few calls. It is a fifth of the 2 seconds in which a change has to
 # reach all nodes.
 COALESCE_SECONDS = 0.4
+# Lists that follow each other without a pause while each watch from one expires: an
+# outdated list, and one that is not outdated.
+LISTS_WITHOUT_PAUSE = 2
 # Mean pause after a failed call; a change has to reach all nodes within 2 seconds.
 RETRY_SECONDS = 0.4
 
@@ -31,6 +34,7 @@
     `on_list` is called with the list of `Document`, `on_change` with each
     `DocumentChange`, and `on_reachable` with whether the store answers when that
     changes. With `may_be_outdated` this may be told seconds late; `read_now` never is.
+    If the history of an outdated list is gone, the next list is not outdated.
     """
 
     def __init__(
@@ -50,6 +54,8 @@
         self._on_reachable = on_reachable or (lambda is_reachable: None)
         self._may_be_outdated = may_be_outdated
         self._revision = None
+        # Watches that expired one after another.
+        self._expired_count = 0
         self._is_reachable = True
         self._is_interrupted = False
         self._waiting_since = None
@@ -106,11 +112,15 @@
                 continue
             if failure.code is FailureCode.EXPIRED:
                 self._revision = None
-                continue
+                self._expired_count += 1
+                if self._expired_count <= LISTS_WITHOUT_PAUSE:
+                    continue
             self._stopped.wait(RETRY_SECONDS * (0.75 + 0.5 * random.random()))
 
     def _list(self):
-        listing = self._store.list(self.kind, self._may_be_outdated)
+        # Outdated reads may lag behind the history that is gone, for seconds.
+        may_be_outdated = self._may_be_outdated and self._expired_count < 2
+        listing = self._store.list(self.kind, may_be_outdated)
         if isinstance(listing, Failure):
             return listing
         self._update_reachability(None)
@@ -130,6 +140,7 @@
             self._waiting_since = None
         if isinstance(result, Failure):
             return result
+        self._expired_count = 0
         self._update_reachability(None)
         for change in result.changes:
             self._on_change(change)
--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -44,6 +44,16 @@
     And the end of the job is written by a gateway that is lost at once
     Then no item of it is sent later than 3 seconds after the end
 
+  # A watch from an outdated list expired at once, and the list was read again at once.
+  Scenario: Outdated reads of the store lag behind the history that it dropped
+    Given 1 gateway and 1 runner with few slots
+    And outdated reads of the store show what it held 5 seconds before
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And the end of the job is written by a gateway that is lost at once
+    And the store discards its history
+    Then the store gets at most 12 calls for "batch-ends" in 4 seconds
+    And the end of the job is logged once
+
   # Each answer of the store that named the end again was logged.
   Scenario: The end of a job is logged once, however often it is heard of
     Given 1 gateway and 1 runner with few slots
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -231,6 +231,15 @@
         assert context.gateways.end(context.job_id).status == 200
 
 
+@then('the store gets at most {count:d} calls for "{kind}" in {seconds:d} seconds')
+def check_calls(context, count, kind, seconds):
+    calls_by_kind = context.gateways.store.calls_by_kind
+    before = calls_by_kind[kind]
+    time.sleep(seconds)
+    calls = calls_by_kind[kind] - before
+    assert calls <= count, calls
+
+
 @then("the end of the job is logged once")
 def check_logged_once(context):
     key = f"yard.{context.job_id}"
