--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -47,6 +47,7 @@
     silence_step,
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
+from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 
 __all__ = [
@@ -111,6 +112,7 @@
     "job_holder",
     "job_key",
     "move_headroom",
+    "missing_part",
     "next_step",
     "run_order",
     "schedulers",
