--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -56,6 +56,8 @@
         self._bounded = bounded
         self.headers = headers
         self.fault = None
+        # False if only the end of the connection is the end of the stream.
+        self.has_length = response.chunked or response.length_remaining is not None
 
     def __enter__(self):
         return self
@@ -155,6 +157,7 @@
             decode_content=False,
         )
         response = connection.getresponse()
+        bounded.check_head()
         return _read_head(connection, response, request, parts, attempt, bounded)
     except (TimeoutError, ReadTimeoutError):
         _close(connection, response, attempt)
