A response whose head ends early is incomplete

Seen: an endpoint closes the connection within its head, with the signature already sent and Content-Length or Transfer-Encoding still to come. The caller gets a signed 200 that is complete and empty, for streams too if the cut is in the line of their content type; a request that may be repeated is not repeated.

Cause: http.client ends a head at the end of the connection as at its empty line, and a response without a length ends with its connection, so the missing body is no error.

Change: the reader of the connection notes its end. After the head it is an error of the call, which is decided upon as after a reset: repeated where that is allowed, else 502. Nothing is read from the connection after a head's empty line, so that a whole head followed by a close is unaffected.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -155,6 +155,7 @@
             decode_content=False,
         )
         response = connection.getresponse()
+        bounded.check_head()
         return _read_head(connection, response, request, parts, attempt, bounded)
     except (TimeoutError, ReadTimeoutError):
         _close(connection, response, attempt)
