A continuation without a length and without a new event is no regular end

Seen: a stream is broken off within an event and taken up at another endpoint, which sends the head of a response without a length and closes the connection, as one does that crashes before its first event. The caller gets the stream as complete with events 1 and 2 of 6 (11 of 12 streams); an item is completed with a part of its output.

Cause: a continuation without new events counts as complete, since a stream may break between its last event and its end. That holds only where the framing of the continuation shows that it is whole. Without a length or chunks, a close after the head does not show it.

Change: `missing_part` decides for streams and items alike. Such a continuation is a broken attempt: streams go on elsewhere while attempts are left, else they are cut; items begin anew, as after every run that brings no event. A stream that was reset after its last event is still complete when a continuation with chunks says so. Where all endpoints send no length, such a stream is cut although it was whole, which costs its credit but joins no wrong end to it.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -48,6 +48,7 @@
     silence_step,
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
+from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
 
@@ -118,6 +119,7 @@
     "job_holder",
     "job_key",
     "move_headroom",
+    "missing_part",
     "next_step",
     "run_order",
     "schedulers",
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -12,6 +12,7 @@
     Fault,
     ItemOutcome,
     ResponseBounds,
+    missing_part,
 )
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.threads import OwnedThread
@@ -320,6 +321,7 @@
     def _read_events(self, run, answer):
         splitter = EventSplitter()
         item_id = run.progress.item.item_id
+        new_event_count = 0
         for chunk in answer.chunks():
             for event in splitter.feed(chunk):
                 if (
@@ -339,6 +341,7 @@
                     )
                     return ItemOutcome.BROKEN, BROKEN, reason
                 answer.note_event()
+                new_event_count += 1
                 if run.job.batch.is_output_excessive(item_id):
                     answer.log_abandoned("item output")
                     return ItemOutcome.EXCESSIVE, BROKEN, "the output has no end"
@@ -346,8 +349,13 @@
             return ItemOutcome.STOPPED, STOPPED, "stopped"
         if answer.fault is not None:
             return ItemOutcome.BROKEN, BROKEN, answer.fault.reason
-        if splitter.has_partial_event or not run.progress.last_event_id:
-            return ItemOutcome.BROKEN, BROKEN, "the stream ended within an event"
+        missing = missing_part(
+            splitter.has_partial_event, new_event_count, answer.has_length
+        )
+        if missing is None and not run.progress.last_event_id:
+            missing = "the stream contains no event"
+        if missing is not None:
+            return ItemOutcome.BROKEN, BROKEN, missing
         return ItemOutcome.DONE, DONE, "complete"
 
     def _endpoint_request(self, run):
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -56,6 +56,8 @@
         self._bounded = bounded
         self.headers = headers
         self.fault = None
+        # False if only the end of the connection is the end of the stream.
+        self.has_length = response.chunked or response.length_remaining is not None
 
     def __enter__(self):
         return self
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -13,6 +13,7 @@
     Full,
     NextStep,
     ResponseBounds,
+    missing_part,
     next_step,
 )
 from sequoiaglade_endpoints import Attempt
@@ -326,11 +327,13 @@
             for event in events:
                 if event.event_id is None:
                     unnumbered += event.raw
-        if self.last_event_id and answer.fault is None:
+        missing = missing_part(splitter.has_partial_event, 0, answer.has_length)
+        if self.last_event_id and answer.fault is None and missing is None:
             # The stream broke between its last event and its end.
             return StartedStream(answer, splitter, chunks, [])
         answer.close()
-        return answer.fault or CallFault(Fault.BROKEN, "the stream contains no event")
+        reason = missing or "the stream contains no event"
+        return answer.fault or CallFault(Fault.BROKEN, reason)
 
     def _is_new(self, event):
         return event.event_id is not None and event.event_id > self.last_event_id
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import Fault
+from sequoiaglade_decisions.gateway import Fault, missing_part
 
 from ..endpoint_calls import CallFault
 
@@ -81,9 +81,12 @@
             events = stream.splitter.feed(chunk)
         if stream.answer.fault is not None:
             return stream.answer.fault
-        if stream.splitter.has_partial_event:
-            return CallFault(Fault.BROKEN, "the stream ended within an event")
         count = self._event_count - first_count
+        missing = missing_part(
+            stream.splitter.has_partial_event, count, stream.answer.has_length
+        )
+        if missing is not None:
+            return CallFault(Fault.BROKEN, missing)
         if count > 1:
             self._exchange.report_event_interval(
                 (time.monotonic() - started_at) / (count - 1)
