--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -65,6 +65,28 @@
       | CONFIG  | a gateway serves the route of an invalid document       |
       | UNASKED | an item runs 4 s after the end of its job               |
 
+  Scenario Outline: The check of responses without a length finds no rule broken
+    Given the records of a day that kept the rules
+    When <change>
+    Then no rule is broken
+
+    Examples:
+      | change                                                            |
+      | a response without a length that was whole is complete            |
+      | a response that was cut went on at another runner                 |
+      | a response that was cut went on with a whole one without a length |
+
+  Scenario Outline: The check of responses without a length finds a day that breaks a rule
+    Given the records of a day that kept the rules
+    When <change>
+    Then the rule "MIXED" is broken, and no other
+
+    Examples:
+      | change                                                       |
+      | a response without a length that was cut is complete         |
+      | a response is complete of which both parts were cut          |
+      | an item is completed whose response without a length was cut |
+
   Scenario: A day's figures tell the slowest change and the last item of an ended job
     Given the records of a day that kept the rules
     And the configuration changed at 3 s and at 5 s
