A stream that is broken off for a caller with HTTP/1.0 ends with a reset

Seen: a caller with HTTP/1.0 gets a stream without chunks, whose end is that of the connection. When the gateway breaks the stream off it closes the connection regularly, so that events 1 and 2 of 6 look like a complete stream.

Cause: the server ends a response that raised as it ends one without a length.

Change: a response that has begun, has neither a length nor chunks, and was not finished marks its connection, which is then reset instead of closed.

--- a/packages/node/sequoiaglade_node/web/channels.py
+++ b/packages/node/sequoiaglade_node/web/channels.py
@@ -20,6 +20,7 @@
 ARRIVAL_BYTES_PER_SECOND = 16_384
 MAINTENANCE_SECONDS = 2
 LINGER_BYTES = 1_048_576
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Environment key of the time at which a request arrived.
 ARRIVED_AT = "sequoiaglade.arrived_at"
 # Part of the time that a caller still waits for which its request may wait for a
@@ -41,9 +42,27 @@
 class RequestTask(WSGITask):
     """Closes the connection after its response if the listener is closing.
 
-    The environment tells when the request arrived.
+    The environment tells when the request arrived. A response without a length or
+    chunks, as callers with HTTP/1.0 get, ends with its connection: if it is broken off
+    the connection is reset, since a close would tell that the response is whole.
     """
 
+    is_finished = False
+
+    def service(self):
+        """Send the response."""
+        try:
+            super().service()
+        finally:
+            has_end = self.chunked_response or self.content_length is not None
+            if self.wrote_header and not self.is_finished and not has_end:
+                self.channel.must_reset = True
+
+    def finish(self):
+        """End the response, which is whole."""
+        super().finish()
+        self.is_finished = True
+
     def get_environment(self):
         """Return the WSGI environment."""
         environ = super().get_environment()
@@ -93,6 +112,7 @@
     error_task_class = RefusalTask
     arrival_seconds = 30.0
     request_class = None
+    must_reset = False
     read_deadline = staticmethod(lambda headers: None)
 
     def parser_class(self, adj):
@@ -119,11 +139,16 @@
         return bool(self.requests or self.request or self.total_outbufs_len)
 
     def handle_close(self):
-        """Close so that a caller that is still sending can read the response."""
+        """Close so that a caller that is still sending can read the response.
+
+        The connection of a response whose early end would not show is reset.
+        """
         if self.request is not None:
             self.request.close()
             self.request = None
-        if self.socket is not None and (self.close_when_flushed or self.will_close):
+        if self.socket is not None and self.must_reset:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        elif self.socket is not None and (self.close_when_flushed or self.will_close):
             self._linger()
         super().handle_close()
 
--- a/tests/features/gateway/unframed_responses.feature
+++ b/tests/features/gateway/unframed_responses.feature
@@ -188,3 +188,15 @@
     Given 1 gateway and 1 runner that sends a head with status 200 and leaves the connection open
     When a caller sends a HEAD request for "/safe/1"
     Then the response has status 200, is complete and empty and came within 1 second
+
+  # A response to HTTP/1.0 has no chunks: its end is that of the connection, too.
+  Scenario Outline: A caller with HTTP/1.0 sees whether a stream that is <end> is complete
+    Given 1 gateway and 1 runner that has its events without a length <end>
+    When a caller with HTTP/1.0 requests "/once/1"
+    Then the response has <count> events and its connection is <result>
+
+    Examples:
+      | end                        | count | result |
+      | closed after the last byte | 6     | closed |
+      | closed inside a later part | 2     | reset  |
+      | reset after the last byte  | 6     | reset  |
--- a/tests/features/steps/gateway_unframed_steps.py
+++ b/tests/features/steps/gateway_unframed_steps.py
@@ -1,10 +1,12 @@
 """Steps for endpoints whose responses have neither a length nor chunks."""
 
+import socket
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from emulator import RunnerPlan, UnframedResponse, UnframedTurns
+from emulator.fleet import HOST
 from emulator.unframed import WHOLE_BODY
 from gateway_calls import start
 
@@ -92,6 +94,28 @@
     context.answers = [context.gateways.send(path, method="HEAD", body=b"")]
 
 
+@when('a caller with HTTP/1.0 requests "{path}"')
+def request_as_http_1_0(context, path):
+    host, _, port = context.gateways.nodes[0].data.rpartition(":")
+    lines = [f"POST {path} HTTP/1.0", f"Host: {HOST}", "Request-Id: r-1"]
+    lines += ["Deadline-Ms: 5000", "Key: key-yard", "Content-Length: 2", "", "{}"]
+    context.received, context.end = b"", "closed"
+    with socket.create_connection((host, int(port)), timeout=10) as connection:
+        connection.sendall("\r\n".join(lines).encode())
+        try:
+            while data := connection.recv(65_536):
+                context.received += data
+        except ConnectionResetError:
+            context.end = "reset"
+
+
+@then("the response has {count:d} events and its connection is {result}")
+def check_http_1_0(context, count, result):
+    assert context.received.startswith(b"HTTP/1.0 200 "), context.received
+    assert context.received.count(b"id: ") == count, context.received
+    assert context.end == result, context.end
+
+
 @when('callers request "{prefix}" {count:d} times')
 def request_many(context, prefix, count):
     fleet = context.gateways
