Prompt parts that crash endpoints are blamed: decision and simulation

Callers lost sound streams while requests with one prompt part crashed one to two endpoints a second.

PromptParts counts crashed endpoint instances by part, at attempts without an event. Parts that were answered before are blamed after those never answered, since at high rates no endpoint is left for sound requests; a blamed part explains its crashes, so that others are not blamed for them. Limits: 3 instances and 2 requests leave 2 crashes of slack to the fifth; 1 s of settling is 5 gossip rounds; one trial 8 s after the last crash, another 60 s later.

Not wired into the gateway yet.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -20,6 +20,7 @@
 from .pages import ResultPages
 from .peer_acks import PeerAcks
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
+from .prompt_parts import Blame, PartCrash, PromptParts, SoundPart
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
 from .response_bounds import (
@@ -62,6 +63,7 @@
     "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
+    "Blame",
     "ConfigurationSources",
     "ContactStep",
     "Endpoint",
@@ -90,7 +92,9 @@
     "OrphanedJobs",
     "PageValidity",
     "PeerAcks",
+    "PartCrash",
     "Placed",
+    "PromptParts",
     "Quarantine",
     "RecentVersions",
     "ResponseBounds",
@@ -105,6 +109,7 @@
     "SendDecision",
     "SharedBytes",
     "SilenceStep",
+    "SoundPart",
     "StoreCall",
     "StoreContact",
     "StreamVersions",
--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
@@ -0,0 +1,330 @@
+"""Blame of prompt parts that crash the endpoints that begin to answer on them.
+
+Load pattern: requests that are all different share one part of their prompt, arrive at
+all nodes, and each crashes the endpoint that it is sent to. Sound requests share their
+callers and their other parts, and break with them.
+"""
+
+from collections import OrderedDict, defaultdict
+from typing import NamedTuple
+
+# Crashed endpoint instances, and different requests, that a part is blamed after.
+INSTANCES_MIN = 3
+REQUESTS_MIN = 2
+# The same for a part with answers before the crashes, but none since.
+KNOWN_INSTANCES_MIN = 5
+KNOWN_SECONDS_MIN = 1.0
+# Time in which answers elsewhere become known before a blamed part is refused.
+SETTLE_SECONDS = 1.0
+# A blame ends this long after the last crash or refused request with the part ...
+BLAME_SECONDS = 120.0
+# ... and at the latest this long after the last crash.
+BLAME_MAX_SECONDS = 900.0
+# A crash counts against a part only if its service answered within this time.
+SERVICE_SECONDS = 60.0
+# A blamed part is tried this long after its last crash, and again after more of it.
+TRIAL_SECONDS = (8.0, 60.0)
+# A crash this long after the part was refused was a trial, or a node without the news.
+LATE_SECONDS = 3.0
+# Interval at which expired crashes are looked for.
+EXPIRY_SECONDS = 1.0
+# Crashes of parts that are not blamed are gossiped for this long, as in `Quarantine`.
+GOSSIP_SECONDS = 10.0
+GOSSIPED_MAX = 32
+GOSSIPED_SOUND_MAX = 64
+CRASHES_MAX = 512
+SOUND_PARTS_MAX = 8192
+
+
+class PartCrash(NamedTuple):
+    """A request that broke without an event when its endpoint crashed.
+
+    `parts` are those of its prompt without the last one, `request` its fingerprint,
+    `endpoint_key` identifies the endpoint and its start time. `at` is a time in
+    seconds; in gossip it is the age of the crash.
+    """
+
+    service: str
+    parts: tuple[str, ...]
+    request: str
+    endpoint_key: str
+    at: float
+
+
+class SoundPart(NamedTuple):
+    """A part with an answer at time `at`; in gossip, the age of that answer."""
+
+    service: str
+    part: str
+    at: float
+
+
+class Blame(NamedTuple):
+    """A part that crashes endpoints, and the evidence for that.
+
+    `crashes` counts endpoint instances, the `late` ones among them after the blame was
+    known. `since` is the time of the crash that completed the evidence.
+    """
+
+    part: str
+    crashes: int
+    since: float
+    last_at: float
+    late: int = 0
+
+
+class PromptParts:
+    """The crashes and answers by prompt part, of one node and of its peers.
+
+    A crash counts against each part of the requests that broke on it without an event,
+    unless a part has an answer since, or the crash is explained by a part that is
+    blamed with more reason. At high rates no endpoint is left for sound requests, so
+    that answers before the crashes tell the sound parts from the culprit: a part
+    without any is blamed first.
+
+    >>> parts = PromptParts()
+    >>> parts.note_answer("s", ("shared",), now=0.0)
+    >>> for n in range(3):
+    ...     parts.note_crash("s", ("shared", "culprit"), f"r{n}", f"e-{n}", now=1.0 + n)
+    >>> parts.find_refusal("s", ("shared", "culprit"), now=3.5)
+    >>> parts.find_refusal("s", ("shared", "culprit"), now=4.0).part
+    'culprit'
+    >>> parts.find_refusal("s", ("shared",), now=4.0)
+
+    An answer ends a blame.
+
+    >>> parts.note_answer("s", ("culprit",), now=5.0)
+    >>> parts.find_refusal("s", ("culprit",), now=5.0)
+    """
+
+    def __init__(self):
+        self._crash_by_key = OrderedDict()
+        self._local_keys = set()
+        self._last_crash_at = {}
+        self._expiry_at = 0.0
+        self._answered_at = OrderedDict()
+        self._service_answered_at = {}
+        self._refused_at = {}
+        self._tried_at = {}
+        self._blames_by_service = None
+
+    def note_crash(self, service, parts, request, endpoint_key, now):
+        """Count a crash that this node saw, at an attempt without an event."""
+        crash = PartCrash(service, tuple(parts), request, endpoint_key, now)
+        if self._add(crash):
+            self._local_keys.add((endpoint_key, request))
+
+    def note_answer(self, service, parts, now):
+        """Note an event, or a complete response, of a request with these parts."""
+        self._service_answered_at[service] = now
+        for part in parts:
+            self._note_sound(service, part, now)
+
+    def find_refusal(self, service, parts, now, may_try=False):
+        """Return the `Blame` for which a request is refused, or None.
+
+        `may_try` states that this node is the one that tries blamed parts again. A
+        request that is let through for that counts as the trial of its part.
+        """
+        self._drop_expired(now)
+        blames = self._find_blames(service)
+        found = [b for b in map(blames.get, parts) if b and self._is_settled(b, now)]
+        if not found:
+            return None
+        key = (service, found[0].part)
+        if may_try and len(found) == 1 and self._is_trial_due(key, found[0], now):
+            self._tried_at.setdefault(key, []).append(now)
+            return None
+        for blame in found:
+            self._refused_at[service, blame.part] = now
+        return found[0]
+
+    def find_suspicion(self, service, parts, now):
+        """Return the `Blame` for which a broken request is not sent again, or None.
+
+        It needs no settling: a request that broke with its part suspected would crash
+        the next endpoint.
+        """
+        self._drop_expired(now)
+        blames = self._find_blames(service)
+        return next((blames[part] for part in parts if part in blames), None)
+
+    def crashes(self, now):
+        """Return the `PartCrash` records to gossip, with ages."""
+        records = [
+            crash
+            for crash in self._gossiped_crashes(now)
+            if (crash.endpoint_key, crash.request) in self._local_keys
+        ]
+        return [c._replace(at=now - c.at) for c in records[-GOSSIPED_MAX:]]
+
+    def sound_parts(self, now):
+        """Return the `SoundPart` records of parts with recent crashes, with ages."""
+        keys = dict.fromkeys(
+            (crash.service, part)
+            for crash in reversed(self._gossiped_crashes(now))
+            for part in crash.parts
+        )
+        known = [key for key in keys if key in self._answered_at]
+        return [
+            SoundPart(*key, now - self._answered_at[key])
+            for key in known[:GOSSIPED_SOUND_MAX]
+        ]
+
+    def merge(self, crashes, sound_parts, now):
+        """Add the records that a peer gossips.
+
+        >>> one, other = PromptParts(), PromptParts()
+        >>> for n in range(3):
+        ...     one.note_crash("s", ("p",), f"r{n}", f"e-{n}", now=1.0)
+        >>> other.note_answer("s", ("q",), now=1.0)
+        >>> other.merge(one.crashes(2.0), one.sound_parts(2.0), now=2.0)
+        >>> other.find_refusal("s", ("p",), now=2.0).crashes
+        3
+        """
+        for crash in crashes:
+            self._add(crash._replace(at=now - crash.at))
+        for service, part, age in sound_parts:
+            self._note_sound(service, part, now - age)
+            answered_at = self._service_answered_at.get(service, now - age)
+            self._service_answered_at[service] = max(answered_at, now - age)
+
+    def _gossiped_crashes(self, now):
+        """Return the crashes that are recent, or of a part that is blamed."""
+        self._drop_expired(now)
+        return [
+            crash
+            for crash in self._crash_by_key.values()
+            if now - crash.at < GOSSIP_SECONDS
+            or self._find_blames(crash.service).keys() & set(crash.parts)
+        ]
+
+    def _add(self, crash):
+        key = (crash.endpoint_key, crash.request)
+        if not crash.parts or key in self._crash_by_key:
+            return False
+        self._crash_by_key[key] = crash
+        for part in crash.parts:
+            known_at = self._last_crash_at.get((crash.service, part), crash.at)
+            self._last_crash_at[crash.service, part] = max(known_at, crash.at)
+        while len(self._crash_by_key) > CRASHES_MAX:
+            dropped, _ = self._crash_by_key.popitem(last=False)
+            self._local_keys.discard(dropped)
+        self._blames_by_service = None
+        return True
+
+    def _note_sound(self, service, part, at):
+        key = (service, part)
+        known_at = self._answered_at.get(key)
+        if known_at is not None and known_at >= at:
+            return
+        crashed_at = self._last_crash_at.get(key)
+        if crashed_at is not None and (known_at is None or known_at < crashed_at):
+            self._blames_by_service = None
+        self._answered_at[key] = at
+        self._answered_at.move_to_end(key)
+        while len(self._answered_at) > SOUND_PARTS_MAX:
+            self._answered_at.popitem(last=False)
+
+    def _is_settled(self, blame, now):
+        return now - blame.since >= SETTLE_SECONDS
+
+    def _is_trial_due(self, key, blame, now):
+        trials = self._tried_at.get(key, [])
+        # Late crashes include the trials of another node that is lost by now.
+        count = max(len(trials), blame.late)
+        if count >= len(TRIAL_SECONDS):
+            return False
+        return now - max([blame.last_at, *trials]) >= TRIAL_SECONDS[count]
+
+    def _find_blames(self, service):
+        """Return the `Blame` of each blamed part of a service, settled or not."""
+        if not self._crash_by_key:
+            return {}
+        if self._blames_by_service is None:
+            self._blames_by_service = {}
+        if service not in self._blames_by_service:
+            self._blames_by_service[service] = self._compute_blames(service)
+        return self._blames_by_service[service]
+
+    def _compute_blames(self, service):
+        crashes = [c for c in self._crash_by_key.values() if c.service == service]
+        blames, explained = {}, set()
+        while True:
+            suspects = self._suspects(service, crashes, explained)
+            best = max(suspects, default=None)
+            if best is None:
+                return blames
+            _, _, _, blame = best
+            blames[blame.part] = blame
+            explained |= {c.endpoint_key for c in crashes if blame.part in c.parts}
+
+    def _suspects(self, service, crashes, explained):
+        """Return the blamable parts, each after its rank."""
+        crashes_by_part = defaultdict(list)
+        for crash in crashes:
+            if crash.endpoint_key in explained:
+                continue
+            for position, part in enumerate(crash.parts):
+                answered_at = self._answered_at.get((service, part))
+                if answered_at is None or crash.at > answered_at:
+                    crashes_by_part[part].append((crash, position))
+        suspects = []
+        for part, rows in crashes_by_part.items():
+            is_unknown = (service, part) not in self._answered_at
+            blame = self._judge(service, part, [crash for crash, _ in rows], is_unknown)
+            if blame is not None:
+                # Later parts of a prompt are shared by fewer requests.
+                position = max(position for _, position in rows)
+                suspects.append((is_unknown, blame.crashes, position, blame))
+        return suspects
+
+    def _judge(self, service, part, crashes, is_unknown):
+        first_at_by_key = {}
+        for crash in crashes:
+            at = first_at_by_key.get(crash.endpoint_key, crash.at)
+            first_at_by_key[crash.endpoint_key] = min(at, crash.at)
+        times = sorted(first_at_by_key.values())
+        needed = INSTANCES_MIN if is_unknown else KNOWN_INSTANCES_MIN
+        if len(times) < needed or len({c.request for c in crashes}) < REQUESTS_MIN:
+            return None
+        service_answered_at = self._service_answered_at.get(service)
+        if service_answered_at is None:
+            return None
+        if service_answered_at < times[0] - SERVICE_SECONDS:
+            return None
+        since = times[needed - 1]
+        if not is_unknown:
+            # The service must answer other requests while this part breaks.
+            is_short = times[-1] - times[0] < KNOWN_SECONDS_MIN
+            if is_short or service_answered_at < since:
+                return None
+            since = max(since, times[0] + KNOWN_SECONDS_MIN)
+        late_at = since + SETTLE_SECONDS + LATE_SECONDS
+        late = sum(at > late_at for at in times)
+        return Blame(part, len(times), since, times[-1], late)
+
+    def _drop_expired(self, now):
+        """Drop the crashes that are old and not of a part that is still blamed."""
+        if not self._crash_by_key or now < self._expiry_at:
+            return
+        self._expiry_at = now + EXPIRY_SECONDS
+        kept = set()
+        for key, crash in list(self._crash_by_key.items()):
+            blamed = self._find_blames(crash.service).keys() & set(crash.parts)
+            is_wanted = any(self._is_wanted(crash.service, p, now) for p in blamed)
+            if now - crash.at < BLAME_SECONDS or is_wanted:
+                kept.update((crash.service, part) for part in crash.parts)
+            else:
+                del self._crash_by_key[key]
+                self._local_keys.discard(key)
+        for times in (self._last_crash_at, self._refused_at, self._tried_at):
+            for key in times.keys() - kept:
+                del times[key]
+        self._blames_by_service = None
+
+    def _is_wanted(self, service, part, now):
+        crashed_at = self._last_crash_at[service, part]
+        refused_at = self._refused_at.get((service, part), crashed_at)
+        is_recent = now - max(crashed_at, refused_at) < BLAME_SECONDS
+        return is_recent and now - crashed_at < BLAME_MAX_SECONDS
--- /dev/null
+++ b/tests/features/steps/prompt_part_steps.py
@@ -0,0 +1,179 @@
+"""Steps that play requests with a part that crashes endpoints, in simulated time."""
+
+import itertools
+import random
+from types import SimpleNamespace
+
+from behave import given, then, when
+from parts_simulation import (
+    CALM_SECONDS,
+    Parts,
+    Request,
+    Simulation,
+    WholeRequests,
+)
+
+# Sound load before the first culprit, and after the last one.
+WARM_SECONDS = 10.0
+COOL_SECONDS = 15.0
+SOUND_RATE_PER_ENDPOINT = 6.0
+FIRST_PARTS = ("first0", "first1")
+COMMON_PARTS = tuple(f"middle{n}" for n in range(6))
+RARE_PARTS = tuple(f"rare{n}" for n in range(40))
+RARE_PROBABILITY = 0.05
+LATE_MAX = 3
+BEGUN_RATIO_MIN = 0.5
+
+
+class _Callers:
+    """Makes requests; no two are alike."""
+
+    def __init__(self, seed, culprits, position):
+        self._random = random.Random(seed)
+        self._numbers = itertools.count()
+        self._culprits = culprits
+        self._position = position
+
+    def sound(self):
+        parts = [self._random.choice(FIRST_PARTS), self._middle()]
+        return Request(f"r{next(self._numbers)}", tuple(parts), None)
+
+    def culprit(self):
+        culprit = self._random.choice(self._culprits)
+        parts = [FIRST_PARTS[0], self._middle()]
+        parts.insert(self._position, culprit)
+        return Request(f"r{next(self._numbers)}", tuple(parts), culprit)
+
+    def _middle(self):
+        is_rare = self._random.random() < RARE_PROBABILITY
+        return self._random.choice(RARE_PARTS if is_rare else COMMON_PARTS)
+
+
+@given("a simulated fleet of {nodes:d} nodes and {endpoints:d} endpoints")
+def _(context, nodes, endpoints):
+    context.plan = SimpleNamespace(
+        nodes=nodes,
+        endpoints=endpoints,
+        culprits=[],
+        position=1,
+        rate=0.0,
+        seconds=40.0,
+        disruptions=[],
+        decisions=Parts,
+    )
+
+
+@given("nodes that blame whole requests")
+def _(context):
+    context.plan.decisions = WholeRequests
+
+
+@given("{count:d} culprit parts at position {position:d} of {rate:g} requests a second")
+def _(context, count, position, rate):
+    context.plan.culprits = [f"culprit{n}" for n in range(count)]
+    context.plan.position = position
+    context.plan.rate = rate
+
+
+@given("culprits for {seconds:g} seconds")
+def _(context, seconds):
+    context.plan.seconds = seconds
+
+
+@given(
+    "{fraction:g} of the endpoints crash for another cause after {seconds:g} seconds"
+)
+def _(context, fraction, seconds):
+    def disrupt(simulation):
+        for endpoint in simulation.endpoints[
+            : round(fraction * len(simulation.endpoints))
+        ]:
+            simulation.after(WARM_SECONDS + seconds, simulation.crash, endpoint)
+
+    context.plan.disruptions.append(disrupt)
+
+
+@given("all endpoints crash every {period:g} seconds for another cause")
+def _(context, period):
+    def disrupt(simulation):
+        at = WARM_SECONDS
+        while at < WARM_SECONDS + context.plan.seconds:
+            for endpoint in simulation.endpoints:
+                simulation.after(at, simulation.crash, endpoint)
+            at += period
+
+    context.plan.disruptions.append(disrupt)
+
+
+@given("the endpoints are replaced one after the other")
+def _(context):
+    def disrupt(simulation):
+        for number, endpoint in enumerate(simulation.endpoints):
+            simulation.after(WARM_SECONDS + number, simulation.crash, endpoint)
+
+    context.plan.disruptions.append(disrupt)
+
+
+@when("{count:d} seeds are played")
+def _(context, count):
+    plan = context.plan
+    context.plays = {seed: _play(plan, seed) for seed in range(count)}
+
+
+def _play(plan, seed):
+    simulation = Simulation(seed, plan.nodes, plan.endpoints, plan.decisions)
+    callers = _Callers(seed, plan.culprits, plan.position)
+    end_at = WARM_SECONDS + plan.seconds
+    sound_rate = SOUND_RATE_PER_ENDPOINT * plan.endpoints
+    simulation.load(sound_rate, end_at + COOL_SECONDS, callers.sound)
+    if plan.culprits:
+        simulation.load(plan.rate, plan.seconds, callers.culprit, WARM_SECONDS)
+    for disrupt in plan.disruptions:
+        disrupt(simulation)
+    simulation.run(end_at + COOL_SECONDS + 5.0)
+    return simulation
+
+
+@then("at most three requests with each culprit are sent after it must be known")
+def _(context):
+    late = _late_counts(context)
+    assert all(count <= LATE_MAX for count in late.values()), late
+
+
+@then("more than three requests with a culprit are sent after it must be known")
+def _(context):
+    assert any(count > LATE_MAX for count in _late_counts(context).values())
+
+
+def _late_counts(context):
+    return {
+        (seed, culprit): play.late_count(culprit)
+        for seed, play in context.plays.items()
+        for culprit in context.plan.culprits
+        if play.crashed_at[culprit]
+    }
+
+
+@then("sound requests with the same first part begin at least half as often as before")
+def _(context):
+    for seed, play in context.plays.items():
+        since = WARM_SECONDS + CALM_SECONDS
+        for culprit in context.plan.culprits:
+            since = max(since, play.reference_at(culprit) + CALM_SECONDS)
+        share, count = _begun(play, since, WARM_SECONDS + context.plan.seconds)
+        usual, usual_count = _begun(play, 0.0, WARM_SECONDS)
+        assert min(count, usual_count) >= 20, (seed, count, usual_count)
+        assert share >= BEGUN_RATIO_MIN * usual, (seed, share, usual)
+
+
+def _begun(play, since, until):
+    return play.begun_share(since, until, lambda parts: FIRST_PARTS[0] in parts)
+
+
+@then("at most {percent:g} % of the sound requests are refused for a part")
+def _(context, percent):
+    shares = {
+        seed: 100 * play.refused_share(0.0, play.now)
+        for seed, play in context.plays.items()
+    }
+    assert all(share <= percent for share in shares.values()), shares
