Gateways refuse new requests with a prompt part that crashes endpoints

Callers lost sound streams while all-different requests with one prompt part crashed endpoint after endpoint. The adapter decodes the parts (a malformed header gives none), an attempt that breaks without an event reports them, a first event or complete response or item clears them, and peers gossip both in new fields, which older releases ignore. New requests with a blamed part get 503 without an attempt; a broken one is not sent again.

Crashes are counted over all services of a route: with targets of 95 and 5 % the small one alone would let more than three requests through before it had three crashes of its own. CrashBlame takes the quarantine out of the coordinator, and online/prompt_parts.py keeps the exchange small.

--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -39,7 +39,7 @@
     workspaces with requests if `is_admitted_complete`.
     `batch_backlog` and `batch_running` count unfinished and running items. `crashes`
     are triples of fingerprint, endpoint key and age in seconds. `cores` is the node's
-    processor capacity.
+    processor capacity. `part_crashes` and `sound_parts` are those of `PromptParts`.
     """
 
     node_id: str
@@ -60,6 +60,8 @@
     is_store_reachable: bool = True
     cores: float = 1.0
     is_admitted_complete: bool = True
+    part_crashes: tuple = ()
+    sound_parts: tuple = ()
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
@@ -63,14 +63,20 @@
     """A part that crashes endpoints, and the evidence for that.
 
     `crashes` counts endpoint instances, the `late` ones among them after the blame was
-    known. `since` is the time of the crash that completed the evidence.
+    known. `since` is the time of the crash that completed the evidence, `services` are
+    those of the crashes.
     """
 
     part: str
     crashes: int
     since: float
     last_at: float
-    late: int = 0
+    late: int
+    services: frozenset
+
+    def is_settled(self, now):
+        """Return whether answers elsewhere would be known by now."""
+        return now - self.since >= SETTLE_SECONDS
 
 
 class PromptParts:
@@ -80,7 +86,9 @@
     unless a part has an answer since, or the crash is explained by a part that is
     blamed with more reason. At high rates no endpoint is left for sound requests, so
     that answers before the crashes tell the sound parts from the culprit: a part
-    without any is blamed first.
+    without any is blamed first. Routes may spread requests over several services, so
+    that crashes are counted over all of them; a service that has answered a part and
+    did not crash on it goes on to serve it.
 
     >>> parts = PromptParts()
     >>> parts.note_answer("s", ("shared",), now=0.0)
@@ -106,7 +114,7 @@
         self._service_answered_at = {}
         self._refused_at = {}
         self._tried_at = {}
-        self._blames_by_service = None
+        self._blame_by_part = None
 
     def note_crash(self, service, parts, request, endpoint_key, now):
         """Count a crash that this node saw, at an attempt without an event."""
@@ -126,17 +134,14 @@
         `may_try` states that this node is the one that tries blamed parts again. A
         request that is let through for that counts as the trial of its part.
         """
-        self._drop_expired(now)
-        blames = self._find_blames(service)
-        found = [b for b in map(blames.get, parts) if b and self._is_settled(b, now)]
+        found = [b for b in self._find(service, parts, now) if b.is_settled(now)]
         if not found:
             return None
-        key = (service, found[0].part)
-        if may_try and len(found) == 1 and self._is_trial_due(key, found[0], now):
-            self._tried_at.setdefault(key, []).append(now)
+        if may_try and len(found) == 1 and self._is_trial_due(found[0], now):
+            self._tried_at.setdefault(found[0].part, []).append(now)
             return None
         for blame in found:
-            self._refused_at[service, blame.part] = now
+            self._refused_at[blame.part] = now
         return found[0]
 
     def find_suspicion(self, service, parts, now):
@@ -145,9 +150,13 @@
         It needs no settling: a request that broke with its part suspected would crash
         the next endpoint.
         """
+        return next(iter(self._find(service, parts, now)), None)
+
+    def refused_parts(self, now):
+        """Return the `Blame` of each part that is refused, by part."""
         self._drop_expired(now)
-        blames = self._find_blames(service)
-        return next((blames[part] for part in parts if part in blames), None)
+        blames = self._find_blames().items()
+        return {part: blame for part, blame in blames if blame.is_settled(now)}
 
     def crashes(self, now):
         """Return the `PartCrash` records to gossip, with ages."""
@@ -196,7 +205,7 @@
             crash
             for crash in self._crash_by_key.values()
             if now - crash.at < GOSSIP_SECONDS
-            or self._find_blames(crash.service).keys() & set(crash.parts)
+            or self._find_blames().keys() & set(crash.parts)
         ]
 
     def _add(self, crash):
@@ -210,7 +219,7 @@
         while len(self._crash_by_key) > CRASHES_MAX:
             dropped, _ = self._crash_by_key.popitem(last=False)
             self._local_keys.discard(dropped)
-        self._blames_by_service = None
+        self._blame_by_part = None
         return True
 
     def _note_sound(self, service, part, at):
@@ -220,89 +229,99 @@
             return
         crashed_at = self._last_crash_at.get(key)
         if crashed_at is not None and (known_at is None or known_at < crashed_at):
-            self._blames_by_service = None
+            self._blame_by_part = None
         self._answered_at[key] = at
         self._answered_at.move_to_end(key)
         while len(self._answered_at) > SOUND_PARTS_MAX:
             self._answered_at.popitem(last=False)
 
-    def _is_settled(self, blame, now):
-        return now - blame.since >= SETTLE_SECONDS
-
-    def _is_trial_due(self, key, blame, now):
-        trials = self._tried_at.get(key, [])
+    def _is_trial_due(self, blame, now):
+        trials = self._tried_at.get(blame.part, [])
         # Late crashes include the trials of another node that is lost by now.
         count = max(len(trials), blame.late)
         if count >= len(TRIAL_SECONDS):
             return False
         return now - max([blame.last_at, *trials]) >= TRIAL_SECONDS[count]
 
-    def _find_blames(self, service):
-        """Return the `Blame` of each blamed part of a service, settled or not."""
+    def _find(self, service, parts, now):
+        """Return the `Blame` of each of the parts that is blamed at a service."""
+        self._drop_expired(now)
+        found = [self._find_blames().get(part) for part in parts]
+        return [
+            blame
+            for blame in found
+            if blame is not None
+            and (
+                service in blame.services
+                or (service, blame.part) not in self._answered_at
+            )
+        ]
+
+    def _find_blames(self):
+        """Return the `Blame` of each blamed part by its id, settled or not."""
         if not self._crash_by_key:
             return {}
-        if self._blames_by_service is None:
-            self._blames_by_service = {}
-        if service not in self._blames_by_service:
-            self._blames_by_service[service] = self._compute_blames(service)
-        return self._blames_by_service[service]
-
-    def _compute_blames(self, service):
-        crashes = [c for c in self._crash_by_key.values() if c.service == service]
+        if self._blame_by_part is None:
+            self._blame_by_part = self._compute_blames()
+        return self._blame_by_part
+
+    def _compute_blames(self):
+        crashes = list(self._crash_by_key.values())
         blames, explained = {}, set()
         while True:
-            suspects = self._suspects(service, crashes, explained)
-            best = max(suspects, default=None)
-            if best is None:
+            suspects = self._suspects(crashes, explained)
+            if not suspects:
                 return blames
-            _, _, _, blame = best
+            *_, blame = max(suspects)
             blames[blame.part] = blame
             explained |= {c.endpoint_key for c in crashes if blame.part in c.parts}
 
-    def _suspects(self, service, crashes, explained):
+    def _suspects(self, crashes, explained):
         """Return the blamable parts, each after its rank."""
         crashes_by_part = defaultdict(list)
         for crash in crashes:
             if crash.endpoint_key in explained:
                 continue
             for position, part in enumerate(crash.parts):
-                answered_at = self._answered_at.get((service, part))
+                answered_at = self._answered_at.get((crash.service, part))
                 if answered_at is None or crash.at > answered_at:
                     crashes_by_part[part].append((crash, position))
         suspects = []
         for part, rows in crashes_by_part.items():
-            is_unknown = (service, part) not in self._answered_at
-            blame = self._judge(service, part, [crash for crash, _ in rows], is_unknown)
+            blame, is_known = self._judge(part, [crash for crash, _ in rows])
             if blame is not None:
                 # Later parts of a prompt are shared by fewer requests.
                 position = max(position for _, position in rows)
-                suspects.append((is_unknown, blame.crashes, position, blame))
+                suspects.append((not is_known, blame.crashes, position, part, blame))
         return suspects
 
-    def _judge(self, service, part, crashes, is_unknown):
+    def _judge(self, part, crashes):
+        """Return the `Blame` of a part, or None, and whether it was answered before."""
+        services = frozenset(crash.service for crash in crashes)
+        is_known = any((service, part) in self._answered_at for service in services)
         first_at_by_key = {}
         for crash in crashes:
             at = first_at_by_key.get(crash.endpoint_key, crash.at)
             first_at_by_key[crash.endpoint_key] = min(at, crash.at)
         times = sorted(first_at_by_key.values())
-        needed = INSTANCES_MIN if is_unknown else KNOWN_INSTANCES_MIN
+        needed = KNOWN_INSTANCES_MIN if is_known else INSTANCES_MIN
         if len(times) < needed or len({c.request for c in crashes}) < REQUESTS_MIN:
-            return None
-        service_answered_at = self._service_answered_at.get(service)
-        if service_answered_at is None:
-            return None
-        if service_answered_at < times[0] - SERVICE_SECONDS:
-            return None
+            return None, is_known
+        never = float("-inf")
+        answered_at = max(self._service_answered_at.get(s, never) for s in services)
+        if answered_at <= times[0] - SERVICE_SECONDS:
+            return None, is_known
         since = times[needed - 1]
-        if not is_unknown:
+        if is_known:
             # The service must answer other requests while this part breaks.
             is_short = times[-1] - times[0] < KNOWN_SECONDS_MIN
-            if is_short or service_answered_at < since:
-                return None
+            if is_short or answered_at < since:
+                return None, is_known
             since = max(since, times[0] + KNOWN_SECONDS_MIN)
         late_at = since + SETTLE_SECONDS + LATE_SECONDS
         late = sum(at > late_at for at in times)
-        return Blame(part, len(times), since, times[-1], late)
+        blame = Blame(part, len(times), since, times[-1], late, services)
+        return blame, is_known
 
     def _drop_expired(self, now):
         """Drop the crashes that are old and not of a part that is still blamed."""
@@ -311,20 +330,22 @@
         self._expiry_at = now + EXPIRY_SECONDS
         kept = set()
         for key, crash in list(self._crash_by_key.items()):
-            blamed = self._find_blames(crash.service).keys() & set(crash.parts)
-            is_wanted = any(self._is_wanted(crash.service, p, now) for p in blamed)
+            blamed = map(self._find_blames().get, crash.parts)
+            is_wanted = any(b is not None and self._is_wanted(b, now) for b in blamed)
             if now - crash.at < BLAME_SECONDS or is_wanted:
                 kept.update((crash.service, part) for part in crash.parts)
             else:
                 del self._crash_by_key[key]
                 self._local_keys.discard(key)
-        for times in (self._last_crash_at, self._refused_at, self._tried_at):
-            for key in times.keys() - kept:
-                del times[key]
-        self._blames_by_service = None
-
-    def _is_wanted(self, service, part, now):
-        crashed_at = self._last_crash_at[service, part]
-        refused_at = self._refused_at.get((service, part), crashed_at)
-        is_recent = now - max(crashed_at, refused_at) < BLAME_SECONDS
-        return is_recent and now - crashed_at < BLAME_MAX_SECONDS
+        for key in self._last_crash_at.keys() - kept:
+            del self._last_crash_at[key]
+        kept_parts = {part for _, part in kept}
+        for times in (self._refused_at, self._tried_at):
+            for part in times.keys() - kept_parts:
+                del times[part]
+        self._blame_by_part = None
+
+    def _is_wanted(self, blame, now):
+        refused_at = self._refused_at.get(blame.part, blame.last_at)
+        is_recent = now - max(blame.last_at, refused_at) < BLAME_SECONDS
+        return is_recent and now - blame.last_at < BLAME_MAX_SECONDS
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -27,6 +27,7 @@
     STOPPED,
     BatchShare,
     InFlightRequest,
+    PartsAnswered,
     PlaceRequest,
     RequestEnded,
     UsableVersions,
@@ -266,6 +267,13 @@
         item_id = run.progress.item.item_id
         endpoint_id = run.endpoint.endpoint_id
         self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
+        if item_outcome is ItemOutcome.DONE:
+            # Crashes under items blame no part, but their results clear parts.
+            headers = run.progress.item.headers
+            parts = self._parts.dialect.read_prompt_parts(headers)
+            if parts:
+                message = PartsAnswered(run.service or "", parts)
+                self._parts.coordinator.tell(message)
         with self._lock:
             del self._run_by_attempt[run.attempt]
         self._finish(run.job, item_id, item_outcome, route)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -15,7 +15,6 @@
     NodeState,
     NodeTable,
     Placed,
-    Quarantine,
     Scheduled,
     batch_allowance,
     batch_targets,
@@ -23,6 +22,7 @@
 )
 
 from . import messages
+from .crash_blame import CrashBlame
 from .messages import (
     AcceptsRequests,
     BatchPeers,
@@ -36,6 +36,7 @@
     EndpointSilent,
     EndpointsListed,
     EventIntervalObserved,
+    FindPartRefusal,
     FindSchedulers,
     FindStreamKeepers,
     GetStatus,
@@ -46,6 +47,7 @@
     LiveNodeFraction,
     LiveNodes,
     LoadReportReceived,
+    PartsAnswered,
     PeerStatesReceived,
     PlaceRequest,
     PossibleHolders,
@@ -85,8 +87,8 @@
         self._directory = EndpointDirectory(settings.drain_milliseconds / 1000)
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
-        self._quarantine = Quarantine()
         self._nodes = NodeTable(settings.node_id)
+        self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
         self._share = 1.0
         self._share_expires_at = 0.0
         self._active_configuration = (None, None)
@@ -112,7 +114,11 @@
         now = self._clock()
         match message:
             case IsQuarantined(fingerprint):
-                return self._quarantine.is_quarantined(fingerprint, now)
+                return self._blame.is_quarantined(fingerprint, now)
+            case FindPartRefusal():
+                return self._blame.find_part_refusal(message, now)
+            case PartsAnswered():
+                return self._blame.note_answer(message, now)
             case PlaceRequest():
                 return self._place(message, now)
             case FindSchedulers(service, spread):
@@ -303,20 +309,12 @@
                 self._loads.health.note_full(endpoint_id, now)
             case messages.BROKEN:
                 self._note_failure(endpoint_id, now)
-                self._note_crash(message, now)
+                self._blame.note_crash(message, now)
 
     def _note_failure(self, endpoint_id, now):
         self._loads.health.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
 
-    def _note_crash(self, message, now):
-        if not message.fingerprint:
-            return
-        endpoint = self._directory.get(message.endpoint_id, now)
-        born = endpoint.born if endpoint else 0
-        key = f"{message.endpoint_id}/{born}"
-        self._quarantine.note_crash(message.fingerprint, key, now, is_local=True)
-
     def _configure(self, configuration, now):
         self._active_configuration = (configuration.version, now)
         self._state = self._state._replace(configuration_version=configuration.version)
@@ -336,7 +334,7 @@
         )
         if not is_admitted_complete:
             admitted = self._quotas.admitted_since(now, ADMITTED_WINDOW_SECONDS)
-        self._state = self._state._replace(
+        state = self._state._replace(
             sequence=self._state.sequence + 1,
             load_by_endpoint=self._loads.own(),
             admitted_by_workspace=admitted,
@@ -345,8 +343,8 @@
             batch_running=message.batch_running,
             jobs=message.jobs,
             is_store_reachable=message.is_store_reachable,
-            crashes=tuple(self._quarantine.crashes(now)),
         )
+        self._state = self._blame.add_to(state, now)
         others = []
         if is_large or self._state.sequence % MESSAGES_PER_RELAY == 0:
             others = self._nodes.heard_within(now, RELAY_MAX_AGE_SECONDS)
@@ -370,8 +368,7 @@
                 share,
                 state.is_admitted_complete,
             )
-            for fingerprint, key, age in state.crashes:
-                self._quarantine.note_crash(fingerprint, key, now - age)
+            self._blame.receive(state, now)
         return new_states
 
     def _batch_share(self, message, now):
@@ -402,4 +399,5 @@
             "peers": [s.node_id for s in self._nodes.live(now)],
             "quota_share": self._quota_share(now),
             "rate_burst_level_by_workspace": self._quotas.levels(),
+            "refused_prompt_parts": self._blame.status(now),
         }
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/crash_blame.py
@@ -0,0 +1,88 @@
+"""What a node believes of requests, and of parts of prompts, that crash endpoints."""
+
+import structlog
+
+from sequoiaglade_decisions.gateway import PromptParts, Quarantine
+
+
+class CrashBlame:
+    """The coordinator's `Quarantine` of requests and its `PromptParts`."""
+
+    def __init__(self, node_id, directory, nodes):
+        self._node_id = node_id
+        self._directory = directory
+        self._nodes = nodes
+        self._quarantine = Quarantine()
+        self._parts = PromptParts()
+        self._refused = {}
+        self._log = structlog.get_logger()
+
+    def is_quarantined(self, fingerprint, now):
+        """Return whether requests with a fingerprint are refused."""
+        return self._quarantine.is_quarantined(fingerprint, now)
+
+    def find_part_refusal(self, message, now):
+        """Return the reply to a `FindPartRefusal`."""
+        service, parts = message.service, message.parts
+        suspicion = self._parts.find_suspicion(service, parts, now)
+        if suspicion is None or message.is_broken:
+            return suspicion
+        others = [state.node_id for state in self._nodes.live(now)]
+        may_try = self._node_id <= min(others, default=self._node_id)
+        refusal = self._parts.find_refusal(service, parts, now, may_try)
+        if refusal is None and suspicion.is_settled(now):
+            self._log.info("prompt part tried", **_facts(suspicion, now))
+        return refusal
+
+    def note_answer(self, message, now):
+        """Note the `PartsAnswered` of a request."""
+        self._parts.note_answer(message.service, message.parts, now)
+
+    def note_crash(self, message, now):
+        """Note the crash of a `RequestEnded` that names its request."""
+        if not message.fingerprint:
+            return
+        endpoint = self._directory.get(message.endpoint_id, now)
+        key = f"{message.endpoint_id}/{endpoint.born if endpoint else 0}"
+        self._quarantine.note_crash(message.fingerprint, key, now, is_local=True)
+        if message.parts:
+            self._parts.note_crash(
+                message.service, message.parts, message.fingerprint, key, now
+            )
+
+    def add_to(self, state, now):
+        """Return a `NodeState` with the crashes and sound parts to gossip."""
+        self._log_changes(now)
+        return state._replace(
+            crashes=tuple(self._quarantine.crashes(now)),
+            part_crashes=tuple(self._parts.crashes(now)),
+            sound_parts=tuple(self._parts.sound_parts(now)),
+        )
+
+    def receive(self, state, now):
+        """Merge what a peer gossiped in a `NodeState`."""
+        for fingerprint, key, age in state.crashes:
+            self._quarantine.note_crash(fingerprint, key, now - age)
+        self._parts.merge(state.part_crashes, state.sound_parts, now)
+
+    def status(self, now):
+        """Return the refused parts with their evidence, for operators."""
+        return [_facts(b, now) for b in self._parts.refused_parts(now).values()]
+
+    def _log_changes(self, now):
+        """Log when a part begins to be refused, and when it no longer is."""
+        refused = self._parts.refused_parts(now)
+        for part in refused.keys() - self._refused.keys():
+            self._log.info("prompt part blamed", **_facts(refused[part], now))
+        for part in self._refused.keys() - refused.keys():
+            self._log.info("prompt part cleared", **_facts(self._refused[part], now))
+        self._refused = refused
+
+
+def _facts(blame, now):
+    return {
+        "part": blame.part,
+        "crashes": blame.crashes,
+        "last_crash_seconds": round(now - blame.last_at, 3),
+        "services": sorted(blame.services),
+    }
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -10,7 +10,8 @@
     headers that the gateway sets itself. `deadline` is how many seconds the caller
     waits (None if the request doesn't state it), `last_event_id` the id of the last
     event that the caller has received. `resumes` is the id of the request that began
-    the stream which this one takes up, empty for a new stream.
+    the stream which this one takes up, empty for a new stream. `prompt_parts` are the
+    ids of the parts of its prompt, without the last one, which no other request shares.
     """
 
     request_id: str
@@ -22,6 +23,7 @@
     deadline: float | None
     last_event_id: int
     resumes: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self):
@@ -80,6 +82,8 @@
 
     def read_call(self, request) -> IncomingCall: ...
 
+    def read_prompt_parts(self, headers) -> tuple[str, ...]: ...
+
     def read_deadline(self, headers) -> float | None: ...
 
     def endpoint_headers(
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -11,6 +11,27 @@
     fingerprint: str
 
 
+class FindPartRefusal(NamedTuple):
+    """Asks for the part of a prompt that crashes endpoints.
+
+    The reply is a `Blame`, or None.
+
+    `is_broken` states that an endpoint has just broken off the request, which then is
+    not sent again on less evidence than a new one is refused on.
+    """
+
+    service: str
+    parts: tuple[str, ...]
+    is_broken: bool = False
+
+
+class PartsAnswered(NamedTuple):
+    """A request with these prompt parts got an event or a complete response."""
+
+    service: str
+    parts: tuple[str, ...]
+
+
 class QuotaExceeded(NamedTuple):
     """The workspace's quota is used up for `retry_after` seconds.
 
@@ -151,13 +172,16 @@
 class RequestEnded(NamedTuple):
     """A request is no longer in flight; `outcome` is one of the constants below.
 
-    `fingerprint` identifies a request that may have crashed the endpoint.
+    `fingerprint` identifies a request that may have crashed the endpoint, `parts` are
+    those of its prompt if one of them may have, and `service` its service.
     """
 
     endpoint_id: str
     is_batch: bool
     outcome: str
     fingerprint: str = ""
+    service: str = ""
+    parts: tuple[str, ...] = ()
 
 
 class AcceptsRequests(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -36,6 +36,7 @@
     QuotaExceeded,
     RequestEnded,
 )
+from .prompt_parts import is_suspect, note_answer
 from .refusals import GatewayRefusal, refusal_response
 from .requests import StartedStream
 from .silence import CLOCK_MARGIN_SECONDS, AttemptPatience, ReservedPlace
@@ -136,6 +137,8 @@
         if self.is_client_disconnected:
             seconds_left = 0.0
         step = next_step(self.request.route, self._counts, fault.fault, seconds_left)
+        if step is NextStep.RETRY and self._may_crash_next(fault):
+            step = NextStep.FAIL
         self._log.info(
             "attempt failed",
             request_id=self.request.call.request_id,
@@ -156,11 +159,19 @@
         outcome = _outcome_of(fault, attempt.is_aborted)
         # An endpoint that is only silent may go on: the request did not crash it.
         is_crash = outcome == BROKEN and fault.fault is Fault.BROKEN
-        crash_fingerprint = self.request.fingerprint if is_crash else ""
-        endpoint_id = in_flight_request.endpoint.endpoint_id
-        self._parts.coordinator.tell(
-            RequestEnded(endpoint_id, False, outcome, crash_fingerprint)
-        )
+        ended = RequestEnded(in_flight_request.endpoint.endpoint_id, False, outcome)
+        if is_crash:
+            ended = ended._replace(
+                fingerprint=self.request.fingerprint,
+                service=self.request.service or "",
+                parts=() if self.last_event_id else self.request.call.prompt_parts,
+            )
+        self._parts.coordinator.tell(ended)
+
+    def _may_crash_next(self, fault):
+        if fault.fault is not Fault.BROKEN or self.last_event_id:
+            return False
+        return is_suspect(self._parts, self.request)
 
     def report_event_interval(self, seconds):
         """Report the mean interval between the events of this attempt, in seconds."""
@@ -301,8 +312,10 @@
             case CompleteResponse(status) if status >= 500 and self._may_retry():
                 self._count_run()
                 return CallFault(Fault.FAILED, f"the endpoint answered {status}")
-            case CompleteResponse():
+            case CompleteResponse(status):
                 self._count_run()
+                if 200 <= status < 300:
+                    note_answer(self._parts, self.request)
                 return answer
         self._count_run()
         return self._read_first_events(answer)
@@ -323,6 +336,7 @@
             if any(self._is_new(event) for event in events):
                 if unnumbered:
                     events.insert(0, Event(None, (), bytes(unnumbered)))
+                note_answer(self._parts, self.request)
                 return StartedStream(answer, splitter, chunks, events)
             for event in events:
                 if event.event_id is None:
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/online/prompt_parts.py
@@ -0,0 +1,52 @@
+"""Questions and reports about the parts of a request's prompt."""
+
+import time
+
+import structlog
+
+from ..messages import FindPartRefusal, PartsAnswered
+
+
+def find_refusal(parts, call, service):
+    """Return the `Blame` of a part of a new request's prompt, or None.
+
+    `parts` are the node's.
+    """
+    # A request that takes a stream up had events, so that its prompt is sound.
+    if not call.prompt_parts or call.last_event_id:
+        return None
+    return parts.coordinator.ask(FindPartRefusal(service or "", call.prompt_parts))
+
+
+def is_suspect(parts, request):
+    """Return whether a broken request may crash the next endpoint too, and log it."""
+    call = request.call
+    if not call.prompt_parts:
+        return False
+    blame = parts.coordinator.ask(
+        FindPartRefusal(request.service or "", call.prompt_parts, is_broken=True)
+    )
+    if blame is None:
+        return False
+    parts.metrics.count("prompt part", "not sent again")
+    structlog.get_logger().info(
+        "prompt part suspected", request_id=call.request_id, **facts(blame)
+    )
+    return True
+
+
+def note_answer(parts, request):
+    """Report that no part of a request's prompt crashed its endpoint."""
+    if request.call.prompt_parts:
+        parts.coordinator.tell(
+            PartsAnswered(request.service or "", request.call.prompt_parts)
+        )
+
+
+def facts(blame):
+    """Return the fields of a log line about a `Blame`."""
+    return {
+        "part": blame.part,
+        "crashes": blame.crashes,
+        "last_crash_seconds": round(time.monotonic() - blame.last_at, 3),
+    }
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -9,6 +9,7 @@
 
 from ..messages import IsQuarantined
 from .exchange import Exchange
+from .prompt_parts import facts, find_refusal
 from .refusals import GatewayRefusal, refusal_response
 from .requests import AdmittedRequest
 
@@ -82,13 +83,24 @@
             return self._refuse(
                 call, refusal, configuration, fingerprint=request_fingerprint
             )
+        service = route.service_for(call.request_id)
+        blame = find_refusal(self._parts, call, service)
+        if blame is not None:
+            refusal = GatewayRefusal(503, "a part of the prompt crashes endpoints")
+            self._parts.metrics.count("prompt part", "refused")
+            return self._refuse(
+                call,
+                refusal,
+                configuration,
+                **facts(blame),
+            )
         admitted = AdmittedRequest(
             call=call,
             body=body,
             route=route,
             workspace=name,
             priority=_priority(route, workspace),
-            service=route.service_for(call.request_id),
+            service=service,
             fingerprint=request_fingerprint,
             arrived_at=request.arrived_at,
             arrival_wait_seconds=wait_seconds,
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -6,9 +6,11 @@
     JobSpec,
     JobSummary,
     NodeState,
+    PartCrash,
     Placed,
     Result,
     Scheduled,
+    SoundPart,
 )
 from sequoiaglade_protocol import fleet_pb2
 
@@ -51,11 +53,41 @@
         is_store_reachable=state.is_store_reachable,
         cores=state.cores,
         is_admitted_partial=not state.is_admitted_complete,
+        part_crashes=[
+            fleet_pb2.PartCrash(
+                service=crash.service,
+                parts=crash.parts,
+                request=crash.request,
+                endpoint_key=crash.endpoint_key,
+                age_ms=int(crash.at * MS_PER_SECOND),
+            )
+            for crash in state.part_crashes
+        ],
+        sound_parts=[
+            fleet_pb2.SoundPart(
+                service=sound.service,
+                part=sound.part,
+                age_ms=int(sound.at * MS_PER_SECOND),
+            )
+            for sound in state.sound_parts
+        ],
     )
 
 
 def decode_state(message):
-    """Return the `NodeState` of a message."""
+    """Return the `NodeState` of a message.
+
+    >>> crash = PartCrash("s", ("p", "q"), "f", "e-1/5", 1.5)
+    >>> state = NodeState("n", 1, 1, part_crashes=(crash,))
+    >>> state = state._replace(sound_parts=(SoundPart("s", "p", 0.25),))
+    >>> decode_state(encode_state(state)) == state
+    True
+
+    The messages of releases without these fields have none.
+
+    >>> decode_state(fleet_pb2.FleetNode(node_id="n")).part_crashes
+    ()
+    """
     return NodeState(
         node_id=message.node_id,
         incarnation=message.incarnation,
@@ -87,6 +119,20 @@
         is_store_reachable=message.is_store_reachable,
         cores=message.cores,
         is_admitted_complete=not message.is_admitted_partial,
+        part_crashes=tuple(
+            PartCrash(
+                row.service,
+                tuple(row.parts),
+                row.request,
+                row.endpoint_key,
+                row.age_ms / MS_PER_SECOND,
+            )
+            for row in message.part_crashes
+        ),
+        sound_parts=tuple(
+            SoundPart(row.service, row.part, row.age_ms / MS_PER_SECOND)
+            for row in message.sound_parts
+        ),
     )
 
 
