Failing test: a stream that other requests broke twice is refused when taken up

What callers saw: streams that requests with a bad part broke at two endpoints did not go on. The quarantine of whole requests counts two crashes, whoever caused them.

The scenario fails: 503, "the request is quarantined after it crashed endpoints".

--- a/tests/features/gateway/prompt_part_crashes.feature
+++ b/tests/features/gateway/prompt_part_crashes.feature
@@ -20,3 +20,11 @@
       | id          |
       | a new id    |
       | the same id |
+
+  # A stream that others break is no culprit; the rules count from a third crash on.
+  Scenario: A stream that other requests broke at two runners goes on when it is taken up
+    Given 1 gateway and 3 runners that crash under parts and return with a new id
+    When 20 sound requests have run
+    And a caller streams, and its runner crashes twice under requests with the part "bad"
+    And the caller takes the stream up where it broke
+    Then the stream goes on to its end
--- a/tests/features/steps/gateway_prompt_part_steps.py
+++ b/tests/features/steps/gateway_prompt_part_steps.py
@@ -1,5 +1,6 @@
 """Steps of requests whose prompts have a part under which emulated runners crash."""
 
+import contextlib
 import itertools
 import socket
 import threading
@@ -19,6 +20,10 @@
 REFUSED_AFTER_CRASHES = 5
 SETTLED_SECONDS = 6.0
 COUNTED_MIN = 20
+STREAM_ID = "stream"
+RUN_RATE = 10
+# Time in which a stream has its first events.
+EVENTS_SECONDS = 0.25
 SHARE_MIN = 0.5
 
 
@@ -112,8 +117,9 @@
 class _Traffic:
     """Sends sound requests and culprits at rates, and keeps the responses' outcomes."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, node_count=NODES):
         self._fleet = fleet
+        self._node_count = node_count
         self._pool = ThreadPoolExecutor(120)
         self._numbers = itertools.count()
         self.sound = []
@@ -156,7 +162,7 @@
     def _send(self, rows, path, number, prompt):
         sent_at = time.monotonic()
         headers = [("Model", "m"), ("Token-Count", "600,40"), ("Prompt-Prefix", prompt)]
-        response = self._fleet.send(path, number % NODES, headers=headers)
+        response = self._fleet.send(path, number % self._node_count, headers=headers)
         begins = bool(response and response.status == 200 and response.events)
         rows.append((sent_at, begins))
 
@@ -214,3 +220,62 @@
     share, share_before = sum(later) / len(later), sum(before) / len(before)
     text = f"{sum(later)} of {len(later)} began, {sum(before)} of {len(before)} before"
     return share / share_before, text
+
+
+@when("{count:d} sound requests have run")
+def run_sound(context, count):
+    traffic = _Traffic(context.gateways, 1)
+    traffic.send(count / RUN_RATE, RUN_RATE)
+    traffic.close()
+    assert all(begins for _, begins in traffic.sound), traffic.sound
+
+
+@when(
+    'a caller streams, and its runner crashes twice under requests with the part "bad"'
+)
+def break_twice(context):
+    fleet = context.gateways
+    context.headers = [("Prompt-Prefix", _prompt(FIRST, "e001"))]
+    with ThreadPoolExecutor(1) as pool:
+        options = {"headers": context.headers, "request_id": STREAM_ID}
+        sent = pool.submit(fleet.send, "/resume/stream", 0, **options)
+        for number in range(2):
+            wait_until(lambda n=number: len(_stream_runs(fleet)) > n, 3.0, "it runs")
+            time.sleep(EVENTS_SECONDS)
+            _, runner = _stream_runs(fleet)[number]
+            _crash(runner, f"culprit-{number}")
+        context.broken = sent.result()
+    assert not context.broken.is_complete and context.broken.events, context.broken
+
+
+@when("the caller takes the stream up where it broke")
+def take_up(context):
+    last = context.broken.events[-1]
+    headers = [*context.headers, ("Resumes", STREAM_ID), ("Last-Event-Id", str(last))]
+    context.taken_up = context.gateways.send("/resume/stream", 0, headers=headers)
+
+
+@then("the stream goes on to its end")
+def check_taken_up(context):
+    response = context.taken_up
+    events = [*context.broken.events, *response.events]
+    found = (response.status, events)
+    assert found == (200, list(range(1, SLOW.event_count + 1))), (*found, response.body)
+
+
+def _stream_runs(fleet):
+    """Return the runs of the stream with their runners, in their order."""
+    rows = [
+        (run.began_at, runner)
+        for runner in fleet.runners
+        for run in runner.runs
+        if run.request_id == STREAM_ID
+    ]
+    return sorted(rows, key=lambda row: row[0])
+
+
+def _crash(runner, name):
+    headers = {"Host": HOST, "Prompt-Prefix": _prompt(FIRST, BAD, name)}
+    with contextlib.suppress(OSError, HTTPException):
+        with runner.open_request("/resume/culprit", name, headers) as response:
+            response.read()
