Blames of prompt parts end and spread everywhere; known red of parts taken out

A scenario of single rules found three faults of the decision. A blame that an answer ended more than 10 s after the crashes stayed at the other nodes, since only parts of recent crashes were gossiped: answers that end a blame are gossiped first now. A node without requests of its own could not tell that the service answers: the age of its last answer goes with the crashes. A node that started when those that saw the crashes were gone knew no blame: the live node with the lowest id gossips them too. Crashes whose parts all have an answer since are not gossiped, so that crashes for another cause fill few messages.

--- a/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
@@ -52,7 +52,10 @@
 
 
 class SoundPart(NamedTuple):
-    """A part with an answer at time `at`; in gossip, the age of that answer."""
+    """A part with an answer at time `at`; in gossip, the age of that answer.
+
+    An empty part states that the service answered any request.
+    """
 
     service: str
     part: str
@@ -112,6 +115,7 @@
         self._expiry_at = 0.0
         self._answered_at = OrderedDict()
         self._service_answered_at = {}
+        self._cleared_at = {}
         self._refused_at = {}
         self._tried_at = {}
         self._blame_by_part = None
@@ -126,6 +130,8 @@
         """Note an event, or a complete response, of a request with these parts."""
         self._service_answered_at[service] = now
         for part in parts:
+            if part in self._find_blames():
+                self._cleared_at[service, part] = now
             self._note_sound(service, part, now)
 
     def find_refusal(self, service, parts, now, may_try=False):
@@ -152,32 +158,53 @@
         """
         return next(iter(self._find(service, parts, now)), None)
 
+    @property
+    def crash_count(self):
+        """Number of crashes kept."""
+        return len(self._crash_by_key)
+
     def refused_parts(self, now):
         """Return the `Blame` of each part that is refused, by part."""
         self._drop_expired(now)
         blames = self._find_blames().items()
         return {part: blame for part, blame in blames if blame.is_settled(now)}
 
-    def crashes(self, now):
-        """Return the `PartCrash` records to gossip, with ages."""
+    def crashes(self, now, is_relaying=False):
+        """Return the `PartCrash` records to gossip, with ages.
+
+        They are those that this node saw. With `is_relaying` they include those of
+        blamed parts that others saw, which may be gone when a node starts.
+        A crash whose parts all have an answer since is evidence of nothing. So crashes
+        for another cause fill few messages.
+        """
         records = [
             crash
             for crash in self._gossiped_crashes(now)
-            if (crash.endpoint_key, crash.request) in self._local_keys
+            if (
+                (crash.endpoint_key, crash.request) in self._local_keys
+                or (is_relaying and self._is_blamed(crash))
+            )
+            and any(self._counts_against(part, crash) for part in crash.parts)
         ]
         return [c._replace(at=now - c.at) for c in records[-GOSSIPED_MAX:]]
 
     def sound_parts(self, now):
         """Return the `SoundPart` records of parts with recent crashes, with ages."""
+        crashes = self._gossiped_crashes(now)
+        # Answers that ended a blame come first: peers may still refuse these parts.
         keys = dict.fromkeys(
-            (crash.service, part)
-            for crash in reversed(self._gossiped_crashes(now))
-            for part in crash.parts
+            key for key, at in self._cleared_at.items() if now - at < GOSSIP_SECONDS
         )
+        for crash in reversed(crashes):
+            keys.update(((crash.service, part), None) for part in crash.parts)
         known = [key for key in keys if key in self._answered_at]
-        return [
-            SoundPart(*key, now - self._answered_at[key])
-            for key in known[:GOSSIPED_SOUND_MAX]
+        records = [SoundPart(*key, now - self._answered_at[key]) for key in known]
+        services = {
+            crash.service for crash in crashes
+        } & self._service_answered_at.keys()
+        return records[:GOSSIPED_SOUND_MAX] + [
+            SoundPart(service, "", now - self._service_answered_at[service])
+            for service in sorted(services)
         ]
 
     def merge(self, crashes, sound_parts, now):
@@ -194,7 +221,8 @@
         for crash in crashes:
             self._add(crash._replace(at=now - crash.at))
         for service, part, age in sound_parts:
-            self._note_sound(service, part, now - age)
+            if part:
+                self._note_sound(service, part, now - age)
             answered_at = self._service_answered_at.get(service, now - age)
             self._service_answered_at[service] = max(answered_at, now - age)
 
@@ -204,10 +232,12 @@
         return [
             crash
             for crash in self._crash_by_key.values()
-            if now - crash.at < GOSSIP_SECONDS
-            or self._find_blames().keys() & set(crash.parts)
+            if now - crash.at < GOSSIP_SECONDS or self._is_blamed(crash)
         ]
 
+    def _is_blamed(self, crash):
+        return not self._find_blames().keys().isdisjoint(crash.parts)
+
     def _add(self, crash):
         key = (crash.endpoint_key, crash.request)
         if not crash.parts or key in self._crash_by_key:
@@ -283,8 +313,7 @@
             if crash.endpoint_key in explained:
                 continue
             for position, part in enumerate(crash.parts):
-                answered_at = self._answered_at.get((crash.service, part))
-                if answered_at is None or crash.at > answered_at:
+                if self._counts_against(part, crash):
                     crashes_by_part[part].append((crash, position))
         suspects = []
         for part, rows in crashes_by_part.items():
@@ -295,6 +324,10 @@
                 suspects.append((not is_known, blame.crashes, position, part, blame))
         return suspects
 
+    def _counts_against(self, part, crash):
+        answered_at = self._answered_at.get((crash.service, part))
+        return answered_at is None or crash.at > answered_at
+
     def _judge(self, part, crashes):
         """Return the `Blame` of a part, or None, and whether it was answered before."""
         services = frozenset(crash.service for crash in crashes)
@@ -337,8 +370,9 @@
             else:
                 del self._crash_by_key[key]
                 self._local_keys.discard(key)
-        for key in self._last_crash_at.keys() - kept:
-            del self._last_crash_at[key]
+        for times in (self._last_crash_at, self._cleared_at):
+            for key in times.keys() - kept:
+                del times[key]
         kept_parts = {part for _, part in kept}
         for times in (self._refused_at, self._tried_at):
             for part in times.keys() - kept_parts:
--- a/packages/gateway/sequoiaglade_gateway/crash_blame.py
+++ b/packages/gateway/sequoiaglade_gateway/crash_blame.py
@@ -27,9 +27,7 @@
         suspicion = self._parts.find_suspicion(service, parts, now)
         if suspicion is None or message.is_broken:
             return suspicion
-        others = [state.node_id for state in self._nodes.live(now)]
-        may_try = self._node_id <= min(others, default=self._node_id)
-        refusal = self._parts.find_refusal(service, parts, now, may_try)
+        refusal = self._parts.find_refusal(service, parts, now, self._is_lowest(now))
         if refusal is None and suspicion.is_settled(now):
             self._log.info("prompt part tried", **_facts(suspicion, now))
         return refusal
@@ -55,7 +53,7 @@
         self._log_changes(now)
         return state._replace(
             crashes=tuple(self._quarantine.crashes(now)),
-            part_crashes=tuple(self._parts.crashes(now)),
+            part_crashes=tuple(self._parts.crashes(now, self._is_lowest(now))),
             sound_parts=tuple(self._parts.sound_parts(now)),
         )
 
@@ -69,6 +67,11 @@
         """Return the refused parts with their evidence, for operators."""
         return [_facts(b, now) for b in self._parts.refused_parts(now).values()]
 
+    def _is_lowest(self, now):
+        """Return whether this is the live node with the lowest id."""
+        others = [state.node_id for state in self._nodes.live(now)]
+        return self._node_id <= min(others, default=self._node_id)
+
     def _log_changes(self, now):
         """Log when a part begins to be refused, and when it no longer is."""
         refused = self._parts.refused_parts(now)
--- a/tests/features/gateway/prompt_parts.feature
+++ b/tests/features/gateway/prompt_parts.feature
@@ -71,3 +71,69 @@
       | rate | seeds |
       | 2    | 3     |
       | 10   | 3     |
+
+  Scenario: A part that was never answered is blamed before one that was
+    Given nodes "a, b" that hear of a service's answer to "first" at 0 s
+    When 3 requests with "first, bad" crash 3 endpoints at node "b" from 1 s on
+    Then requests with "first, bad" are refused from 4.5 s on at "a, b"
+    And requests with "first" are not refused at 4.5 s at "a, b"
+
+  Scenario: A part that was answered before is refused once it crashes endpoints alone
+    Given nodes "a, b" that hear of a service's answer to "first" at 0 s
+    When 6 requests with "first" crash 6 endpoints at node "b" from 1 s on
+    And a request with "other" is answered at 7 s
+    Then requests with "first" are refused from 8.1 s on at "a, b"
+
+  Scenario Outline: Too little evidence blames no part: <evidence>
+    Given nodes "a, b" that hear of a service's answer to "<answered>" at <at> s
+    When <requests> requests with "first" crash <endpoints> endpoints at node "b" from 100 s on
+    Then requests with "first" are not refused at 110 s at "a, b"
+
+    Examples:
+      | evidence                               | answered | at  | requests | endpoints |
+      | a service without answers for a minute | other    | 0   | 6        | 6         |
+      | two endpoints                          | other    | 99  | 6        | 2         |
+      | one request                            | other    | 99  | 1        | 6         |
+      | an answer since                        | first    | 109 | 6        | 6         |
+
+  Scenario: A part that was blamed wrongly is cleared by one request
+    Given nodes "a, b" that hear of a service's answer to "other" at 0 s
+    When 3 requests with "rare" crash 3 endpoints at node "b" from 1 s on
+    Then requests with "rare" are refused from 5 s on at "a, b"
+    And 1 of 50 requests with "rare" from 5 s to 15 s is sent, by node "a"
+    When a request with "rare" is answered at 15 s
+    Then requests with "rare" are not refused at 16 s at "a, b"
+
+  Scenario: A culprit is tried at most twice in ten minutes
+    Given nodes "a, b" that hear of a service's answer to "other" at 0 s
+    When 3 requests with "bad" crash 3 endpoints at node "b" from 1 s on
+    Then 2 of 3000 requests with "bad" from 5 s to 600 s are sent and crash endpoints
+
+  Scenario: A blame ends when no request with the part comes any more
+    Given nodes "a, b" that hear of a service's answer to "other" at 0 s
+    When 3 requests with "bad" crash 3 endpoints at node "b" from 1 s on
+    Then requests with "bad" are refused from 5 s on at "a, b"
+    And requests with "bad" are not refused at 126 s at "a, b"
+
+  Scenario: A part that crashes endpoints of one service is refused at others of the route
+    Given nodes "a, b" that hear of a service's answer to "first" at 0 s
+    And service "canary" answered "first" at 0 s
+    When 3 requests with "first, bad" crash 3 endpoints at node "b" from 1 s on
+    Then requests with "first, bad" to "canary" are refused at 4.5 s
+    And requests with "first" to "canary" are not refused at 4.5 s
+
+  Scenario: A node that starts later learns a blame though the node that saw it is gone
+    Given nodes "a, b" that hear of a service's answer to "other" at 0 s
+    When 3 requests with "bad" crash 3 endpoints at node "b" from 1 s on
+    And node "b" is replaced by "c" at 30 s
+    Then requests with "bad" are refused from 31 s on at "a, c"
+
+  Scenario: Crashes under items blame no part
+    Given a coordinator with an endpoint
+    When 6 items crash starts of the endpoint
+    Then the coordinator gossips no crash of a part
+
+  Scenario: Many crashes of many parts take bounded memory and messages
+    Given nodes "a, b" that hear of a service's answer to "other" at 0 s
+    When 5000 requests with parts of their own crash 5000 endpoints at node "b" in 10 s
+    Then node "b" keeps at most 512 crashes and gossips at most 32
