--- a/tests/features/gateway/prompt_parts.feature
+++ b/tests/features/gateway/prompt_parts.feature
@@ -133,6 +133,12 @@
     When 6 items crash starts of the endpoint
     Then the coordinator gossips no crash of a part
 
+  Scenario: A completed item clears the parts of its prompt
+    Given an item runner at whose endpoint 3 online requests with the part "ad" crashed
+    When a job of 1 item with the prompt "ad:120,17:30" is held
+    Then within 8 seconds it has 1 completed item
+    And requests with the part "ad" are not suspected
+
   Scenario: Many crashes of many parts take bounded memory and messages
     Given nodes "a, b" that hear of a service's answer to "other" at 0 s
     When 5000 requests with parts of their own crash 5000 endpoints at node "b" in 10 s
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -94,8 +94,8 @@
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
-def hold_job(context, count, job_id="job"):
-    items = tuple(Item(f"item-{n}", "/batch/x", (), b"", 1) for n in range(count))
+def hold_job(context, count, job_id="job", headers=()):
+    items = tuple(Item(f"item-{n}", "/batch/x", headers, b"", 1) for n in range(count))
     spec = JobSpec(job_id, "yard", HOST, "/batch/job", 0.0, "gateway-0", items)
     job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, ROUTE)
     context.registry.add(job)
--- a/tests/features/steps/prompt_part_rule_steps.py
+++ b/tests/features/steps/prompt_part_rule_steps.py
@@ -1,11 +1,16 @@
 """Steps that check single rules by which prompt parts are blamed and cleared."""
 
 from behave import given, then, when
+from emulator.fleet import wait_until
+from gateway_item_runner_steps import SERVICE as ITEM_SERVICE
+from gateway_item_runner_steps import hold_job, start_item_runner
 from sequoiaglade_gateway.coordinator import Coordinator
 from sequoiaglade_gateway.messages import (
     BROKEN,
     BeginRequest,
     EndpointsListed,
+    FindPartRefusal,
+    PartsAnswered,
     PlaceRequest,
     Publish,
     RequestEnded,
@@ -183,3 +188,39 @@
     published = context.coordinator.on_receive(Publish(0, 0, (), True))
     assert published.own.part_crashes == ()
     assert published.own.sound_parts == ()
+
+
+def _is_suspected(context, part):
+    message = FindPartRefusal(ITEM_SERVICE, (part,), is_broken=True)
+    return context.coordinator.ask(message) is not None
+
+
+@given(
+    "an item runner at whose endpoint {count:d} online requests with the part "
+    '"{part}" crashed'
+)
+def start_after_crashes(context, count, part):
+    start_item_runner(context)
+    coordinator = context.coordinator
+    coordinator.ask(PartsAnswered(ITEM_SERVICE, ("5a",)))
+    address = context.endpoint.address
+    for n in range(count):
+        endpoint = Endpoint("runner-0", ITEM_SERVICE, address, "d", 4, born=n + 1)
+        coordinator.ask(EndpointsListed([endpoint]))
+        place = PlaceRequest(ITEM_SERVICE, f"r{n}")
+        assert coordinator.ask(BeginRequest(place, "runner-0")) is not None
+        coordinator.ask(
+            RequestEnded("runner-0", False, BROKEN, f"f{n}", ITEM_SERVICE, (part,))
+        )
+    assert _is_suspected(context, part)
+
+
+@when('a job of {count:d} item with the prompt "{prompt}" is held')
+def hold_with_prompt(context, count, prompt):
+    headers = (("Prompt-Prefix", prompt),)
+    context.held_job = hold_job(context, count, headers=headers)
+
+
+@then('requests with the part "{part}" are not suspected')
+def check_not_suspected(context, part):
+    wait_until(lambda: not _is_suspected(context, part), 1.0, "the part is cleared")
