A gateway that the store does not answer asks peers for ends of jobs

What callers saw: items of a job went on for as long as the store did not answer the job's holder, though the end of the job had been acknowledged at another gateway, if that one did not tell the holder.

Cause: JobEnds took a store that does not answer this gateway for one that answers nobody, and sent items unconfirmed.

Change: after a failed question to the store, two peers that reach it are asked at the same time (FindEnds). A peer tells what it knows from the store for at most 1 s, and asks the store if it knows less; the age counts at the asking gateway. Only if no peer knows more are items sent unconfirmed, as before: then most likely no end can be acknowledged. A peer tells all ends that it knows, so that the answer also holds for jobs that are taken over later. A wait for the store of 1 s becomes one of up to 1.6 s until gossip tells which peers do not reach the store either.

The constructors of JobEnds and FleetServicer have one more parameter, which the steps that call them pass.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -11,7 +11,7 @@
 from .groups import eligible_nodes, group_count, group_of, schedulers
 from .hashing import stable_hash
 from .health import EndpointHealth
-from .job_ends import EndsKnowledge, SendDecision
+from .job_ends import EndsKnowledge, SendDecision, may_know_ends
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .leaving import LeavingEndpoints
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
@@ -118,6 +118,7 @@
     "guard_step",
     "job_holder",
     "job_key",
+    "may_know_ends",
     "move_headroom",
     "missing_part",
     "next_step",
--- a/packages/decisions/sequoiaglade_decisions/gateway/job_ends.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/job_ends.py
@@ -13,6 +13,8 @@
 # Interval of questions to a store that does not answer. Ends cannot be acknowledged
 # during an outage of the store.
 FAILED_AGE_MAX_SECONDS = 1.0
+# Maximum age of what a node tells its peers, so that they know it for another second.
+TOLD_AGE_MAX_SECONDS = 1.0
 
 
 class SendDecision(Enum):
@@ -20,7 +22,19 @@
 
     SEND = "send"
     ASK = "ask the store for ends first"
-    SEND_UNCONFIRMED = "send, since the store does not answer"
+    SEND_UNCONFIRMED = "send, since the store answers no node"
+
+
+def may_know_ends(state):
+    """Return whether the node of a `NodeState` may be asked for ends.
+
+    >>> from sequoiaglade_decisions.gateway import NodeState
+    >>> may_know_ends(NodeState("a", 1, 1))
+    True
+    >>> may_know_ends(NodeState("a", 1, 1, is_store_reachable=False))
+    False
+    """
+    return state.is_store_reachable and not state.is_leaving
 
 
 class EndsKnowledge:
@@ -48,15 +62,35 @@
         self._failed_at = None
 
     def note_answer(self, asked_at):
-        """Record that all ends before a question to the store are known."""
+        """Record that all ends before a question are known.
+
+        The store is asked, or a peer, which tells what it knew before the question.
+        """
         self._failed_at = None
         if self._answered_at is None or asked_at > self._answered_at:
             self._answered_at = asked_at
 
     def note_failure(self, now):
-        """Record that the store did not answer a question."""
+        """Record that neither the store nor a peer answered a question."""
         self._failed_at = now
 
+    def told_age(self, now):
+        """Return the age in seconds of what a peer may be told, None if too old.
+
+        >>> knowledge = EndsKnowledge()
+        >>> knowledge.note_answer(asked_at=20.0)
+        >>> knowledge.told_age(now=20.5), knowledge.told_age(now=21.5)
+        (0.5, None)
+        """
+        age = self.age(None, now)
+        return None if age is None or age > TOLD_AGE_MAX_SECONDS else age
+
+    def has_failed(self, now):
+        """Return whether the last question was not answered, and was asked just now."""
+        if self._failed_at is None:
+            return False
+        return now - self._failed_at <= FAILED_AGE_MAX_SECONDS
+
     def age(self, accepted_at, now):
         """Return the seconds since a job was known not to have ended, None if never.
 
@@ -70,7 +104,6 @@
         age = self.age(accepted_at, now)
         if age is not None and age <= KNOWN_AGE_MAX_SECONDS:
             return SendDecision.SEND
-        if self._failed_at is not None:
-            if now - self._failed_at <= FAILED_AGE_MAX_SECONDS:
-                return SendDecision.SEND_UNCONFIRMED
+        if self.has_failed(now):
+            return SendDecision.SEND_UNCONFIRMED
         return SendDecision.ASK
--- a/packages/gateway/sequoiaglade_gateway/batch/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/__init__.py
@@ -1,7 +1,7 @@
 """Batch jobs: acceptance, storage, execution beside online requests, and reads."""
 
 from .adoption import JobAdopter
-from .ends import JobEnds
+from .ends import JobEnds, PeerEnds
 from .registry import JobRegistry
 from .runner import ItemRunner
 from .service import BatchService
@@ -15,5 +15,6 @@
     "JobEnds",
     "JobRegistry",
     "JobStorage",
+    "PeerEnds",
     "ResultWriter",
 ]
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -102,6 +102,11 @@
         with self.lock:
             return key in self._ended_keys
 
+    def ended_keys(self):
+        """Return the keys of all jobs whose end is known."""
+        with self.lock:
+            return frozenset(self._ended_keys)
+
     def jobs(self):
         """Return all held jobs, sorted by due time."""
         with self.lock:
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -24,6 +24,7 @@
     JobEnds,
     JobRegistry,
     JobStorage,
+    PeerEnds,
     ResultWriter,
 )
 from .batch.storage import ENDS_KIND
@@ -82,6 +83,7 @@
         self.read_job = client.read_job
         self.read_item = client.read_item
         self.end_job = client.end_job
+        self.find_ends = client.find_ends
         self.holds_job = client.holds_job
         self.store_job = client.store_job
         self.live_node_fraction = gossip.live_node_fraction
@@ -187,7 +189,9 @@
             self._on_job_end_changed,
             may_be_outdated=True,
         )
-        parts.job_ends = JobEnds(registry, parts.metrics, self._ends_watcher.read_now)
+        parts.job_ends = JobEnds(
+            registry, parts.metrics, self._ends_watcher.read_now, PeerEnds(parts).read
+        )
         self._runner = ItemRunner(parts, registry)
         self._job_adopter = JobAdopter(parts, registry, storage)
         self._writer = parts.writer = ResultWriter(registry, storage)
@@ -206,6 +210,7 @@
             parts.store_cache,
             registry,
             parts.batch,
+            parts.job_ends,
             parts.placer,
             parts.streams,
         )
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -78,6 +78,12 @@
         """Notify the holder of a job of its end, which its watch reports as well."""
         self._call(address, "EndJob", fleet_pb2.EndJobRequest(job_key=key))
 
+    def find_ends(self, addresses):
+        """Ask peers for ends of jobs; return pairs of an age in seconds and keys."""
+        request = fleet_pb2.FindEndsRequest()
+        replies = self._call_all(addresses, "FindEnds", request, CALL_SECONDS)
+        return [(r.age_ms / 1000, r.job_keys) for r in replies if r.is_read]
+
     def store_job(self, address, spec):
         """Ask a peer to store and hold a job; return None or a `Failure`."""
         reply = self._call(address, "StoreJob", encode_job(spec), STORE_SECONDS)
@@ -141,15 +147,7 @@
     def find_stream(self, addresses, request_id):
         """Return the version of a stream that one of the peers knows, or None."""
         request = fleet_pb2.FindStreamRequest(request_id=request_id)
-        futures = []
-        for address in addresses:
-            stub = fleet_pb2_grpc.FleetStub(self._channel(address))
-            futures.append(stub.FindStream.future(request, timeout=SCHEDULE_SECONDS))
-        for future in futures:
-            try:
-                reply = future.result()
-            except (grpc.RpcError, grpc.FutureCancelledError):
-                continue
+        for reply in self._call_all(addresses, "FindStream", request, SCHEDULE_SECONDS):
             if reply.is_known:
                 return reply.version
         return None
@@ -178,6 +176,18 @@
                 self._log.info("peer call failed", call=name, peer=address, code=code)
             return None
 
+    def _call_all(self, addresses, name, request, seconds):
+        """Yield the replies of peers that are called at the same time."""
+        futures = []
+        for address in addresses:
+            stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+            futures.append(getattr(stub, name).future(request, timeout=seconds))
+        for future in futures:
+            try:
+                yield future.result()
+            except (grpc.RpcError, grpc.FutureCancelledError):
+                continue
+
     def _channel(self, address):
         with self._lock:
             channel = self._channel_by_address.get(address)
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -1,5 +1,7 @@
 """Server for the calls of peers."""
 
+import math
+
 from sequoiaglade_node.peers.server import PeerServer
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
@@ -18,11 +20,14 @@
 class FleetServicer(fleet_pb2_grpc.FleetServicer):
     """Implements the gRPC service `Fleet`."""
 
-    def __init__(self, gossip, store_cache, job_registry, batch, placer, streams):
+    def __init__(
+        self, gossip, store_cache, job_registry, batch, job_ends, placer, streams
+    ):
         self._gossip = gossip
         self._store_cache = store_cache
         self._job_registry = job_registry
         self._batch = batch
+        self._job_ends = job_ends
         self._placer = placer
         self._streams = streams
 
@@ -62,6 +67,15 @@
         self._batch.note_end(request.job_key)
         return fleet_pb2.EndJobReply()
 
+    def FindEnds(self, request, context):  # noqa: N802
+        told = self._job_ends.tell_peer()
+        if told is None:
+            return fleet_pb2.FindEndsReply(is_read=False)
+        age, keys = told
+        # Rounded up, so that the asking node does not take it for younger than it is.
+        age_ms = math.ceil(age * 1000)
+        return fleet_pb2.FindEndsReply(is_read=True, age_ms=age_ms, job_keys=keys)
+
     def StoreJob(self, request, context):  # noqa: N802
         failure = self._batch.store_for_peer(request)
         if failure is None:
--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -67,6 +67,21 @@
     And the store is down
     Then items of it are still sent 4 seconds later
 
+  Scenario: Items of a held job go on while its peer does not reach the store either
+    Given 2 gateways and 1 runner with few slots
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And the store is down
+    Then items of it are still sent 4 seconds later
+
+  # A store may refuse some gateways while it acknowledges ends to others.
+  Scenario: A gateway that alone does not reach the store hears of an end from a peer
+    Given 1 gateway and 1 runner with few slots
+    And gateway 1, which reaches the store on a path of its own
+    When a job of 60 items is accepted at gateway 1, which watches the store
+    And the path to the store is closed
+    And the end of the job is written by a gateway that is lost at once
+    Then no item of it is sent later than 3 seconds after the end
+
   Scenario: The response that tells of the end is lost, and the store's history as well
     Given 1 gateway and 1 runner with few slots
     When a job of 60 items is accepted at gateway 0, which watches the store
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from emulator import RunnerPlan
 from emulator.fleet import wait_until
+from emulator.links import Link
 from gateway_calls import runs, start
 from gateway_item_runner_steps import start_item_runner
 from holder_simulation import PATH
@@ -172,15 +173,38 @@
     start(context, 1, [FEW_ITEMS])
 
 
-@when("a job of {count:d} items is accepted at gateway 0, which watches the store")
-def accept_job(context, count):
+@given("2 gateways and 1 runner with few slots")
+def given_two_gateways(context):
+    start(context, 2, [FEW_ITEMS])
+
+
+@given("gateway 1, which reaches the store on a path of its own")
+def given_own_path(context):
+    fleet = context.gateways
+    context.path_to_store = Link(fleet.store.address)
+    context.stack.enter_context(context.path_to_store)
+    fleet.wait_ready(fleet.add_node(context.path_to_store.address))
+    all_known = lambda: len(fleet.addresses(1) or ()) == 2  # noqa: E731
+    wait_until(all_known, SETUP_SECONDS, "the gateways know each other")
+
+
+@when("the path to the store is closed")
+def close_path(context):
+    context.path_to_store.close()
+
+
+@when(
+    "a job of {count:d} items is accepted at gateway {number:d}, which watches the "
+    "store"
+)
+def accept_job(context, count, number):
     fleet = context.gateways
     watched = lambda: fleet.store.watched_kinds() >= {ENDS_KIND}  # noqa: E731
     wait_until(watched, SETUP_SECONDS, "the gateway watches ends")
     context.items = [(f"item-{n:02d}", f"/batch/x/{n}") for n in range(count)]
 
     def is_accepted():
-        context.job_id, answer = fleet.submit(context.items, 0)
+        context.job_id, answer = fleet.submit(context.items, number)
         return answer.status == 202
 
     wait_until(is_accepted, SETUP_SECONDS, "a job is accepted")
@@ -265,7 +289,7 @@
         context.now += suspensions.pop(0)
 
     registry = JobRegistry(lambda: context.now)
-    context.job_ends = JobEnds(registry, mock.Mock(), read_ends)
+    context.job_ends = JobEnds(registry, mock.Mock(), read_ends, lambda: None)
 
 
 @then("its next item is withheld, and the one after it is sent")
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -90,7 +90,7 @@
     context.coordinator = parts.coordinator
     context.registry = JobRegistry()
     metrics = SimpleNamespace(count=lambda event, outcome: None)
-    parts.job_ends = JobEnds(context.registry, metrics, lambda: None)
+    parts.job_ends = JobEnds(context.registry, metrics, lambda: None, lambda: None)
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -119,7 +119,7 @@
         )
         parts.peers = PeerCalls(client, self.gossip)
         self.servicer = FleetServicer(
-            self.gossip, parts.store_cache, self.registry, self.batch, None, None
+            self.gossip, parts.store_cache, self.registry, self.batch, None, None, None
         )
         self._parts = parts
         self._is_adoption_due = True
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -47,7 +47,7 @@
 
     def start(self):
         self._server_stack = self._stack.enter_context(contextlib.ExitStack())
-        servicer = FleetServicer(_Gossip(), None, None, None, None, self.streams)
+        servicer = FleetServicer(_Gossip(), None, None, None, None, None, self.streams)
         start_peer_server(self._server_stack, self._address, servicer)
 
     def stop(self):
