Failing tests: silences right after changes and right after a renewal

What callers would see: requests sent to endpoints that drain (DRAIN), or handled by a configuration that has been replaced (CONFIG), more than 3 s after a silence.

The second watches pause for 1.2 s after a change and then wait 1.8 s for changes and another second for an answer: on a connection that fell silent meanwhile this takes 4 s. A call that was lost up to 0.2 s after a renewal of the connections times out within the pause between two renewals, and is ignored.

--- a/tests/features/gateway/silence.feature
+++ b/tests/features/gateway/silence.feature
@@ -60,6 +60,17 @@
     Then within 7 seconds all gateways refuse "/safe/1" with 503
     And each gateway has renewed 3 watches
 
+  # All watches pause after a change, and begin again on silent connections. Requests are
+  # judged again from 3 seconds after the silence on.
+  Scenario: Connections fall silent right after changes of all guarded kinds
+    Given 2 gateways and 1 runner whose connections can fall silent
+    When nothing happens for 3 seconds
+    And the key "key-yard" is replaced by "key-new"
+    And an entry "i-other" that can't be read is written and known to all gateways
+    And all connections among "store" fall silent
+    And runner 0 registers as draining
+    Then within 3 seconds all gateways know that runner 0 is draining
+
   # The watches of all gateways begin together after a change, so that a short silence of
   # the store can take them all.
   Scenario: A change of the configuration is read soon after its watches alone fell silent
--- a/tests/features/gateway/store_contact.feature
+++ b/tests/features/gateway/store_contact.feature
@@ -31,6 +31,13 @@
     And calls that were sent before the renewal time out after it
     Then there were 1 probes and 1 renewals
 
+  # A second silence right after the renewal may take all watches that it has begun anew.
+  Scenario: A call is lost right after a renewal
+    Given connections to the store that were proved sound
+    When a call on an older connection times out after 1.0 seconds
+    And a call that was sent 0.1 seconds after the renewal times out after 2.8 seconds
+    Then the connections are renewed again within 3.0 seconds after the call was sent
+
   Scenario: A store that closes idle connections causes no renewal
     Given connections to the store that were proved sound
     When each probe is answered on a new connection for 60 seconds
--- a/tests/features/steps/gateway_silence_steps.py
+++ b/tests/features/steps/gateway_silence_steps.py
@@ -181,6 +181,32 @@
     assert len(runs(context)) == 1, runs(context)
 
 
+@when('an entry "{name}" that can\'t be read is written and known to all gateways')
+def write_other_entry(context, name):
+    context.gateways.store.put("servers", name, {})
+    known = lambda: all_know(context, name, "gone")  # noqa: E731
+    wait_until(known, 2.0, "the entry is known")
+
+
+@then("within {seconds:d} seconds all gateways know that runner 0 is draining")
+def check_known_draining(context, seconds):
+    runner_id = context.gateways.runners[0].runner_id
+    known = lambda: all_know(context, runner_id, "draining")  # noqa: E731
+    wait_until(known, float(seconds), "all gateways know")
+
+
+def all_know(context, name, state):
+    """Return whether each gateway has logged a state of an endpoint."""
+    return all(
+        any(
+            line["event"] == "endpoint changed"
+            and (line["endpoint_id"], line["state"]) == (name, state)
+            for line in node.log_lines()
+        )
+        for node in context.gateways.nodes
+    )
+
+
 @when("the entry of runner 0 is removed")
 def remove_entry(context):
     fleet = context.gateways
--- a/tests/features/steps/store_contact_steps.py
+++ b/tests/features/steps/store_contact_steps.py
@@ -117,6 +117,28 @@
     play.run(0.5)
 
 
+@when(
+    "a call that was sent {delay:g} seconds after the renewal"
+    " times out after {seconds:g} seconds"
+)
+def time_out_after_renewal(context, delay, seconds):
+    play = context.play
+    sent_at = play.renewed_at + delay
+    play.forget_steps()
+    play.run(sent_at + seconds - play.now)
+    play.call(sent_at, play.now - sent_at, False)
+    play.run(2.0)
+    context.event_at = sent_at
+
+
+@then(
+    "the connections are renewed again within {seconds:g} seconds"
+    " after the call was sent"
+)
+def check_second_renewal(context, seconds):
+    check_renewal(context, seconds)
+
+
 @when("the store answers nothing for 60 seconds, and 20 calls a second time out")
 def answer_nothing(context):
     play = context.play
