A call that is lost right after a renewal renews the connections once more

What callers would see: requests handled by a replaced configuration (CONFIG), up to 5 s after a second silence of the store or of connections, right after a renewal.

Cause: a call that timed out within 3 s of a renewal was ignored, also if it was sent after it. Renewed watches begin within some milliseconds, and calls of guards within 0.2 s; the latter time out after 2.8 s, so that a silence at that time, which takes both, was noticed by none of them.

Change: such a call renews the connections once the pause is over, at most 3 s after it was sent. Renewals keep their pause.

Measured: the scenario 'A call is lost right after a renewal' failed before, all 12 of store_contact.feature pass (60 s without an answer: still 10 to 20 renewals).

--- a/packages/decisions/sequoiaglade_decisions/gateway/store_contact.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/store_contact.py
@@ -1,5 +1,6 @@
 """Evidence of whether watches of the store wait on connections that pass nothing."""
 
+import math
 from enum import Enum
 from typing import NamedTuple
 
@@ -64,7 +65,8 @@
         self._proved_at = None
         self._probed_at = None
         self._renewed_at = None
-        self._is_silent = False
+        # When to renew the connections, because a call was not answered.
+        self._renewal_due_at = math.inf
         self._is_probe_wanted = True
 
     def note_call(self, call):
@@ -82,15 +84,15 @@
 
         The step counts as taken.
         """
-        if self._is_silent:
-            self._is_silent = False
+        if self._renewal_due_at <= now:
+            self._renewal_due_at = math.inf
             self._is_probe_wanted = True
             self._probed_at = self._proved_at = None
             self._renewed_at = now
             return ContactStep.RENEW, 0.0
         due_at = self._probe_due_at(now)
         if due_at > now:
-            return ContactStep.WAIT, due_at - now
+            return ContactStep.WAIT, min(due_at, self._renewal_due_at) - now
         self._probed_at = now
         self._is_probe_wanted = False
         return ContactStep.PROBE, self._interval_seconds
@@ -110,11 +112,11 @@
             return
         if call.ended_at - call.sent_at < SILENCE_SECONDS:
             self._is_probe_wanted = True
-        elif (
-            self._renewed_at is None
-            or call.ended_at - self._renewed_at >= RENEWAL_PAUSE_SECONDS
-        ):
-            self._is_silent = True
+        else:
+            # Watches that wait may have been lost with a call right after a renewal.
+            earliest_at = (self._renewed_at or -math.inf) + RENEWAL_PAUSE_SECONDS
+            due_at = max(call.ended_at, earliest_at)
+            self._renewal_due_at = min(due_at, self._renewal_due_at)
 
     def _is_outdated(self, call):
         """Whether the call was sent before the connections were renewed."""
