Streams that others broke at two endpoints are not quarantined

Cause: the quarantine of whole requests counts each crash of an endpoint against all requests that broke there, those whose response had begun as well. A request that crashes endpoints does so at the begin of its response.

Change: a crash is reported with whether events of that endpoint had arrived, also in gossip.

The scenario "A stream that other requests broke at two runners goes on when it is taken up" failed before; the property of gossiped crashes and the other scenarios of decisions, prompt_parts and prompt_part_crashes pass (39).

--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -38,8 +38,8 @@
     `admitted_by_workspace` the requests admitted since the node's start, of all
     workspaces with requests if `is_admitted_complete`.
     `batch_backlog` and `batch_running` count unfinished and running items. `crashes`
-    are triples of fingerprint, endpoint key and age in seconds. `cores` is the node's
-    processor capacity. `part_crashes` and `sound_parts` are those of `PromptParts`.
+    are those of `Quarantine`, `part_crashes` and `sound_parts` those of `PromptParts`.
+    `cores` is the node's processor capacity.
     """
 
     node_id: str
--- a/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
@@ -3,6 +3,9 @@
 # The platform's documentation tolerates three crashes; a limit of two allows for
 # reports of crashes that arrive late.
 CRASH_LIMIT = 2
+# The limit with crashes of endpoints that had begun to answer. A request that crashes
+# endpoints does so at the begin; streams that it breaks have begun.
+BEGUN_CRASH_LIMIT = 3
 # A quarantined request is refused for this long after its last crash.
 QUARANTINE_SECONDS = 120.0
 # Crashes of requests that are not quarantined are gossiped for this long. By then all
@@ -26,32 +29,46 @@
     >>> quarantine.note_crash("f", "e-2", now=1.0)
     >>> quarantine.is_quarantined("f", now=2.0)
     True
+    >>> quarantine.note_crash("stream", "e-1", now=0.0, has_begun=True)
+    >>> quarantine.note_crash("stream", "e-2", now=1.0, has_begun=True)
+    >>> quarantine.is_quarantined("stream", now=2.0)
+    False
     """
 
     def __init__(self):
-        self._crashed_at_by_endpoint = {}
+        # Pairs of the time and whether the response had begun, by endpoint key.
+        self._crash_by_endpoint = {}
         self._local_crashes = set()
 
-    def note_crash(self, fingerprint, endpoint_key, now, is_local=False):
-        """Count a crash; `endpoint_key` identifies the endpoint and its start time."""
+    def note_crash(
+        self, fingerprint, endpoint_key, now, has_begun=False, is_local=False
+    ):
+        """Count a crash; `endpoint_key` identifies the endpoint and its start time.
+
+        `has_begun` is whether events of the response had arrived.
+        """
         if is_local:
             self._local_crashes.add((fingerprint, endpoint_key))
-        crashes = self._crashed_at_by_endpoint.setdefault(fingerprint, {})
-        crashes.setdefault(endpoint_key, now)
+        crashes = self._crash_by_endpoint.setdefault(fingerprint, {})
+        crashes.setdefault(endpoint_key, (now, has_begun))
 
     def is_quarantined(self, fingerprint, now):
         """Return whether the request must not run again."""
-        crashes = self._crashed_at_by_endpoint.get(fingerprint, {})
-        recent = [at for at in crashes.values() if now - at < QUARANTINE_SECONDS]
-        return len(recent) >= CRASH_LIMIT
+        crashes = self._crash_by_endpoint.get(fingerprint, {}).values()
+        recent = [begun for at, begun in crashes if now - at < QUARANTINE_SECONDS]
+        return recent.count(False) >= CRASH_LIMIT or len(recent) >= BEGUN_CRASH_LIMIT
 
     def crashes(self, now):
-        """Return triples of fingerprint, endpoint key and age in seconds to gossip."""
+        """Return the crashes to gossip.
+
+        Each has its fingerprint, endpoint key, age in seconds and `has_begun`.
+        """
         self._drop_expired(now)
+        rows = [(f, k, *self._crash_by_endpoint[f][k]) for f, k in self._local_crashes]
         return [
-            (fingerprint, key, now - at)
-            for fingerprint, key in sorted(self._local_crashes)
-            if now - (at := self._crashed_at_by_endpoint[fingerprint][key])
+            (fingerprint, key, now - at, has_begun)
+            for fingerprint, key, at, has_begun in sorted(rows)
+            if now - at
             < (
                 QUARANTINE_SECONDS
                 if self.is_quarantined(fingerprint, now)
@@ -61,10 +78,10 @@
 
     def _drop_expired(self, now):
         """Drop crashes older than `QUARANTINE_SECONDS`."""
-        for fingerprint, crashes in list(self._crashed_at_by_endpoint.items()):
-            for key, at in list(crashes.items()):
+        for fingerprint, crashes in list(self._crash_by_endpoint.items()):
+            for key, (at, _) in list(crashes.items()):
                 if now - at >= QUARANTINE_SECONDS:
                     del crashes[key]
                     self._local_crashes.discard((fingerprint, key))
             if not crashes:
-                del self._crashed_at_by_endpoint[fingerprint]
+                del self._crash_by_endpoint[fingerprint]
--- a/packages/gateway/sequoiaglade_gateway/crash_blame.py
+++ b/packages/gateway/sequoiaglade_gateway/crash_blame.py
@@ -42,7 +42,9 @@
             return
         endpoint = self._directory.get(message.endpoint_id, now)
         key = f"{message.endpoint_id}/{endpoint.born if endpoint else 0}"
-        self._quarantine.note_crash(message.fingerprint, key, now, is_local=True)
+        self._quarantine.note_crash(
+            message.fingerprint, key, now, message.has_begun, is_local=True
+        )
         if message.parts:
             self._parts.note_crash(
                 message.service, message.parts, message.fingerprint, key, now
@@ -59,8 +61,8 @@
 
     def receive(self, state, now):
         """Merge what a peer gossiped in a `NodeState`."""
-        for fingerprint, key, age in state.crashes:
-            self._quarantine.note_crash(fingerprint, key, now - age)
+        for fingerprint, key, age, has_begun in state.crashes:
+            self._quarantine.note_crash(fingerprint, key, now - age, has_begun)
         self._parts.merge(state.part_crashes, state.sound_parts, now)
 
     def status(self, now):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -173,7 +173,8 @@
     """A request is no longer in flight; `outcome` is one of the constants below.
 
     `fingerprint` identifies a request that may have crashed the endpoint, `parts` are
-    those of its prompt if one of them may have, and `service` its service.
+    those of its prompt if one of them may have, and `service` its service. `has_begun`
+    is whether events of this endpoint had arrived.
     """
 
     endpoint_id: str
@@ -182,6 +183,7 @@
     fingerprint: str = ""
     service: str = ""
     parts: tuple[str, ...] = ()
+    has_begun: bool = False
 
 
 class AcceptsRequests(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -71,6 +71,8 @@
         self._placement_seconds = 0.0
         self._log = structlog.get_logger()
         self.last_event_id = request.call.last_event_id
+        # The last event before the current attempt.
+        self._sent_after_event = self.last_event_id
         # The version that began the stream; None before its first event.
         self._version = None
         self.is_client_disconnected = False
@@ -165,6 +167,7 @@
                 fingerprint=self.request.fingerprint,
                 service=self.request.service or "",
                 parts=() if self.last_event_id else self.request.call.prompt_parts,
+                has_begun=self.last_event_id > self._sent_after_event,
             )
         self._parts.coordinator.tell(ended)
 
@@ -244,6 +247,7 @@
 
     def _send(self, endpoint):
         request = self.request
+        self._sent_after_event = self.last_event_id
         seconds_left = request.end_at - time.monotonic()
         headers = self._parts.dialect.endpoint_headers(
             request.call,
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -47,8 +47,9 @@
                 fingerprint=fingerprint,
                 endpoint_key=key,
                 age_ms=int(age * MS_PER_SECOND),
+                has_begun=has_begun,
             )
-            for fingerprint, key, age in state.crashes
+            for fingerprint, key, age, has_begun in state.crashes
         ],
         is_store_reachable=state.is_store_reachable,
         cores=state.cores,
@@ -113,7 +114,12 @@
             for job in message.jobs
         ),
         crashes=tuple(
-            (row.fingerprint, row.endpoint_key, row.age_ms / MS_PER_SECOND)
+            (
+                row.fingerprint,
+                row.endpoint_key,
+                row.age_ms / MS_PER_SECOND,
+                row.has_begun,
+            )
             for row in message.crashes
         ),
         is_store_reachable=message.is_store_reachable,
