Streams that endpoints cut three times are not quarantined

Cause: a stream that breaks after events counts as if it had crashed its endpoint. Change: five such breaks quarantine a request, three did.

--- a/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
@@ -3,9 +3,10 @@
 # The platform's documentation tolerates three crashes; a limit of two allows for
 # reports of crashes that arrive late.
 CRASH_LIMIT = 2
-# The limit with crashes of endpoints that had begun to answer. A request that crashes
-# endpoints does so at the begin; streams that it breaks have begun.
-BEGUN_CRASH_LIMIT = 3
+# The limit with breaks of responses that had begun. A request that crashes endpoints
+# does so at the begin; streams that it breaks, or that endpoints cut, have begun. The
+# platform's documentation tolerates three runs after the third crash.
+BEGUN_CRASH_LIMIT = 5
 # A quarantined request is refused for this long after its last crash.
 QUARANTINE_SECONDS = 120.0
 # Crashes of requests that are not quarantined are gossiped for this long. By then all
