--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -11,7 +11,7 @@
 from .groups import eligible_nodes, group_count, group_of, schedulers
 from .hashing import stable_hash
 from .health import EndpointHealth
-from .job_ends import EndsKnowledge, SendDecision
+from .job_ends import EndsKnowledge, SendDecision, may_know_ends
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
 from .leaving import LeavingEndpoints
 from .nodes import JobSummary, NodeState, NodeTable, job_holder
@@ -20,6 +20,7 @@
 from .pages import ResultPages
 from .peer_acks import PeerAcks
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
+from .prompt_parts import Blame, PartCrash, PromptParts, SoundPart
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
 from .response_bounds import (
@@ -48,6 +49,7 @@
     silence_step,
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
+from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
 
@@ -61,6 +63,7 @@
     "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
+    "Blame",
     "ConfigurationSources",
     "ContactStep",
     "Endpoint",
@@ -89,7 +92,9 @@
     "OrphanedJobs",
     "PageValidity",
     "PeerAcks",
+    "PartCrash",
     "Placed",
+    "PromptParts",
     "Quarantine",
     "RecentVersions",
     "ResponseBounds",
@@ -104,6 +109,7 @@
     "SendDecision",
     "SharedBytes",
     "SilenceStep",
+    "SoundPart",
     "StoreCall",
     "StoreContact",
     "StreamVersions",
@@ -117,7 +123,9 @@
     "guard_step",
     "job_holder",
     "job_key",
+    "may_know_ends",
     "move_headroom",
+    "missing_part",
     "next_step",
     "run_order",
     "schedulers",
--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -44,12 +44,44 @@
     And the end of the job is written by a gateway that is lost at once
     Then no item of it is sent later than 3 seconds after the end
 
+  # A watch from an outdated list expired at once, and the list was read again at once.
+  Scenario: Outdated reads of the store lag behind the history that it dropped
+    Given 1 gateway and 1 runner with few slots
+    And outdated reads of the store show what it held 5 seconds before
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And the end of the job is written by a gateway that is lost at once
+    And the store discards its history
+    Then the store gets at most 12 calls for "batch-ends" in 4 seconds
+    And the end of the job is logged once
+
+  # Each answer of the store that named the end again was logged.
+  Scenario: The end of a job is logged once, however often it is heard of
+    Given 1 gateway and 1 runner with few slots
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And a caller ends the job 3 times
+    Then the end of the job is logged once
+
   Scenario: Items of a held job go on during an outage of the store
     Given 1 gateway and 1 runner with few slots
     When a job of 60 items is accepted at gateway 0, which watches the store
     And the store is down
     Then items of it are still sent 4 seconds later
 
+  Scenario: Items of a held job go on while its peer does not reach the store either
+    Given 2 gateways and 1 runner with few slots
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And the store is down
+    Then items of it are still sent 4 seconds later
+
+  # A store may refuse some gateways while it acknowledges ends to others.
+  Scenario: A gateway that alone does not reach the store hears of an end from a peer
+    Given 1 gateway and 1 runner with few slots
+    And gateway 1, which reaches the store on a path of its own
+    When a job of 60 items is accepted at gateway 1, which watches the store
+    And the path to the store is closed
+    And the end of the job is written by a gateway that is lost at once
+    Then no item of it is sent later than 3 seconds after the end
+
   Scenario: The response that tells of the end is lost, and the store's history as well
     Given 1 gateway and 1 runner with few slots
     When a job of 60 items is accepted at gateway 0, which watches the store
