--- a/packages/gateway/sequoiaglade_gateway/crash_blame.py
+++ b/packages/gateway/sequoiaglade_gateway/crash_blame.py
@@ -27,9 +27,7 @@
         suspicion = self._parts.find_suspicion(service, parts, now)
         if suspicion is None or message.is_broken:
             return suspicion
-        others = [state.node_id for state in self._nodes.live(now)]
-        may_try = self._node_id <= min(others, default=self._node_id)
-        refusal = self._parts.find_refusal(service, parts, now, may_try)
+        refusal = self._parts.find_refusal(service, parts, now, self._is_lowest(now))
         if refusal is None and suspicion.is_settled(now):
             self._log.info("prompt part tried", **_facts(suspicion, now))
         return refusal
@@ -44,7 +42,9 @@
             return
         endpoint = self._directory.get(message.endpoint_id, now)
         key = f"{message.endpoint_id}/{endpoint.born if endpoint else 0}"
-        self._quarantine.note_crash(message.fingerprint, key, now, is_local=True)
+        self._quarantine.note_crash(
+            message.fingerprint, key, now, message.has_begun, is_local=True
+        )
         if message.parts:
             self._parts.note_crash(
                 message.service, message.parts, message.fingerprint, key, now
@@ -55,20 +55,25 @@
         self._log_changes(now)
         return state._replace(
             crashes=tuple(self._quarantine.crashes(now)),
-            part_crashes=tuple(self._parts.crashes(now)),
+            part_crashes=tuple(self._parts.crashes(now, self._is_lowest(now))),
             sound_parts=tuple(self._parts.sound_parts(now)),
         )
 
     def receive(self, state, now):
         """Merge what a peer gossiped in a `NodeState`."""
-        for fingerprint, key, age in state.crashes:
-            self._quarantine.note_crash(fingerprint, key, now - age)
+        for fingerprint, key, age, has_begun in state.crashes:
+            self._quarantine.note_crash(fingerprint, key, now - age, has_begun)
         self._parts.merge(state.part_crashes, state.sound_parts, now)
 
     def status(self, now):
         """Return the refused parts with their evidence, for operators."""
         return [_facts(b, now) for b in self._parts.refused_parts(now).values()]
 
+    def _is_lowest(self, now):
+        """Return whether this is the live node with the lowest id."""
+        others = [state.node_id for state in self._nodes.live(now)]
+        return self._node_id <= min(others, default=self._node_id)
+
     def _log_changes(self, now):
         """Log when a part begins to be refused, and when it no longer is."""
         refused = self._parts.refused_parts(now)
