--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -20,6 +20,7 @@
 from .pages import ResultPages
 from .peer_acks import PeerAcks
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
+from .prompt_parts import Blame, PartCrash, PromptParts, SoundPart
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
 from .response_bounds import (
@@ -48,6 +49,7 @@
     silence_step,
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
+from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
 from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
 
@@ -61,6 +63,7 @@
     "SILENT_AFTER_SECONDS",
     "AttemptCounts",
     "Batch",
+    "Blame",
     "ConfigurationSources",
     "ContactStep",
     "Endpoint",
@@ -89,7 +92,9 @@
     "OrphanedJobs",
     "PageValidity",
     "PeerAcks",
+    "PartCrash",
     "Placed",
+    "PromptParts",
     "Quarantine",
     "RecentVersions",
     "ResponseBounds",
@@ -104,6 +109,7 @@
     "SendDecision",
     "SharedBytes",
     "SilenceStep",
+    "SoundPart",
     "StoreCall",
     "StoreContact",
     "StreamVersions",
@@ -118,6 +124,7 @@
     "job_holder",
     "job_key",
     "move_headroom",
+    "missing_part",
     "next_step",
     "run_order",
     "schedulers",
