Failing test: a watch begins in a short silence, beside outdated reads of the store

What callers would see: requests sent to endpoints that drain (DRAIN), or handled by a configuration that has been replaced (CONFIG).

Cause: the second watch reads at a tenth of the price, which may show what the store held seconds before. It tells of a change that much later, and of nothing else that the guarded watch is lost: reads 4 s old take the change about 5 s to be known, the bound is 3 s.

--- a/tests/features/gateway/store_contact.feature
+++ b/tests/features/gateway/store_contact.feature
@@ -50,6 +50,19 @@
     And 2 documents are written
     Then the watcher has told each of 5 documents once, without an outage
 
+  # The second watch reads at a tenth of the price, which may show what the store held
+  # seconds before.
+  Scenario Outline: A guarded watch begins in a short silence of the store
+    Given a guarded watcher of "servers", and outdated reads of <age> seconds ago
+    When the store answers nothing from 0.3 to 0.5 seconds after a document was written
+    And another document is written
+    Then the watcher has told 2 documents within 3.0 seconds
+
+    Examples:
+      | age |
+      | 0   |
+      | 4   |
+
   Scenario: Calls that begin during a renewal are not interrupted
     Given a watcher of "batch-ends" whose connections can fall silent
     When the connections are renewed 50 times while 4 threads read
--- a/tests/features/steps/store_contact_steps.py
+++ b/tests/features/steps/store_contact_steps.py
@@ -3,13 +3,14 @@
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 from behave import given, then, when
 from emulator.fleet import wait_until
 from emulator.links import Link
 from emulator.store import EmulatedStore
 from fleet_adapter.objects import ObjectStore
-from sequoiaglade_gateway.store_cache import KindWatcher
+from sequoiaglade_gateway.store_cache import KindWatcher, WatchGuard
 
 from sequoiaglade_decisions.gateway import ContactStep, StoreCall, StoreContact
 from sequoiaglade_decisions.outcomes import Failure
@@ -182,7 +183,7 @@
     context.link = context.stack.enter_context(Link(context.emulated.address))
     context.store = context.stack.enter_context(ObjectStore(context.link.address))
     context.told, context.reachable = [], []
-    watcher = KindWatcher(
+    watcher = context.watcher = KindWatcher(
         context.store,
         kind,
         lambda documents: context.told.extend(d.name for d in documents),
@@ -193,6 +194,40 @@
     wait_until(lambda: kind in context.emulated.watched_kinds(), 5.0, "a watch waits")
 
 
+@given('a guarded watcher of "{kind}", and outdated reads of {seconds:g} seconds ago')
+def given_guarded_watcher(context, kind, seconds):
+    given_watcher(context, kind)
+    context.emulated.set_outdated(seconds)
+    metrics = SimpleNamespace(count=lambda *labels: None)
+    guard = WatchGuard(context.store, context.watcher, metrics)
+    context.stack.enter_context(guard)
+    # A call of the guard waits from 1.8 to 3.6 seconds on.
+    time.sleep(2.2)
+
+
+@when(
+    "the store answers nothing from {begin:g} to {end:g} seconds after a document was"
+    " written"
+)
+def silence_store_shortly(context, begin, end):
+    write(context, 1)
+    time.sleep(begin)
+    context.emulated.set_silent(True)
+    time.sleep(end - begin)
+    context.emulated.set_silent(False)
+
+
+@when("another document is written")
+def write_another(context):
+    write(context, 1)
+
+
+@then("the watcher has told {count:d} documents within {seconds:g} seconds")
+def check_told_within(context, count, seconds):
+    told = lambda: len(context.told) == count  # noqa: E731
+    wait_until(told, seconds, "the documents are told")
+
+
 @when("its connections fall silent and {count:d} documents are written")
 def silence_watch(context, count):
     assert context.link.silence()
