Ended jobs: a scenario in which a gateway with a lost watch takes over a job

The shape of both reports: the holder is lost right after the end of its job, and the next holder's watch of ends is lost. It passes since items are checked against the store before they are sent.

--- a/tests/features/gateway/ended_jobs.feature
+++ b/tests/features/gateway/ended_jobs.feature
@@ -37,6 +37,15 @@
     And the end of the job is written by a gateway that is lost at once
     Then no item of it is sent later than 3 seconds after the end
 
+  # A holder was lost right after its job's end, which the next one had not heard of.
+  Scenario: A gateway whose watch is lost takes over a job that has ended
+    Given 2 gateways and 1 runner with few slots
+    When a job of 60 items is accepted at gateway 0, which watches the store
+    And the store loses the responses to watches of "batch-ends"
+    And the end of the job is written by a gateway that is lost at once
+    And gateway 0 is killed, and gateway 1 takes the job over
+    Then no item of it is sent later than 3 seconds after the end
+
   Scenario: Outdated reads of the store show the end only later
     Given 1 gateway and 1 runner with few slots
     And outdated reads of the store show what it held 8 seconds before
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -19,6 +19,7 @@
 OTHER_JOB = "other-job"
 RUNNER_JOB = "yard.job"
 SETUP_SECONDS = 10.0
+TAKEOVER_SECONDS = 15.0
 # A watch tells of an end again within this time.
 LOG_SETTLE_SECONDS = 1.0
 # With the few items that run at once, a job of 60 items runs for over 10 seconds.
@@ -222,6 +223,16 @@
     context.ended_at = time.monotonic()
 
 
+@when("gateway 0 is killed, and gateway 1 takes the job over")
+def kill_holder(context):
+    first, second = context.gateways.nodes
+    first.kill()
+    is_taken_over = lambda: any(  # noqa: E731
+        line.get("event") == "job adopted" for line in second.log_lines()
+    )
+    wait_until(is_taken_over, TAKEOVER_SECONDS, "gateway 1 takes the job over")
+
+
 @then("no item of it is sent later than {seconds:d} seconds after the end")
 def check_sent_before(context, seconds):
     time.sleep(2.0 * seconds)
