--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -161,7 +161,7 @@
         """Use the cache that a function makes with the coordinator."""
         self._parts.store_cache = make_cache(self._parts.coordinator)
         self.servicer = FleetServicer(
-            self.gossip, self.store_cache, self.registry, self.batch, None, None
+            self.gossip, self.store_cache, self.registry, self.batch, None, None, None
         )
 
     def _steady_seconds(self):
