An isolated gateway does not take an unknown stream up at the only version it lists

What callers would see: a stream with events of two software versions (ORDER), which holds for gateways out of touch as well.

Cause: a gateway that is cut off from the store and from its peers took their silence for "no peer knows the stream", and its list, which still had one version, for the versions of the service. Endpoints may have been replaced meanwhile.

Change: the only version counts if the list can be read, or if a peer answered that it does not know the stream. Otherwise the caller gets 503 as not run.

--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -63,6 +63,11 @@
         self._leaving = LeavingEndpoints(drain_seconds=drain_seconds)
         self._recent_versions = RecentVersions()
 
+    @property
+    def is_list_readable(self):
+        """Whether the list can be read now."""
+        return not self._is_list_down
+
     def note_outage(self):
         """Record that the list cannot be read."""
         self._is_list_down = True
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -287,7 +287,8 @@
         keepers = stream_keepers(message.request_id, ids, self._nodes.is_large)
         addresses = [live[n].peer_address for n in keepers if n in live]
         versions = self._directory.recent_versions(message.service, now)
-        return StreamKeepers(addresses, versions)
+        is_list_readable = self._directory.is_list_readable
+        return StreamKeepers(addresses, versions, is_list_readable)
 
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -317,10 +317,20 @@
 
 
 class StreamKeepers(NamedTuple):
-    """Peer addresses of a stream's keepers, and its service's versions until lately."""
+    """Peer addresses of a stream's keepers, and its service's versions until lately.
+
+    `is_list_readable` is whether these versions are those of the store's list now.
+    """
 
     addresses: list
     versions: set
+    is_list_readable: bool = True
+
+
+class StreamAnswer(NamedTuple):
+    """What peers answered about a stream; `version` is None if none knows it."""
+
+    version: str | None
 
 
 class LiveNodeFraction(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/streams.py
+++ b/packages/gateway/sequoiaglade_gateway/online/streams.py
@@ -48,23 +48,25 @@
         """Return the version of a stream that this node or a peer knows.
 
         If none knows it, return the only version of the service, or None if it has
-        several or had until lately.
+        several or had until lately. A node that can neither read the list of endpoints
+        nor ask a peer does not know the versions.
         """
         version, source = self.known_version(request_id), "this node"
         keepers = self._find_keepers(request_id, service)
         if version is None:
-            version = self._client.find_stream(keepers.addresses, request_id)
-            source = "peer"
+            answer = self._client.find_stream(keepers.addresses, request_id)
+            version, source = answer and answer.version, "peer"
             if version is not None:
                 self.receive_note(request_id, version)
-        if version is None and len(keepers.versions) <= 1:
-            version, source = next(iter(keepers.versions), None), "only version"
+            elif (keepers.is_list_readable or answer) and len(keepers.versions) <= 1:
+                version, source = next(iter(keepers.versions), None), "only version"
         self._log.info(
             "version of stream found" if version is not None else "stream unknown",
             request_id=request_id,
             version=version,
             source=source,
             versions=sorted(keepers.versions),
+            is_list_readable=keepers.is_list_readable,
         )
         return version
 
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -9,6 +9,7 @@
 from sequoiaglade_node.peers.tracing import open_channel
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
+from ..messages import StreamAnswer
 from .codec import (
     decode_placement,
     decode_results,
@@ -145,12 +146,14 @@
         )
 
     def find_stream(self, addresses, request_id):
-        """Return the version of a stream that one of the peers knows, or None."""
+        """Return the `StreamAnswer` of the peers, or None if none answered."""
         request = fleet_pb2.FindStreamRequest(request_id=request_id)
+        answer = None
         for reply in self._call_all(addresses, "FindStream", request, SCHEDULE_SECONDS):
             if reply.is_known:
-                return reply.version
-        return None
+                return StreamAnswer(reply.version)
+            answer = StreamAnswer(None)
+        return answer
 
     def request_preemption(self, address, endpoint_id):
         """Ask a peer to stop a batch item at an endpoint, without waiting for it."""
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -124,7 +124,7 @@
 
     def find_keepers(message):
         versions = directory.recent_versions(message.service, context.now)
-        return StreamKeepers(["peer:1"], versions)
+        return StreamKeepers(["peer:1"], versions, directory.is_list_readable)
 
     parts = SimpleNamespace(coordinator=SimpleNamespace(ask=find_keepers))
     context.streams = StreamDirectory(parts, client, lambda: context.now)
