Node: a request waits for the read that is due before it is refused as not confirmed

Cause: evidence lives 2.5 s and is renewed at an age of about 1 s. A pause of a node or of the machine of 1.5 s or more uses up the rest; when the processes go on, request threads run before the read that is due has ended, and refuse.

Excluded: the reader is stopped after the listeners (the exit stack closes in reverse order of the starts); a platform suspended for 1.0, 1.8 and 2.6 s led to no refusal, since the nodes find it failing for all.

Now a request with a key that comes when the evidence has run out waits for the end of a read that began since, up to 1 s, and is refused as before if that read brings no evidence. Nothing is served without evidence, and a node that is cut off refuses at once from its first failed read on. 1 s covers a read that the pause broke off, the spacing of 0.3 s and a read; the wait ends before a caller would ask twice.

--- a/packages/decisions/sequoiaglade_decisions/configuration/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/configuration/__init__.py
@@ -23,6 +23,7 @@
 )
 from .follower import (
     CONFIRM_INTERVAL_SECONDS,
+    CONFIRM_WAIT_SECONDS,
     EVIDENCE_LIFETIME_SECONDS,
     OUTAGE_SAMPLE,
     Follower,
@@ -44,6 +45,7 @@
 
 __all__ = [
     "CONFIRM_INTERVAL_SECONDS",
+    "CONFIRM_WAIT_SECONDS",
     "CONTENT_LIMIT_BYTES",
     "EMPTY_REVISION",
     "EMPTY_ROOT",
--- a/packages/decisions/sequoiaglade_decisions/configuration/follower.py
+++ b/packages/decisions/sequoiaglade_decisions/configuration/follower.py
@@ -12,6 +12,10 @@
 
 Evidence for a revision is void once a higher revision is known. Times are in seconds
 of the node's monotonic clock.
+
+Load pattern: reads that are late for a moment, as after a pause of the process or the
+machine. A request that comes when the evidence has run out waits for the read that is
+due, up to `CONFIRM_WAIT_SECONDS`, unless a read that began since has already ended.
 """
 
 import math
@@ -22,6 +26,7 @@
 
 EVIDENCE_LIFETIME_SECONDS = 2.5
 CONFIRM_INTERVAL_SECONDS = 1.0
+CONFIRM_WAIT_SECONDS = 1.0
 OUTAGE_SAMPLE = 8
 OUTAGE_QUORUM = 0.75
 NEVER = -math.inf
@@ -54,7 +59,8 @@
 class Follower:
     """State machine of one node's revision and of the evidence for it.
 
-    `floor` is the highest revision known to be accepted.
+    `floor` is the highest revision known to be accepted. `read_at` is the time at which
+    the newest read that has ended began.
 
     >>> follower = Follower()
     >>> follower.apply(3, asked_at=10.0)
@@ -70,6 +76,7 @@
         self.floor = floor
         self.confirmed_at = NEVER
         self.failed_at = NEVER
+        self.read_at = NEVER
         self._peer_failure_at = NEVER
         self._query_by_peer = {}
 
@@ -111,6 +118,10 @@
         """Handle the failure of a platform read begun at `asked_at`."""
         self.failed_at = max(self.failed_at, asked_at)
 
+    def read_ended(self, asked_at):
+        """Note that a read begun at `asked_at` has ended, with evidence or without."""
+        self.read_at = max(self.read_at, asked_at)
+
     def peer_answered(self, peer, report, asked_at):
         """Handle a peer's `PeerReport` in response to a query sent at `asked_at`."""
         self.learn(report.revision)
--- a/packages/node/sequoiaglade_node/actors/configuration.py
+++ b/packages/node/sequoiaglade_node/actors/configuration.py
@@ -60,6 +60,11 @@
         self._follower.platform_failed(asked_at)
         self._decide()
 
+    def read_ended(self, asked_at):
+        """Record that a read of the root and what it led to have ended."""
+        self._follower.read_ended(asked_at)
+        self._decide()
+
     def peers_answered(self, report_by_peer, silent_peers, asked_at):
         """Record the answers to a gossip round that started at `asked_at`."""
         for peer, report in report_by_peer.items():
@@ -100,6 +105,10 @@
 
     def _decide(self, held=None):
         serve_until = self._follower.serve_until(self._peer_count)
-        self._holder.standing = RevisionInForce(held or self._holder.held, serve_until)
+        self._holder.replace(
+            RevisionInForce(
+                held or self._holder.held, serve_until, self._follower.read_at
+            )
+        )
         if self._follower.is_read_due(time.monotonic()):
             self._wake.set()
--- a/packages/node/sequoiaglade_node/batch/service.py
+++ b/packages/node/sequoiaglade_node/batch/service.py
@@ -33,6 +33,7 @@
     def handle(self, request):
         """Return the `Response` to a request."""
         header = request.header("authorization")
+        self._holder.await_confirmation(header)
         caller = self._holder.authenticate(header)
         outcome = caller
         if not isinstance(caller, Refusal):
--- a/packages/node/sequoiaglade_node/configuration/reader.py
+++ b/packages/node/sequoiaglade_node/configuration/reader.py
@@ -45,6 +45,7 @@
             self._take(self._store, found.root, asked_at)
         if self._follower.is_behind().get():
             self._read_peers()
+        self._follower.read_ended(asked_at).get()
 
     def _interrupt(self):
         self._wake.set()
--- a/packages/node/sequoiaglade_node/online/service.py
+++ b/packages/node/sequoiaglade_node/online/service.py
@@ -22,6 +22,7 @@
 
     def handle(self, request):
         """Return the `Response` to a request."""
+        self._holder.await_confirmation(request.header("authorization"))
         snapshot = self._holder.current
         work = self._check(request, snapshot)
         if not isinstance(work, Refusal):
@@ -35,8 +36,10 @@
 
     def list_models(self, request):
         """Return the models that the caller's workspace may use."""
+        header = request.header("authorization")
+        self._holder.await_confirmation(header)
         snapshot = self._holder.current
-        caller = self._holder.authenticate(request.header("authorization"))
+        caller = self._holder.authenticate(header)
         if isinstance(caller, Refusal):
             return refusal_response(caller, request.request_id)
         models = [
