Settings feature: claimed ports in place of port 9741

'An address in use is reported' failed in its first step when a second run on the same machine had the scenario open: both bound 127.0.0.1:9741 (with a listener there: Errno 98 in 'a listener on 127.0.0.1:9741'). Its three ports now come from a claimed block, as those of all fleets do; what it checks is as before.

--- a/tests/features/settings/settings.feature
+++ b/tests/features/settings/settings.feature
@@ -37,12 +37,12 @@
     And standard error has 1 lines
 
   Scenario: An address in use is reported, and the node exits with a separate code
-    Given a listener on 127.0.0.1:9741
-    And a settings file
+    Given 3 claimed ports, with a listener on number 0
+    And a settings file with these ports
       """
       node_id: node-a
       failure_domain: yard-a
-      listen: {data: "127.0.0.1:9741", control: "127.0.0.1:9742", peer: "127.0.0.1:9743"}
+      listen: {data: "127.0.0.1:PORT_0", control: "127.0.0.1:PORT_1", peer: "127.0.0.1:PORT_2"}
       platform_urls: ["http://127.0.0.1:9"]
       """
     When sequoiaglade-node runs it
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -10,6 +10,7 @@
 
 from sequoiaglade_node.settings import NodeSettings
 from sequoiaglade_node.settings_loading import load_settings
+from sequoiaglade_standins.ports import PortBlock
 
 
 def run_module(context, module, *arguments, **variables):
@@ -22,10 +23,22 @@
 
 @given("a settings file")
 def write_settings(context):
+    write_settings_text(context, context.text)
+
+
+@given("a settings file with these ports")
+def write_settings_with_ports(context):
+    text = context.text
+    for number, port in enumerate(context.ports):
+        text = text.replace(f"PORT_{number}", str(port))
+    write_settings_text(context, text)
+
+
+def write_settings_text(context, text):
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     context.path = os.path.join(folder, "node.yaml")
     with open(context.path, "w", encoding="utf-8") as file:
-        file.write(context.text)
+        file.write(text)
 
 
 @when("sequoiaglade-node checks it")
@@ -62,11 +75,13 @@
         assert f" {name}: " in context.done.stderr, context.done.stderr
 
 
-@given("a listener on {host}:{port:d}")
-def listen(context, host, port):
+@given("{count:d} claimed ports, with a listener on number {number:d}")
+def listen(context, count, number):
+    # Other runs on the machine have ports of their own.
+    context.ports = context.stack.enter_context(PortBlock()).take(count)
     listener = context.stack.enter_context(socket.socket())
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
+    listener.bind(("127.0.0.1", context.ports[number]))
     listener.listen()
 
 
