Waiting tokens are counted by job, also those of lost holders and of jobs being stored

Cause: a gateway added its own jobs and those in the states of live peers. Jobs of a lost holder counted nowhere until a takeover, a gateway that had just started knew only what live peers reported, and a job that was being stored did not count. Jobs with two holders counted twice, and ended ones until the next gossip.

Evidence: waiting_tokens.feature, by simulation.

Why it works: the waiting tokens of a job never increase, so that the fewest reported by any state is right whoever holds the job, and may be kept when the holder is lost. The stored headers tell of the jobs that no state reported, and which are finished. Submissions reserve their tokens in the step that checks them.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -51,6 +51,7 @@
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
+from .waiting_tokens import Admission, StoredJob, TokenSource, WaitingTokens
 from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
 
 __all__ = [
@@ -61,6 +62,7 @@
     "SHARED_BYTES_MAX",
     "SILENCE_CHECK_SECONDS",
     "SILENT_AFTER_SECONDS",
+    "Admission",
     "AttemptCounts",
     "Batch",
     "Blame",
@@ -110,9 +112,12 @@
     "SharedBytes",
     "SilenceStep",
     "SoundPart",
+    "StoredJob",
     "StoreCall",
     "StoreContact",
     "StreamVersions",
+    "TokenSource",
+    "WaitingTokens",
     "WatchPosition",
     "Workspace",
     "batch_allowance",
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -104,10 +104,12 @@
             return False
         while not self._noted_keys.empty():
             self._orphans.note_unheld(self._noted_keys.get(), self._clock())
+        began_at = self._registry.clock()
         headers = self._storage.list_headers()
         if isinstance(headers, Failure):
             self._log.info("jobs not listed", reason=headers.reason)
             return False
+        self._parts.batch.note_headers(headers, began_at)
         recent_states = self._parts.coordinator.ask(
             LiveNodes(HOLDER_STATE_AGE_MAX_SECONDS)
         )
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -11,6 +11,9 @@
     JobSummary,
     PageValidity,
     ResultPages,
+    StoredJob,
+    TokenSource,
+    WaitingTokens,
     run_order,
 )
 
@@ -63,6 +66,7 @@
         self.clock = clock
         self._job_by_key = {}
         self._ended_keys = set()
+        self._waiting = WaitingTokens()
         self._run_seconds = INITIAL_RUN_SECONDS
 
     def add(self, job):
@@ -91,6 +95,7 @@
         """
         with self.lock:
             self._ended_keys.add(key)
+            self._waiting.note_done(key, self.clock())
             job = self._job_by_key.get(key)
             if job is None or job.batch.is_ended:
                 return False
@@ -148,15 +153,52 @@
         with self.lock:
             return sum(job.batch.unfinished_count for job in self._job_by_key.values())
 
-    def waiting_tokens(self, workspace, route_name):
-        """Return the tokens of unfinished items of a workspace on a route."""
+    def note_peer_jobs(self, state):
+        """Record the waiting tokens of the jobs in a peer's `NodeState`."""
         with self.lock:
-            return sum(
-                job.batch.waiting_tokens
-                for job in self._job_by_key.values()
-                if (job.batch.spec.workspace, job.route_name) == (workspace, route_name)
+            self._note_jobs(state.jobs, TokenSource.PEER)
+
+    def note_headers(self, headers, configuration, began_at):
+        """Record the headers of all stored jobs, from a read that began at a time."""
+        jobs = []
+        with self.lock:
+            for header in headers:
+                spec = header.spec
+                route = configuration.match(spec.host, spec.path)
+                name = route.name if route else ""
+                tokens = sum(item.tokens for item in spec.items)
+                is_done = header.is_finished or spec.key in self._ended_keys
+                jobs.append(StoredJob(spec.key, spec.workspace, name, tokens, is_done))
+            self._waiting.note_stored(jobs, began_at, self.clock())
+
+    def take_tokens(self, spec, route, share):
+        """Return the `Admission` of a job whose tokens count until they are given back.
+
+        `share` is the fraction of what is available that this node may use.
+        """
+        with self.lock:
+            self._note_jobs(self.summaries(), TokenSource.OWN)
+            return self._waiting.take(
+                spec.key,
+                (spec.workspace, route.name),
+                sum(item.tokens for item in spec.items),
+                route.waiting_tokens,
+                share,
+                self.clock(),
             )
 
+    def give_tokens_back(self, key):
+        """Stop counting the tokens of a job that is not stored."""
+        with self.lock:
+            if key not in self._job_by_key:
+                self._waiting.give_back(key)
+
+    def _note_jobs(self, summaries, source):
+        now = self.clock()
+        for job in summaries:
+            scope = (job.workspace, job.route)
+            self._waiting.note_job(job.job_key, scope, job.waiting_tokens, source, now)
+
     def window(self, key, after, size_max):
         """Return the number of items and the results from `after`; None if not held."""
         with self.lock:
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -16,13 +16,12 @@
 from ..peers.codec import decode_job
 from .registry import HeldJob
 from .storage import JobHeader
+from .token_limits import TokenLimits
 
 # Characters of output in one response; the platform's documentation allows a megabyte.
 RESPONSE_CHARACTERS_MAX = 400_000
 # Retry-After of a request that was refused because the store is unavailable.
 STORE_RETRY_AFTER_SECONDS = 0.5
-# Retry-After of a workspace with too many waiting tokens: some items finish meanwhile.
-OVER_LIMIT_RETRY_AFTER_SECONDS = 1.0
 # A write whose answer was lost is retried for this long. Callers of batch jobs wait
 # about four seconds.
 LOST_ANSWER_RETRY_SECONDS = 2.5
@@ -42,6 +41,8 @@
         self._storage = storage
         self._runner = runner
         self._adopter = adopter
+        self._limits = TokenLimits(parts, registry, storage)
+        self.note_headers = self._limits.note_headers
         self._cache_lock = threading.Lock()
         self._pages_by_key = {}
         self._header_by_key = {}
@@ -68,15 +69,10 @@
         )
         if self._is_known(spec.key):
             return self._accept(spec, "known")
-        if self._is_over_limit(spec, route):
-            reason = (
-                f"workspace {name!r} would have over {route.waiting_tokens} "
-                "waiting tokens"
-            )
-            return self._refuse(
-                call, GatewayRefusal(429, reason, OVER_LIMIT_RETRY_AFTER_SECONDS)
-            )
-        return self._store_job(call, spec, route)
+        taken = self._limits.take(spec, route)
+        if isinstance(taken, GatewayRefusal):
+            return self._refuse(call, taken)
+        return self._store_job(call, spec, route, taken)
 
     def handle(self, batch_call, call, request, configuration):
         """Return the `Response` to a read of a job or to a call that ends it."""
@@ -99,23 +95,11 @@
     def _is_known(self, key):
         return self._registry.get(key) is not None or self._peer_of(key) is not None
 
-    def _is_over_limit(self, spec, route):
-        limit = route.waiting_tokens
-        if not limit:
-            return False
-        live = self._parts.coordinator.ask(LiveNodes())
-        waiting = self._registry.waiting_tokens(spec.workspace, route.name)
-        waiting += sum(
-            summary.waiting_tokens
-            for state in live
-            for summary in state.jobs
-            if (summary.workspace, summary.route) == (spec.workspace, route.name)
-        )
-        available = (limit - waiting) * self._parts.peers.live_node_fraction()
-        return sum(item.tokens for item in spec.items) > available
+    def _store_job(self, call, spec, route, is_reserved):
+        """Store a job, here or by a peer, until it is known whether it is stored.
 
-    def _store_job(self, call, spec, route):
-        """Store a job, here or by a peer, until it is known whether it is stored."""
+        If not, its tokens are given back if they were reserved for this call.
+        """
         give_up_at = time.monotonic() + LOST_ANSWER_RETRY_SECONDS
         may_be_stored = False
         while True:
@@ -129,6 +113,8 @@
                 return self._accept(spec, "stored before")
             may_be_stored = may_be_stored or failure.code is FailureCode.UNKNOWN
             if not may_be_stored:
+                if is_reserved:
+                    self._limits.give_back(spec.key)
                 refusal = GatewayRefusal(503, failure.reason, STORE_RETRY_AFTER_SECONDS)
                 return self._refuse(call, refusal)
             if time.monotonic() > give_up_at:
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
@@ -0,0 +1,99 @@
+"""Check of a submitted job against the limit of its workspace's waiting tokens."""
+
+import threading
+
+import structlog
+
+from sequoiaglade_decisions.outcomes import Failure
+
+from ..online.refusals import GatewayRefusal
+
+# Retry-After of a workspace with too many waiting tokens: some items finish meanwhile.
+OVER_LIMIT_RETRY_AFTER_SECONDS = 1.0
+# Retry-After of a node that has not read yet which jobs are stored.
+UNLISTED_RETRY_AFTER_SECONDS = 0.5
+# Pause between two reads of the stored jobs that precede refusals.
+LISTING_PAUSE_SECONDS = 2.0
+
+
+class TokenLimits:
+    """Counts the tokens of a job from its check until its outcome is known.
+
+    A node that has just started reads the stored jobs before its first check, since it
+    hears only of those with a live holder.
+    """
+
+    def __init__(self, parts, registry, storage):
+        self._parts = parts
+        self._registry = registry
+        self._storage = storage
+        self._lock = threading.Lock()
+        self._has_listed = False
+        self._listed_at = float("-inf")
+        self._log = structlog.get_logger()
+
+    def take(self, spec, route):
+        """Return whether tokens were reserved for a job, or a `GatewayRefusal`.
+
+        They are not if there is no limit, or if the job may be stored already.
+        """
+        if not route.waiting_tokens:
+            return False
+        if not self._has_listed and not self._list(UNLISTED_RETRY_AFTER_SECONDS):
+            reason = "the stored jobs are not known yet"
+            return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
+        admission = self._check(spec, route)
+        if admission.is_outdated and not admission.is_accepted:
+            if self._list(LISTING_PAUSE_SECONDS):
+                admission = self._check(spec, route)
+        if admission.is_accepted:
+            return admission.is_new
+        reason = (
+            f"workspace {spec.workspace!r} would have over {route.waiting_tokens} "
+            "waiting tokens"
+        )
+        return GatewayRefusal(429, reason, OVER_LIMIT_RETRY_AFTER_SECONDS)
+
+    def give_back(self, key):
+        """Stop counting the tokens of a job that is not stored."""
+        self._registry.give_tokens_back(key)
+
+    def note_headers(self, headers, began_at):
+        """Count the stored jobs, from a read that began at a time of the registry."""
+        configuration = self._parts.store_cache.configuration
+        if configuration is not None:
+            self._registry.note_headers(headers, configuration, began_at)
+            self._has_listed = True
+            self._listed_at = began_at
+
+    def _list(self, pause):
+        """Read the stored jobs unless that was tried less than `pause` seconds ago.
+
+        Return whether they are known by now.
+        """
+        with self._lock:
+            began_at = self._registry.clock()
+            if began_at - self._listed_at < pause:
+                return self._has_listed
+            self._listed_at = began_at
+            headers = self._storage.list_headers()
+            if isinstance(headers, Failure):
+                self._log.info("jobs not listed", reason=headers.reason)
+                return False
+            self.note_headers(headers, began_at)
+            return self._has_listed
+
+    def _check(self, spec, route):
+        share = self._parts.peers.live_node_fraction()
+        admission = self._registry.take_tokens(spec, route, share)
+        self._log.info(
+            "waiting tokens checked",
+            job=spec.key,
+            tokens=sum(item.tokens for item in spec.items),
+            limit=route.waiting_tokens,
+            share=round(share, 3),
+            is_accepted=admission.is_accepted,
+            is_known=admission.is_accepted and not admission.is_new,
+            **{f"{name}_tokens": n for name, n in admission.counted.items()},
+        )
+        return admission
--- /dev/null
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -0,0 +1,83 @@
+Feature: The limit of a workspace's waiting tokens
+
+  Gateways are simulated step by step, with simulated time, network and store. The limit
+  is 1,000 tokens, a job has 500.
+
+  # Jobs of a lost holder counted nowhere until they were taken over.
+  Scenario: The jobs of a lost holder count before they are taken over
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 2 jobs
+    And "a" is lost while the store is silent
+    Then a job of 100 tokens at "b" is answered with 429
+
+  # Gateways that had just started counted the jobs of live holders only.
+  Scenario: Stored jobs count after all gateways lost power
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 2 jobs
+    And all gateways are replaced by new ones
+    Then a job of 100 tokens at "b" is answered with 429
+
+  Scenario: A gateway that has just started refuses while the store does not answer
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When all gateways are replaced by new ones
+    And the store is silent
+    Then a job of 100 tokens at "b" is answered with 503
+    When the store answers again
+    And gossip goes on for 1 seconds
+    Then a job of 100 tokens at "b" is answered with 202
+
+  # A job that was being stored did not count until the store had answered.
+  Scenario: A job counts while it is being stored
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 1 job
+    And "a" accepts a job, and another one arrives before the store's answer
+    Then the other job is answered with 429
+
+  Scenario: A job that was not stored does not count
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 1 job
+    And the store is silent
+    Then a job of 500 tokens at "a" is answered with 503
+    When the store answers again
+    Then another job of 500 tokens at "a" is answered with 202
+
+  # The limit was checked before the store told that the job is stored.
+  Scenario: A job of a lost holder that is sent again is accepted again
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 1 job
+    And "b" accepts 1 job
+    And "a" is lost while the store is silent
+    Then the first job at "b" is answered with 202
+
+  Scenario: A job that its lost holder finished does not count
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 2 jobs
+    And "a" finishes the first job, and is lost before any gossip
+    Then a job of 300 tokens at "b" is answered with 202
+
+  # Peers counted an ended job until its holder's gossip arrived.
+  Scenario: The tokens of an ended job are given back at once
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 2 jobs
+    And the first job is ended at "b"
+    Then a job of 500 tokens at "b" is answered with 202
+
+  # Each of two holders' reports of a job counted.
+  Scenario: A job with two holders counts once
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 1 job
+    And "a" is cut off until a peer has taken the job over, and is back
+    Then a job of 300 tokens at "c" is answered with 202
+
+  Scenario Outline: The limit holds while gateways are killed and started
+    Given gateways "a, b, c, d, e, f, g" with a limit of waiting tokens
+    When <count> jobs of 60 tokens arrive in bursts while gateways are killed, from seed <seed>
+    Then no acceptance is more than a tenth above the limit
+    And over <least> of the limit was used at half of the submissions
+
+    Examples:
+      | count | seed | least |
+      | 300   | 1    | 0.7   |
+      | 300   | 2    | 0.7   |
+      | 300   | 3    | 0.7   |
+      | 300   | 4    | 0.7   |
--- a/tests/features/steps/ended_job_steps.py
+++ b/tests/features/steps/ended_job_steps.py
@@ -32,7 +32,7 @@
     gateway.batch.note_end(key)
 
 
-def _end(context, job_id, name):
+def end(context, job_id, name):
     """Let a caller end a job; the simulation has no watches."""
     simulation = context.simulation
     gateway = simulation.gateway_by_name[name]
@@ -44,7 +44,7 @@
     assert response.status == 200, response
 
 
-def _run_before(access, method, kind, action):
+def run_before(access, method, kind, action):
     """Run `action` once, after the next call of a kind and before its answer."""
     original = getattr(access, method)
 
@@ -68,7 +68,7 @@
     submit(context, adopter)
     simulation.run(0.4)
     gateway = simulation.gateway_by_name[adopter]
-    _run_before(
+    run_before(
         gateway.store,
         "get",
         PARTS_KIND,
@@ -86,7 +86,7 @@
     simulation = context.simulation
     gateway = simulation.gateway_by_name[holder]
     context.other_key = f".{OTHER_JOB}"
-    _run_before(
+    run_before(
         gateway.store,
         "create",
         JOBS_KIND,
@@ -99,7 +99,7 @@
 def end_before_gossip(context, holder, name):
     context.other_key = f".{OTHER_JOB}"
     context.simulation.gateway_by_name[holder].submit(OTHER_JOB)
-    _end(context, OTHER_JOB, name)
+    end(context, OTHER_JOB, name)
 
 
 @when(
@@ -115,7 +115,7 @@
     simulation.heal(holder, [name])
     simulation.gateway_by_name[name].run_round()
     assert len(simulation.holders(context.key)) == 2
-    _end(context, context.job_id, name)
+    end(context, context.job_id, name)
 
 
 @then("no gateway starts an item of that job")
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -107,6 +107,7 @@
         self.adopter = JobAdopter(parts, self.registry, storage, clock)
         self.writer = ResultWriter(self.registry, storage)
         self.batch = BatchService(parts, self.registry, storage, runner, self.adopter)
+        parts.batch = self.batch
         client = SimulatedPeerClient(simulation, self.address)
         self.gossip = Gossip(
             parts,
@@ -168,12 +169,16 @@
         return self._simulation.now - self.suspended_seconds
 
     def submit(self, job_id):
-        """Submit a job of the simulation's items."""
+        """Submit a job of the simulation's items, which is accepted."""
+        response = self.send_job(job_id)
+        assert response.status == 202, response
+
+    def send_job(self, job_id):
+        """Return the response to a job of the simulation's items."""
         call = SimpleNamespace(request_id=job_id, host=HOST, path=PATH + job_id)
         request = SimpleNamespace(stream=io.BytesIO())
         with self._simulation.acting(self):
-            response = self.batch.submit(call, request, self._simulation.route, None)
-        assert response.status == 202, response
+            return self.batch.submit(call, request, self._simulation.route, None)
 
     def read(self, job_id):
         """Return the results as lists; None if the read is refused for now."""
@@ -239,11 +244,19 @@
     gateway, as triples of caller, callee and name.
     """
 
-    def __init__(self, names, item_count=5):
+    def __init__(self, names, item_count=5, waiting_tokens=0):
         self.now = START_SECONDS
         self.store = MemoryStore()
         self.route = Route(
-            "jobs", HOST, PATH, RouteKind.BATCH, (("s", 1),), 4.0, 0.4, due_seconds=18.0
+            "jobs",
+            HOST,
+            PATH,
+            RouteKind.BATCH,
+            (("s", 1),),
+            4.0,
+            0.4,
+            due_seconds=18.0,
+            waiting_tokens=waiting_tokens,
         )
         self.configuration = FleetConfiguration(1, (self.route,), (), ())
         self.items = tuple(
--- a/tests/features/steps/holders_steps.py
+++ b/tests/features/steps/holders_steps.py
@@ -16,7 +16,7 @@
 @given('gateways "{names}", and "{holder}" holds a job with 1 listed result')
 def given_holder(context, names, holder):
     context.simulation = context.stack.enter_context(HolderSimulation(names_in(names)))
-    context.stack.callback(_print_trace, context)
+    context.stack.callback(print_trace, context)
     context.simulation.run(1.0)
     context.holder = context.simulation.gateway_by_name[holder]
 
@@ -32,7 +32,7 @@
     context.simulation.run(seconds)
 
 
-def _print_trace(context):
+def print_trace(context):
     print(context.simulation.trace_text())
 
 
