Peers are told at once of an accepted job

What callers saw: nothing yet. The rule allows 1.1.

Cause: a state takes 2 to 3 s through a large fleet, in which all others accept jobs into the same rest.

Why it works: the accepting gateway sends one call to each live peer, so that what others can't know shrinks from gossip rounds to one call. A job is some ten items, each of which takes several calls, so that one call a peer is little.

The peer that stores a job checks it now.

--- a/packages/decisions/sequoiaglade_decisions/gateway/waiting_tokens.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/waiting_tokens.py
@@ -46,7 +46,7 @@
     is_accepted: bool
     is_new: bool
     counted: dict
-    is_outdated: bool
+    is_outdated: bool = False
 
 
 class _Record:
@@ -133,7 +133,7 @@
         """
         record = self._record_by_key.get(key)
         if record is not None:
-            return Admission(True, False, {}, False)
+            return Admission(True, False, {})
         counted, is_outdated = {}, False
         for record in self._record_by_key.values():
             if record.scope == scope and record.tokens:
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -153,10 +153,10 @@
         with self.lock:
             return sum(job.batch.unfinished_count for job in self._job_by_key.values())
 
-    def note_peer_jobs(self, state):
-        """Record the waiting tokens of the jobs in a peer's `NodeState`."""
+    def note_peer_jobs(self, summaries):
+        """Record the waiting tokens of a peer's jobs, as `JobSummary`."""
         with self.lock:
-            self._note_jobs(state.jobs, TokenSource.PEER)
+            self._note_jobs(summaries, TokenSource.PEER)
 
     def note_headers(self, headers, configuration, began_at):
         """Record the headers of all stored jobs, from a read that began at a time."""
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -69,10 +69,13 @@
         )
         if self._is_known(spec.key):
             return self._accept(spec, "known")
-        taken = self._limits.take(spec, route)
-        if isinstance(taken, GatewayRefusal):
-            return self._refuse(call, taken)
-        return self._store_job(call, spec, route, taken)
+        admission = self._limits.take(spec, route)
+        if isinstance(admission, GatewayRefusal):
+            return self._refuse(call, admission)
+        response = self._store_job(call, spec, route, admission.is_new)
+        if response.status == 202:
+            self._limits.tell_peers(spec, route)
+        return response
 
     def handle(self, batch_call, call, request, configuration):
         """Return the `Response` to a read of a job or to a call that ends it."""
@@ -163,7 +166,14 @@
         if route is None:
             reason = f"no route of host {spec.host!r} matches path {spec.path!r}"
             return Failure(FailureCode.UNAVAILABLE, reason)
-        return self._store_locally(spec, route)
+        admission = self._limits.take(spec, route)
+        if isinstance(admission, GatewayRefusal):
+            return Failure(FailureCode.UNAVAILABLE, admission.reason)
+        failure = self._store_locally(spec, route)
+        is_stored = failure is None or failure.code is not FailureCode.UNAVAILABLE
+        if admission.is_new and not is_stored:
+            self._limits.give_back(spec.key)
+        return failure
 
     def _accept(self, spec, how):
         self._log.info(
--- a/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
@@ -4,8 +4,10 @@
 
 import structlog
 
+from sequoiaglade_decisions.gateway import Admission, JobSummary
 from sequoiaglade_decisions.outcomes import Failure
 
+from ..messages import LiveNodes
 from ..online.refusals import GatewayRefusal
 
 # Retry-After of a workspace with too many waiting tokens: some items finish meanwhile.
@@ -20,7 +22,8 @@
     """Counts the tokens of a job from its check until its outcome is known.
 
     A node that has just started reads the stored jobs before its first check, since it
-    hears only of those with a live holder.
+    hears only of those with a live holder. If it does not reach the store, the peer
+    that stores a job for it checks the job as well.
     """
 
     def __init__(self, parts, registry, storage):
@@ -33,13 +36,11 @@
         self._log = structlog.get_logger()
 
     def take(self, spec, route):
-        """Return whether tokens were reserved for a job, or a `GatewayRefusal`.
-
-        They are not if there is no limit, or if the job may be stored already.
-        """
+        """Return the `Admission` of a job, or a `GatewayRefusal`."""
         if not route.waiting_tokens:
-            return False
-        if not self._has_listed and not self._list(UNLISTED_RETRY_AFTER_SECONDS):
+            return Admission(True, False, {})
+        is_known = self._has_listed or not self._parts.store_cache.is_store_reachable
+        if not is_known and not self._list(UNLISTED_RETRY_AFTER_SECONDS):
             reason = "the stored jobs are not known yet"
             return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
         admission = self._check(spec, route)
@@ -47,7 +48,7 @@
             if self._list(LISTING_PAUSE_SECONDS):
                 admission = self._check(spec, route)
         if admission.is_accepted:
-            return admission.is_new
+            return admission
         reason = (
             f"workspace {spec.workspace!r} would have over {route.waiting_tokens} "
             "waiting tokens"
@@ -58,6 +59,15 @@
         """Stop counting the tokens of a job that is not stored."""
         self._registry.give_tokens_back(key)
 
+    def tell_peers(self, spec, route):
+        """Tell all live peers of a stored job that has a limit, before gossip does."""
+        if not route.waiting_tokens:
+            return
+        tokens = sum(item.tokens for item in spec.items)
+        summary = JobSummary(spec.key, spec.workspace, route.name, tokens)
+        for state in self._parts.coordinator.ask(LiveNodes()):
+            self._parts.peers.note_job(state.peer_address, summary)
+
     def note_headers(self, headers, began_at):
         """Count the stored jobs, from a read that began at a time of the registry."""
         configuration = self._parts.store_cache.configuration
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -86,6 +86,7 @@
         self.find_ends = client.find_ends
         self.holds_job = client.holds_job
         self.store_job = client.store_job
+        self.note_job = client.note_job
         self.live_node_fraction = gossip.live_node_fraction
         self.contact_since = gossip.contact_since
         self.seconds_since_resume = gossip.seconds_since_resume
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -16,6 +16,7 @@
     encode_job,
     encode_report,
     encode_schedule_request,
+    encode_summary,
 )
 
 # A peer answers within a few milliseconds; a caller waits for the answer.
@@ -94,6 +95,17 @@
             return Failure(FailureCode(reply.failure_code), reply.reason)
         return None
 
+    def note_job(self, address, summary):
+        """Tell a peer of a `JobSummary` without waiting for the reply."""
+        stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+        try:
+            stub.NoteJob.future(encode_summary(summary), timeout=CALL_SECONDS)
+        except ValueError as error:
+            # The channel was closed, since the peer is gone or this node stops.
+            self._log.info(
+                "peer call failed", call="NoteJob", peer=address, code=str(error)
+            )
+
     def schedule(self, address, query, place):
         """Ask a scheduler to place a request.
 
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -41,7 +41,7 @@
         admitted=_encode_admitted(state.admitted_by_workspace),
         batch_backlog=state.batch_backlog,
         batch_running=state.batch_running,
-        jobs=[fleet_pb2.HeldJob(**job._asdict()) for job in state.jobs],
+        jobs=[encode_summary(job) for job in state.jobs],
         crashes=[
             fleet_pb2.EndpointCrash(
                 fingerprint=fingerprint,
@@ -103,16 +103,7 @@
         admitted_by_workspace=_decode_admitted(message.admitted),
         batch_backlog=message.batch_backlog,
         batch_running=message.batch_running,
-        jobs=tuple(
-            JobSummary(
-                job.job_key,
-                job.workspace,
-                job.route,
-                job.waiting_tokens,
-                job.is_open,
-            )
-            for job in message.jobs
-        ),
+        jobs=tuple(decode_summary(job) for job in message.jobs),
         crashes=tuple(
             (
                 row.fingerprint,
@@ -142,6 +133,22 @@
     )
 
 
+def encode_summary(summary):
+    """Return the message for a `JobSummary`."""
+    return fleet_pb2.HeldJob(**summary._asdict())
+
+
+def decode_summary(message):
+    """Return the `JobSummary` of a message."""
+    return JobSummary(
+        message.job_key,
+        message.workspace,
+        message.route,
+        message.waiting_tokens,
+        message.is_open,
+    )
+
+
 def encode_report(report):
     """Return the message for a `LoadReport`."""
     return fleet_pb2.LoadReport(
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -100,7 +100,7 @@
         states = [decode_state(message) for message in digest.nodes]
         new_states = self._parts.coordinator.ask(PeerStatesReceived(states))
         for state in new_states:
-            self._job_registry.note_peer_jobs(state)
+            self._job_registry.note_peer_jobs(state.jobs)
             self._release_duplicate_jobs(state)
 
     def live_node_fraction(self):
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -8,6 +8,7 @@
 from .codec import (
     decode_report,
     decode_schedule_request,
+    decode_summary,
     encode_placement,
     encode_results,
 )
@@ -84,6 +85,10 @@
             failure_code=failure.code.value, reason=failure.reason
         )
 
+    def NoteJob(self, request, context):  # noqa: N802
+        self._job_registry.note_peer_jobs([decode_summary(request)])
+        return fleet_pb2.JobNoteReply()
+
     def Schedule(self, request, context):  # noqa: N802
         return encode_placement(self._placer.schedule(decode_schedule_request(request)))
 
--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -69,6 +69,18 @@
     And "a" is cut off until a peer has taken the job over, and is back
     Then a job of 300 tokens at "c" is answered with 202
 
+  # Peers heard of an accepted job by gossip only, which takes seconds in large fleets.
+  Scenario: Peers are told at once of an accepted job
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" accepts 2 jobs before any gossip
+    Then a job of 100 tokens at "b" is answered with 429
+
+  Scenario: A burst arrives at all gateways of a large fleet
+    Given 40 gateways with a limit of waiting tokens
+    When each gateway gets 2 jobs of 30 tokens before any gossip
+    Then no acceptance is more than a tenth above the limit
+    And over 0.9 of the limit was used at the end
+
   Scenario Outline: The limit holds while gateways are killed and started
     Given gateways "a, b, c, d, e, f, g" with a limit of waiting tokens
     When <count> jobs of 60 tokens arrive in bursts while gateways are killed, from seed <seed>
@@ -81,3 +93,14 @@
       | 300   | 2    | 0.7   |
       | 300   | 3    | 0.7   |
       | 300   | 4    | 0.7   |
+
+  Scenario: A gateway is told at once of a job that another one accepts
+    Given 2 gateways and 1 runner with few slots
+    When gateway 0 accepts jobs until it refuses one for its workspace's tokens
+    Then the next job at gateway 1 is answered with 429 as well
+
+  Scenario: The peer that stores a job for a gateway checks the limit
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "a" is replaced by a new gateway that does not reach the store
+    And "b" accepts 2 jobs, of which "a" has not heard
+    Then a job of 100 tokens at "a" is answered with 503
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -28,6 +28,7 @@
 from sequoiaglade_gateway.messages import LiveNodes
 from sequoiaglade_gateway.node import Parts, PeerCalls
 from sequoiaglade_gateway.peers import FleetServicer, Gossip, PeerClient
+from sequoiaglade_gateway.peers.codec import encode_summary
 from sequoiaglade_gateway.settings import GatewaySettings
 
 from sequoiaglade_decisions.gateway import (
@@ -55,6 +56,10 @@
         self._simulation = simulation
         self._own_address = address
 
+    def note_job(self, address, summary):
+        """Tell a peer of a job."""
+        self._call(address, "NoteJob", encode_summary(summary))
+
     def close_unused(self, used_addresses):
         """Keep nothing open."""
 
--- a/tests/features/steps/waiting_token_steps.py
+++ b/tests/features/steps/waiting_token_steps.py
@@ -14,6 +14,9 @@
 LIMIT = 1000
 ITEM_TOKENS = 100
 OVERSHOOT = 0.1
+# A workspace of the emulator may have 100,000 waiting tokens.
+JOB_TOKENS = 15_000
+JOBS_MAX = 20
 # Peers count as lost after 1.5 seconds.
 LOSS_SECONDS = 2.0
 STEP_SECONDS = 0.2
@@ -60,6 +63,30 @@
     context.simulation.run(1.0)
 
 
+@when('"{name}" accepts {count:d} jobs before any gossip')
+def accept_before_gossip(context, name, count):
+    for _ in range(count):
+        assert _send(context, name, _new_id(context)) == 202
+
+
+@given("{count:d} gateways with a limit of waiting tokens")
+def given_large_fleet(context, count):
+    given_limit(context, ", ".join(f"g{number:02}" for number in range(count)))
+
+
+@when("each gateway gets {count:d} jobs of {tokens:d} tokens before any gossip")
+def send_to_all(context, count, tokens):
+    context.play = _Play(context, 1, tokens)
+    names = list(context.simulation.gateway_by_name)
+    for name in names * count:
+        context.play.submit_at(name)
+
+
+@then("over {least:g} of the limit was used at the end")
+def check_used_at_end(context, least):
+    assert context.play.used[-1] > least * LIMIT, context.play.used[-1]
+
+
 @when("the store is {how}")
 @when("the store {how} again")
 def set_store(context, how):
@@ -108,6 +135,40 @@
         context.simulation.add(name)
 
 
+@when('"{name}" is replaced by a new gateway that does not reach the store')
+def replace_cut_off(context, name):
+    gateway = context.simulation.add(name)
+    gateway.store.is_reachable = False
+    gateway.store_cache.is_store_reachable = False
+    context.simulation.run(1.0)
+
+
+@when('"{name}" accepts {count:d} jobs, of which "{other}" has not heard')
+def accept_unheard(context, name, count, other):
+    context.simulation.cut(name, [other])
+    accept_before_gossip(context, name, count)
+    context.simulation.heal(name, [other])
+
+
+@when("gateway 0 accepts jobs until it refuses one for its workspace's tokens")
+def accept_until_refused(context):
+    fleet = context.gateways
+    for number in range(JOBS_MAX):
+        items = [(f"item-{number}", f"/batch/x/{number}")]
+        _, answer = fleet.submit(items, 0, tokens=JOB_TOKENS)
+        if answer.status == 429:
+            return
+        assert answer.status == 202, answer
+    raise AssertionError("no job was refused")
+
+
+@then("the next job at gateway 1 is answered with 429 as well")
+def check_other_gateway(context):
+    items = [("item-x", "/batch/x/x")]
+    _, answer = context.gateways.submit(items, 1, tokens=JOB_TOKENS)
+    assert answer.status == 429, answer
+
+
 @when('"{name}" accepts a job, and another one arrives before the store\'s answer')
 def accept_meanwhile(context, name):
     def send_other():
@@ -197,9 +258,11 @@
             gateway.write()
 
     def _submit(self):
-        gateway = self._random.choice(self._simulation.running())
+        self.submit_at(self._random.choice(self._simulation.running()).name)
+
+    def submit_at(self, name):
         job_id = f"job-{len(self.used)}"
-        status = _send(self._context, gateway.name, job_id, self._tokens)
+        status = _send(self._context, name, job_id, self._tokens)
         if status == 202:
             self._accepted_ids.add(f".{job_id}")
         waiting = len(self._accepted_ids - self._finished) * self._tokens
