A refusal waits for the stored jobs at one submission only, and not in an outage

Each refusal that rests on jobs without a reporting gateway waited for a read of the store, or for the thread that read it, up to a second each while the store is silent. A job over the limit is to be refused at once. One submission reads them now, the others are refused by what is known, and none reads while the store counts as unreachable.

"A gateway asks the store before it refuses for jobs that no gateway reports" guards that a job that its lost holder finished does not count in a large fleet; it fails (429) with the read taken out.

--- a/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
@@ -39,13 +39,22 @@
         """Return the `Admission` of a job, or a `GatewayRefusal`."""
         if not route.waiting_tokens:
             return Admission(True, False, {})
-        is_known = self._has_listed or not self._parts.store_cache.is_store_reachable
-        if not is_known and not self._list(UNLISTED_RETRY_AFTER_SECONDS):
-            reason = "the stored jobs are not known yet"
-            return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
+        is_reachable = self._parts.store_cache.is_store_reachable
+        if is_reachable and not self._has_listed:
+            with self._lock:
+                if not self._has_listed:
+                    self._list(UNLISTED_RETRY_AFTER_SECONDS)
+            if not self._has_listed:
+                reason = "the stored jobs are not known yet"
+                return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
         admission = self._check(spec, route)
-        if admission.is_outdated and not admission.is_accepted:
-            if self._list(LISTING_PAUSE_SECONDS):
+        if not admission.is_accepted and admission.is_outdated and is_reachable:
+            # Others are refused meanwhile without waiting for the store.
+            if self._lock.acquire(blocking=False):
+                try:
+                    self._list(LISTING_PAUSE_SECONDS)
+                finally:
+                    self._lock.release()
                 admission = self._check(spec, route)
         if admission.is_accepted:
             return admission
@@ -77,21 +86,16 @@
             self._listed_at = began_at
 
     def _list(self, pause):
-        """Read the stored jobs unless that was tried less than `pause` seconds ago.
-
-        Return whether they are known by now.
-        """
-        with self._lock:
-            began_at = self._registry.clock()
-            if began_at - self._listed_at < pause:
-                return self._has_listed
-            self._listed_at = began_at
-            headers = self._storage.list_headers()
-            if isinstance(headers, Failure):
-                self._log.info("jobs not listed", reason=headers.reason)
-                return False
+        """Read the stored jobs unless that was tried less than `pause` seconds ago."""
+        began_at = self._registry.clock()
+        if began_at - self._listed_at < pause:
+            return
+        self._listed_at = began_at
+        headers = self._storage.list_headers()
+        if isinstance(headers, Failure):
+            self._log.info("jobs not listed", reason=headers.reason)
+        else:
             self.note_headers(headers, began_at)
-            return self._has_listed
 
     def _check(self, spec, route):
         share = self._parts.peers.live_node_fraction()
--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -55,6 +55,14 @@
     And "a" finishes the first job, and is lost before any gossip
     Then a job of 300 tokens at "b" is answered with 202
 
+  # In a large fleet one gateway looks for the jobs of lost ones.
+  Scenario: A gateway asks the store before it refuses for jobs that no gateway reports
+    Given 14 gateways with a limit of waiting tokens
+    When "g05" accepts 2 jobs
+    And "g05" finishes the first job, and is lost before any gossip
+    And gossip goes on for 7 seconds
+    Then a job of 300 tokens at "g07" is answered with 202
+
   # Peers counted an ended job until its holder's gossip arrived.
   Scenario: The tokens of an ended job are given back at once
     Given gateways "a, b, c" with a limit of waiting tokens
