--- a/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
@@ -4,8 +4,10 @@
 
 import structlog
 
+from sequoiaglade_decisions.gateway import Admission, JobSummary
 from sequoiaglade_decisions.outcomes import Failure
 
+from ..messages import LiveNodes
 from ..online.refusals import GatewayRefusal
 
 # Retry-After of a workspace with too many waiting tokens: some items finish meanwhile.
@@ -20,7 +22,8 @@
     """Counts the tokens of a job from its check until its outcome is known.
 
     A node that has just started reads the stored jobs before its first check, since it
-    hears only of those with a live holder.
+    hears only of those with a live holder. If it does not reach the store, the peer
+    that stores a job for it checks the job as well.
     """
 
     def __init__(self, parts, registry, storage):
@@ -33,21 +36,28 @@
         self._log = structlog.get_logger()
 
     def take(self, spec, route):
-        """Return whether tokens were reserved for a job, or a `GatewayRefusal`.
-
-        They are not if there is no limit, or if the job may be stored already.
-        """
+        """Return the `Admission` of a job, or a `GatewayRefusal`."""
         if not route.waiting_tokens:
-            return False
-        if not self._has_listed and not self._list(UNLISTED_RETRY_AFTER_SECONDS):
-            reason = "the stored jobs are not known yet"
-            return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
+            return Admission(True, False, {})
+        is_reachable = self._parts.store_cache.is_store_reachable
+        if is_reachable and not self._has_listed:
+            with self._lock:
+                if not self._has_listed:
+                    self._list(UNLISTED_RETRY_AFTER_SECONDS)
+            if not self._has_listed:
+                reason = "the stored jobs are not known yet"
+                return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
         admission = self._check(spec, route)
-        if admission.is_outdated and not admission.is_accepted:
-            if self._list(LISTING_PAUSE_SECONDS):
+        if not admission.is_accepted and admission.is_outdated and is_reachable:
+            # Others are refused meanwhile without waiting for the store.
+            if self._lock.acquire(blocking=False):
+                try:
+                    self._list(LISTING_PAUSE_SECONDS)
+                finally:
+                    self._lock.release()
                 admission = self._check(spec, route)
         if admission.is_accepted:
-            return admission.is_new
+            return admission
         reason = (
             f"workspace {spec.workspace!r} would have over {route.waiting_tokens} "
             "waiting tokens"
@@ -58,6 +68,15 @@
         """Stop counting the tokens of a job that is not stored."""
         self._registry.give_tokens_back(key)
 
+    def tell_peers(self, spec, route):
+        """Tell all live peers of a stored job that has a limit, before gossip does."""
+        if not route.waiting_tokens:
+            return
+        tokens = sum(item.tokens for item in spec.items)
+        summary = JobSummary(spec.key, spec.workspace, route.name, tokens)
+        for state in self._parts.coordinator.ask(LiveNodes()):
+            self._parts.peers.note_job(state.peer_address, summary)
+
     def note_headers(self, headers, began_at):
         """Count the stored jobs, from a read that began at a time of the registry."""
         configuration = self._parts.store_cache.configuration
@@ -67,21 +86,16 @@
             self._listed_at = began_at
 
     def _list(self, pause):
-        """Read the stored jobs unless that was tried less than `pause` seconds ago.
-
-        Return whether they are known by now.
-        """
-        with self._lock:
-            began_at = self._registry.clock()
-            if began_at - self._listed_at < pause:
-                return self._has_listed
-            self._listed_at = began_at
-            headers = self._storage.list_headers()
-            if isinstance(headers, Failure):
-                self._log.info("jobs not listed", reason=headers.reason)
-                return False
+        """Read the stored jobs unless that was tried less than `pause` seconds ago."""
+        began_at = self._registry.clock()
+        if began_at - self._listed_at < pause:
+            return
+        self._listed_at = began_at
+        headers = self._storage.list_headers()
+        if isinstance(headers, Failure):
+            self._log.info("jobs not listed", reason=headers.reason)
+        else:
             self.note_headers(headers, began_at)
-            return self._has_listed
 
     def _check(self, spec, route):
         share = self._parts.peers.live_node_fraction()
