A standby watch learns of a change if a short silence takes the first watch

What callers would see: requests sent to endpoints that drain or are gone (DRAIN), later than 3 s after a silence of the store of a fraction of a second.

Cause: all watches begin together 0.4 s after a change, so that a short silence takes them all. The watch that guards them reads at a tenth of the price, and what it reads may be outdated by seconds. Nothing that was sure to be up to date was asked until the first watch timed out after 19 s.

Change: the standby, a watch at full price that begins 1.8 s after each call of the first one that follows a change, a list or a renewal. It tells nobody of changes: a first watch that does not know them 0.8 s later is renewed. A silence that is long enough to take both also takes a call of the guard (1.8 s), which times out. Calls of first watches that follow a quiet one have no standby: they wait 16 to 18 s, drawn at random, so that a silence takes few of them instead of those of all gateways.

Load pattern and price: one call at full price for each change, kind and gateway, if no other change follows within 2.2 s, and one after a renewal; 6 in 100 more first watches. Weighed: a guard that reads at full price (10 times its price: 423 calls a minute more for 7 gateways); a standby at all times (47 calls a minute more); a short first call that is begun anew (the same price for a change, but the second call begins at all gateways at about the same time too); revisions in gossip (a peer must know the change, and after such a silence none does).

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -51,7 +51,13 @@
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
-from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
+from .watch_guard import (
+    GUARD_SECONDS,
+    GuardStep,
+    WatchPosition,
+    guard_step,
+    standby_delay,
+)
 
 __all__ = [
     "DEFAULT_SLOTS",
@@ -131,5 +137,6 @@
     "schedulers",
     "silence_step",
     "stable_hash",
+    "standby_delay",
     "stream_keepers",
 ]
--- a/packages/decisions/sequoiaglade_decisions/gateway/watch_guard.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/watch_guard.py
@@ -1,17 +1,25 @@
-"""Whether a watch of the store has missed changes that a second watch has told of.
+"""Whether a watch of the store has missed changes that another watch has told of.
 
 The load pattern: the store is silent for a moment, too short for any call to time out,
 while the watches of all nodes begin, as they do together after each change. These calls
 are never answered, and a watch without an answer looks like one without changes.
+
+Two others guard it. One ends often, so that it times out soon if it is lost as well,
+but may read outdated data. The standby reads the newest data and is made once for each
+change: watches that have waited their whole time begin at different times, and a short
+silence takes few of them.
 """
 
 from enum import Enum
 from typing import NamedTuple
 
-# How long one call of the second watch waits. If the store did not receive the call, it
-# times out a second later, and 3 seconds after a silence all changes have to be known.
+# How long one call of the guard that ends often waits. If the store did not receive it,
+# it times out a second later; 3 seconds after a silence all changes have to be known.
 GUARD_SECONDS = 1.8
-# How long only the second watch may know a change. A change has to be known everywhere
+# How much later than the guarded watch the standby begins. A silence that takes both
+# takes a call of the other guard as well.
+STANDBY_DELAY_SECONDS = GUARD_SECONDS
+# How long only a guard may know a change. A change has to be known everywhere
 # within 2 seconds; the rest is for the calls.
 MISSED_SECONDS = 0.8
 
@@ -19,15 +27,17 @@
 class WatchPosition(NamedTuple):
     """Up to which revision a watch has told changes, and since when its call waits.
 
-    `waiting_since` is None while no call waits.
+    `waiting_since` is None while no call waits. `is_quiet` is whether the call before
+    it waited its whole time without a change.
     """
 
     revision: int
     waiting_since: float | None
+    is_quiet: bool = False
 
 
 class GuardStep(Enum):
-    """What to do about a change that the second watch has told of."""
+    """What to do about a change that a guard has told of."""
 
     KNOWN = "known"
     WAIT = "wait"
@@ -57,3 +67,25 @@
     if since is None or now - max(since, told_at) < MISSED_SECONDS:
         return GuardStep.WAIT
     return GuardStep.RENEW
+
+
+def standby_delay(position, covered_since, now):
+    """Return in how many seconds the standby's call is due, None without one.
+
+    `position` is the `WatchPosition` of the guarded watch, or None. `covered_since` is
+    the `waiting_since` of the call that the last standby was made for.
+
+    >>> round(standby_delay(WatchPosition(7, 4.0), None, now=5.0), 1)
+    0.8
+    >>> standby_delay(WatchPosition(7, 4.0), None, now=9.0)
+    0.0
+    >>> standby_delay(WatchPosition(7, 4.0), 4.0, now=9.0)
+    >>> standby_delay(WatchPosition(7, 4.0, is_quiet=True), None, now=9.0)
+    >>> standby_delay(WatchPosition(7, None), None, now=9.0)
+    """
+    if position is None or position.is_quiet:
+        return None
+    since = position.waiting_since
+    if since is None or since == covered_since:
+        return None
+    return max(0.0, since + STANDBY_DELAY_SECONDS - now)
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -40,7 +40,7 @@
     KindWatcher,
     StoreCache,
     StoreContactKeeper,
-    WatchGuard,
+    guards_of,
 )
 from .store_calls import CountedStore
 
@@ -248,8 +248,8 @@
             endpoint_watcher,
             self._ends_watcher,
             # Ends are confirmed by `JobEnds` instead.
-            WatchGuard(parts.store, configuration_watcher, parts.metrics),
-            WatchGuard(parts.store, endpoint_watcher, parts.metrics),
+            *guards_of(parts.store, configuration_watcher, parts.metrics),
+            *guards_of(parts.store, endpoint_watcher, parts.metrics),
             StoreContactKeeper(parts.store, parts.metrics),
         ):
             stack.enter_context(thread)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
@@ -2,14 +2,16 @@
 
 from .cache import StoreCache
 from .contact import StoreContactKeeper
-from .guard import WatchGuard
+from .guard import StandbyWatch, WatchGuard, guards_of
 from .reader import ConfigurationReader
 from .watcher import KindWatcher
 
 __all__ = [
     "ConfigurationReader",
     "KindWatcher",
+    "StandbyWatch",
     "StoreCache",
     "StoreContactKeeper",
     "WatchGuard",
+    "guards_of",
 ]
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -14,6 +14,9 @@
 # than the history of 20 seconds that the store keeps: a watch from a revision before
 # that has to list all documents anew.
 WATCH_TIMEOUT_SECONDS = 18.0
+# Watch calls that wait for their whole time end up to this much earlier, at a different
+# time at each node, so that a short silence of the store meets few that begin.
+TIMEOUT_SPREAD_SECONDS = 2.0
 # Timeout of the first watch call after a failure or on a new connection, so that it is
 # known soon whether the store answers even without a change.
 PROBE_TIMEOUT_SECONDS = 0.02
@@ -59,6 +62,7 @@
         self._is_reachable = True
         self._is_interrupted = False
         self._waiting_since = None
+        self._is_quiet = False
         self._log = structlog.get_logger()
 
     @property
@@ -67,7 +71,7 @@
         revision = self._revision
         if revision is None:
             return None
-        return WatchPosition(revision, self._waiting_since)
+        return WatchPosition(revision, self._waiting_since, self._is_quiet)
 
     def read_now(self):
         """Read the changes since the last response; return None or a `Failure`.
@@ -130,7 +134,9 @@
 
     def _watch(self):
         is_sound = self._is_reachable and not self._is_interrupted
-        seconds = WATCH_TIMEOUT_SECONDS if is_sound else PROBE_TIMEOUT_SECONDS
+        seconds = PROBE_TIMEOUT_SECONDS
+        if is_sound:
+            seconds = WATCH_TIMEOUT_SECONDS - TIMEOUT_SPREAD_SECONDS * random.random()
         self._waiting_since = time.monotonic() if is_sound else None
         try:
             result = self._store.watch(
@@ -138,8 +144,10 @@
             )
         finally:
             self._waiting_since = None
+            self._is_quiet = False
         if isinstance(result, Failure):
             return result
+        self._is_quiet = is_sound and not result.changes
         self._expired_count = 0
         self._update_reachability(None)
         for change in result.changes:
