--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -48,6 +48,20 @@
       | an item runs 2.9 s after the end of its job                      |
       | an item runs 4 s after the end of its job while a gateway is killed |
 
+  # An operator that makes its first change while the store is away.
+  Scenario: Gateways without a store keep the version before the operator's first change
+    Given the records of a day that kept the rules
+    And an operator of gateways without a store
+    When the operator adds a route and replaces a key
+    Then no rule is broken
+
+  Scenario: A gateway goes back to the version before the operator's first change
+    Given the records of a day that kept the rules
+    And an operator of gateways without a store
+    When the operator adds a route and replaces a key
+    And gateways show the newest version, and the first one again
+    Then the rule "CONFIG" is broken, and no other
+
   Scenario Outline: The check of changes finds a day that breaks a rule
     Given the records of a day that kept the rules
     And the configuration changed at 3 s and at 5 s
--- a/tests/features/steps/gateway_hunt_change_steps.py
+++ b/tests/features/steps/gateway_hunt_change_steps.py
@@ -1,18 +1,85 @@
 """Steps that add changes and ends of jobs to the records of a day."""
 
+import time
+from types import SimpleNamespace
+
 from behave import given, then, when
 from emulator.hunt.change_checks import longest_item_delay, longest_until_in_force
 from emulator.hunt.job_faults import EndedJob
-from emulator.hunt.operators import SAFE_ROUTE, Change, Probe
+from emulator.hunt.operators import (
+    CALLERS_KEY,
+    PROBE_PERIOD_SECONDS,
+    SAFE_ROUTE,
+    Change,
+    Operator,
+    Probe,
+)
 from emulator.hunt.records import Disturbance
 from emulator.runner import ReceivedRequest
 
 # The first change replaces a key and adds a route, the second one removes it.
 CHANGED_AT, REMOVED_AT = 3.0, 5.0
-OLD_KEY, NEW_KEY, CALLERS_KEY = "key-field-0", "key-field-1", "key-yard"
+OLD_KEY, NEW_KEY = "key-field-0", "key-field-1"
 ADDED, INVALID = "added-1", "invalid-2"
 
 
+# Probes of each gateway in a state of the fleet.
+PROBE_ROUNDS = 4
+
+
+class OperatedFleet:
+    """Stands for a fleet; its gateways handle requests by what is `in_force`."""
+
+    def __init__(self):
+        self.nodes, self.runners = range(3), []
+        self.configuration_version = 3
+        self.added_routes = ()
+        self.workspaces = {"yard": {"keys": [CALLERS_KEY]}}
+        self.in_force = self.written
+
+    @property
+    def written(self):
+        keys = {key for row in self.workspaces.values() for key in row["keys"]}
+        return {SAFE_ROUTE, *self.added_routes}, keys
+
+    def configure(self):
+        self.configuration_version += 3
+
+    def send(self, path, node, key, **options):
+        routes, keys = self.in_force
+        if path.split("/")[1] not in routes:
+            return SimpleNamespace(status=404)
+        return SimpleNamespace(status=200 if key in keys else 401)
+
+
+@given("an operator of gateways without a store")
+def given_operator(context):
+    context.operated = OperatedFleet()
+    context.first_version = context.operated.in_force
+    context.operator = context.stack.enter_context(Operator(context.operated))
+    _disturb(context, "StoreAway", None, time.monotonic(), None)
+    context.evidence = context.evidence._replace(
+        changes=context.operator.changes, probes=context.operator.probes
+    )
+
+
+@when("the operator adds a route and replaces a key")
+def change_configuration(context):
+    for kind in ("add route", "replace key"):
+        context.operator.change(kind)
+        _let_probe()
+
+
+@when("gateways show the newest version, and the first one again")
+def show_newest(context):
+    for context.operated.in_force in (context.operated.written, context.first_version):
+        _let_probe()
+
+
+def _let_probe():
+    time.sleep(PROBE_ROUNDS * PROBE_PERIOD_SECONDS)
+
+
 def _change(version, at, routes, key, acknowledged_after=0.0, invalid_route=""):
     return Change(
         version,
