A peer's list of endpoints does not replace the store's

Cause: a gateway without a list of endpoints takes that of a peer. Whether it has one was looked at before the peer's list was applied, while another thread applied the store's. The peer's list, which may be older, then replaced it, and the watch, which goes on from the store's list, does not tell of the difference.

Change: lists are applied one at a time, and a peer's only while no other was.

Evidence: "The store lists the endpoints while the older list of a peer is applied" failed before and passes; the features configuration_from_peers and starts pass (13 scenarios).

--- a/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
@@ -30,6 +30,8 @@
         self._log = structlog.get_logger()
         self._configuration_value = None
         self._endpoint_by_name = {}
+        # Held while a whole list is applied: a peer's must not follow the store's.
+        self._listing_lock = threading.Lock()
         self._has_listed_endpoints = False
         self.configuration = None
         # When the last read of the newest configuration from the store began.
@@ -85,7 +87,11 @@
         )
 
     def on_endpoints_listed(self, documents):
-        """Replace the list of endpoints by the one in `documents`."""
+        """Replace the list of endpoints by the one in `documents`, from the store."""
+        with self._listing_lock:
+            self._replace_endpoints(documents)
+
+    def _replace_endpoints(self, documents):
         with self._lock:
             self._endpoint_by_name = {d.name: d.value for d in documents}
         found = [self._dialect.read_endpoint(document) for document in documents]
@@ -145,9 +151,10 @@
             return
         document = Document("main", 0, json.loads(configuration))
         self.apply_configuration(document, source)
-        if not self._has_listed_endpoints and endpoints:
-            rows = json.loads(endpoints)
-            self.on_endpoints_listed([Document(n, 0, v) for n, v in rows.items()])
+        with self._listing_lock:
+            if not self._has_listed_endpoints and endpoints:
+                rows = json.loads(endpoints)
+                self._replace_endpoints([Document(n, 0, v) for n, v in rows.items()])
 
 
 def _state(endpoint):
--- a/tests/features/gateway/configuration_from_peers.feature
+++ b/tests/features/gateway/configuration_from_peers.feature
@@ -23,6 +23,13 @@
     Then "a" has version 6 within 2 seconds
     And "a" has version 9 within 2 seconds
 
+  # A gateway that starts asks the store and a peer at about the same time, and the watch
+  # of the store goes on from the store's list.
+  Scenario: The store lists the endpoints while the older list of a peer is applied
+    Given a gateway that starts, and applies a peer's list of endpoints "i-1, i-2"
+    When the store lists the endpoints "i-2" meanwhile
+    Then the gateway uses the endpoints "i-2"
+
   Scenario: A gateway whose connections to the store are silent learns it from its peers
     Given 3 gateways and 1 runner, with an entrance of the store for each gateway
     When the store answers gateway 0 no more
--- a/tests/features/steps/configuration_peer_steps.py
+++ b/tests/features/steps/configuration_peer_steps.py
@@ -1,5 +1,7 @@
 """Steps for configurations that gateways learn from their peers."""
 
+import json
+import threading
 import time
 from types import SimpleNamespace
 
@@ -15,6 +17,8 @@
 from sequoiaglade_platform import Document
 
 DOCUMENTS_CALL = "Knowledge"
+# A list that waits for another one is given this time.
+LISTING_SECONDS = 0.2
 
 
 @given('gateways "{names}", of which "{name}" has lost its watch of the configuration')
@@ -103,6 +107,43 @@
     )
 
 
+@given('a gateway that starts, and applies a peer\'s list of endpoints "{names}"')
+def given_starting_gateway(context, names):
+    context.told = told = []
+    coordinator = SimpleNamespace(ask=told.append)
+    context.listing = None
+
+    def read_endpoint(document):
+        if context.listing is None:
+            # The watcher lists in a thread of its own.
+            context.listing = threading.Thread(target=context.list_endpoints)
+            context.listing.start()
+            context.listing.join(LISTING_SECONDS)
+        return document.name
+
+    dialect = SimpleNamespace(
+        read_configuration=lambda document: None, read_endpoint=read_endpoint
+    )
+    cache = context.store_cache = StoreCache(dialect, coordinator)
+    rows = json.dumps(dict.fromkeys(names_in(names), {})).encode()
+    context.apply = lambda: cache.import_from_peer(b"{}", rows, "peer")
+
+
+@when('the store lists the endpoints "{names}" meanwhile')
+def list_meanwhile(context, names):
+    documents = [Document(name, 0, {}) for name in names_in(names)]
+    cache = context.store_cache
+    context.list_endpoints = lambda: cache.on_endpoints_listed(documents)
+    context.apply()
+    context.listing.join()
+
+
+@then('the gateway uses the endpoints "{names}"')
+def check_endpoints(context, names):
+    lists = [told.endpoints for told in context.told]
+    assert lists[-1] == names_in(names), lists
+
+
 @given("3 gateways and 1 runner, with an entrance of the store for each gateway")
 def given_entrances(context):
     start(context, 3, [RunnerPlan()], has_entrances=True)
