A break at an endpoint that answers right after is no crash

A part of prompts could be blamed in the same way.

Cause: a reset, or a regular close without an event, counted as a crash of the endpoint; whether the endpoint lived on was not looked at.

Change: `SurvivedBreaks` keeps breaks and answers by endpoint start. A break is withdrawn from the quarantine and from the parts if a signed head arrives for an attempt that was sent 0.05 to 1 s after it: a crashed endpoint refuses connections for some seconds, and streams that one crash breaks are noticed within milliseconds of each other. Nodes gossip the pairs that they know to be survived. Rejected: connecting to the endpoint after each break, which may take a slot; gossip of answers, since ages compared across nodes could turn an answer before a crash into one after it.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -51,6 +51,7 @@
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
+from .survived_breaks import SurvivedBreaks
 from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
 
 __all__ = [
@@ -113,6 +114,7 @@
     "StoreCall",
     "StoreContact",
     "StreamVersions",
+    "SurvivedBreaks",
     "WatchPosition",
     "Workspace",
     "batch_allowance",
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -38,7 +38,8 @@
     `admitted_by_workspace` the requests admitted since the node's start, of all
     workspaces with requests if `is_admitted_complete`.
     `batch_backlog` and `batch_running` count unfinished and running items. `crashes`
-    are those of `Quarantine`, `part_crashes` and `sound_parts` those of `PromptParts`.
+    are those of `Quarantine`, `part_crashes` and `sound_parts` those of `PromptParts`,
+    `survived_breaks` those of `SurvivedBreaks`.
     `cores` is the node's processor capacity.
     """
 
@@ -62,6 +63,7 @@
     is_admitted_complete: bool = True
     part_crashes: tuple = ()
     sound_parts: tuple = ()
+    survived_breaks: tuple = ()
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
@@ -126,6 +126,12 @@
         if self._add(crash):
             self._local_keys.add((endpoint_key, request))
 
+    def withdraw(self, request, endpoint_key):
+        """Forget a break that turned out to be no crash."""
+        if self._crash_by_key.pop((endpoint_key, request), None):
+            self._local_keys.discard((endpoint_key, request))
+            self._blame_by_part = None
+
     def note_answer(self, service, parts, now):
         """Note an event, or a complete response, of a request with these parts."""
         self._service_answered_at[service] = now
--- a/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quarantine.py
@@ -53,6 +53,22 @@
         crashes = self._crash_by_endpoint.setdefault(fingerprint, {})
         crashes.setdefault(endpoint_key, (now, has_begun))
 
+    def withdraw(self, fingerprint, endpoint_key):
+        """Forget a break that turned out to be no crash.
+
+        >>> quarantine = Quarantine()
+        >>> quarantine.note_crash("f", "e-1", now=0.0)
+        >>> quarantine.note_crash("f", "e-2", now=1.0)
+        >>> quarantine.withdraw("f", "e-1")
+        >>> quarantine.is_quarantined("f", now=2.0)
+        False
+        """
+        crashes = self._crash_by_endpoint.get(fingerprint, {})
+        crashes.pop(endpoint_key, None)
+        if not crashes:
+            self._crash_by_endpoint.pop(fingerprint, None)
+        self._local_crashes.discard((fingerprint, endpoint_key))
+
     def is_quarantined(self, fingerprint, now):
         """Return whether the request must not run again."""
         crashes = self._crash_by_endpoint.get(fingerprint, {}).values()
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -30,6 +30,7 @@
     BeginRequest,
     CollectLoadReports,
     ConfigurationChanged,
+    EndpointAnswered,
     EndpointChanged,
     EndpointLeaving,
     EndpointListReachable,
@@ -117,6 +118,8 @@
                 return self._blame.is_quarantined(fingerprint, now)
             case FindPartRefusal():
                 return self._blame.find_part_refusal(message, now)
+            case EndpointAnswered():
+                return self._blame.note_endpoint_answer(message)
             case PartsAnswered():
                 return self._blame.note_answer(message, now)
             case PlaceRequest():
--- a/packages/gateway/sequoiaglade_gateway/crash_blame.py
+++ b/packages/gateway/sequoiaglade_gateway/crash_blame.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import PromptParts, Quarantine
+from sequoiaglade_decisions.gateway import PromptParts, Quarantine, SurvivedBreaks
 
 
 class CrashBlame:
@@ -14,6 +14,7 @@
         self._nodes = nodes
         self._quarantine = Quarantine()
         self._parts = PromptParts()
+        self._survived = SurvivedBreaks()
         self._refused = {}
         self._log = structlog.get_logger()
 
@@ -36,12 +37,19 @@
         """Note the `PartsAnswered` of a request."""
         self._parts.note_answer(message.service, message.parts, now)
 
+    def note_endpoint_answer(self, message):
+        """Note an `EndpointAnswered`: the endpoint did not crash just before."""
+        key = f"{message.endpoint_id}/{message.born}"
+        self._withdraw(self._survived.note_answer(key, message.sent_at))
+
     def note_crash(self, message, now):
         """Note the crash of a `RequestEnded` that names its request."""
         if not message.fingerprint:
             return
         endpoint = self._directory.get(message.endpoint_id, now)
         key = f"{message.endpoint_id}/{endpoint.born if endpoint else 0}"
+        if not self._survived.add(key, message.fingerprint, now):
+            return
         self._quarantine.note_crash(
             message.fingerprint, key, now, message.has_begun, is_local=True
         )
@@ -57,18 +65,32 @@
             crashes=tuple(self._quarantine.crashes(now)),
             part_crashes=tuple(self._parts.crashes(now, self._is_lowest(now))),
             sound_parts=tuple(self._parts.sound_parts(now)),
+            survived_breaks=tuple(self._survived.records(now)),
         )
 
     def receive(self, state, now):
         """Merge what a peer gossiped in a `NodeState`."""
+        self._withdraw(self._survived.merge(state.survived_breaks, now))
         for fingerprint, key, age, has_begun in state.crashes:
-            self._quarantine.note_crash(fingerprint, key, now - age, has_begun)
-        self._parts.merge(state.part_crashes, state.sound_parts, now)
+            if self._survived.add(key, fingerprint, now - age):
+                self._quarantine.note_crash(fingerprint, key, now - age, has_begun)
+        part_crashes = [
+            crash
+            for crash in state.part_crashes
+            if self._survived.add(crash.endpoint_key, crash.request, now - crash.at)
+        ]
+        self._parts.merge(part_crashes, state.sound_parts, now)
 
     def status(self, now):
         """Return the refused parts with their evidence, for operators."""
         return [_facts(b, now) for b in self._parts.refused_parts(now).values()]
 
+    def _withdraw(self, breaks):
+        for key, fingerprint in breaks:
+            self._quarantine.withdraw(fingerprint, key)
+            self._parts.withdraw(fingerprint, key)
+            self._log.info("break survived", endpoint=key, fingerprint=fingerprint)
+
     def _is_lowest(self, now):
         """Return whether this is the live node with the lowest id."""
         others = [state.node_id for state in self._nodes.live(now)]
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -25,6 +25,17 @@
     is_broken: bool = False
 
 
+class EndpointAnswered(NamedTuple):
+    """Reports the head of an answer to an attempt that was sent at time `sent_at`.
+
+    `born` is the start time of the endpoint, as in `Endpoint`.
+    """
+
+    endpoint_id: str
+    born: int
+    sent_at: float
+
+
 class PartsAnswered(NamedTuple):
     """A request with these prompt parts got an event or a complete response."""
 
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -23,6 +23,7 @@
     CallFault,
     CompleteResponse,
     EndpointRequest,
+    EventStreamResponse,
     open_call,
 )
 from ..messages import (
@@ -36,7 +37,7 @@
     QuotaExceeded,
     RequestEnded,
 )
-from .prompt_parts import is_suspect, note_answer
+from .prompt_parts import is_suspect, note_answer, note_endpoint_answer
 from .refusals import GatewayRefusal, refusal_response
 from .requests import StartedStream
 from .silence import CLOCK_MARGIN_SECONDS, AttemptPatience, ReservedPlace
@@ -293,6 +294,7 @@
             self._parts.streams.note(
                 request.call.request_id, endpoint.service, endpoint.version
             )
+        sent_at = time.monotonic()
         with self._parts.preemptor.watching(endpoint.endpoint_id):
             answer = open_call(
                 endpoint_request,
@@ -302,6 +304,8 @@
                 seconds_left,
                 self._response_bounds(seconds_left),
             )
+            if _is_signed(answer):
+                note_endpoint_answer(self._parts, endpoint, sent_at)
             return self._classify(answer)
 
     def _classify(self, answer):
@@ -416,6 +420,13 @@
         self._attempt.abort()
 
 
+def _is_signed(answer):
+    match answer:
+        case CompleteResponse():
+            return answer.is_signed
+    return isinstance(answer, EventStreamResponse)
+
+
 def _outcome_of(fault, is_aborted):
     if is_aborted:
         return STOPPED
--- a/packages/gateway/sequoiaglade_gateway/online/prompt_parts.py
+++ b/packages/gateway/sequoiaglade_gateway/online/prompt_parts.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from ..messages import FindPartRefusal, PartsAnswered
+from ..messages import EndpointAnswered, FindPartRefusal, PartsAnswered
 
 
 def find_refusal(parts, call, service):
@@ -43,6 +43,13 @@
         )
 
 
+def note_endpoint_answer(parts, endpoint, sent_at):
+    """Report that an endpoint answered an attempt that was sent at a time."""
+    parts.coordinator.tell(
+        EndpointAnswered(endpoint.endpoint_id, endpoint.born, sent_at)
+    )
+
+
 def facts(blame):
     """Return the fields of a log line about a `Blame`."""
     return {
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -72,6 +72,10 @@
             )
             for sound in state.sound_parts
         ],
+        survived_breaks=[
+            fleet_pb2.SurvivedBreak(endpoint_key=key, fingerprint=fingerprint)
+            for key, fingerprint in state.survived_breaks
+        ],
     )
 
 
@@ -81,6 +85,7 @@
     >>> crash = PartCrash("s", ("p", "q"), "f", "e-1/5", 1.5)
     >>> state = NodeState("n", 1, 1, part_crashes=(crash,))
     >>> state = state._replace(sound_parts=(SoundPart("s", "p", 0.25),))
+    >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -139,6 +144,9 @@
             SoundPart(row.service, row.part, row.age_ms / MS_PER_SECOND)
             for row in message.sound_parts
         ),
+        survived_breaks=tuple(
+            (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
+        ),
     )
 
 
