Simulation of prompt parts: starts, partitions, cuts, late crashes

Nodes may start later, all restart, or be apart from others; endpoints may cut their responses and stay up, or crash after up to three events of a culprit.

--- a/tests/features/gateway/prompt_parts.feature
+++ b/tests/features/gateway/prompt_parts.feature
@@ -46,6 +46,45 @@
     And sound requests with the same first part begin at least half as often as before
     And at most 1 % of the sound requests are refused for a part
 
+  Scenario Outline: A culprit is refused while <disruption>
+    Given a simulated fleet of 9 nodes and <endpoints> endpoints
+    And 1 culprit parts at position 1 of 3 requests a second
+    And <disruption>
+    When 3 seeds are played
+    Then at most three requests with each culprit are sent after it must be known
+    And sound requests with the same first part begin at least half as often as before
+    And at most 1 % of the sound requests are refused for a part
+
+    Examples:
+      | endpoints | disruption                                                  |
+      | 2         | a third of the nodes reach no others for 1 seconds          |
+      | 5         | a third of the nodes reach no others for 4 seconds          |
+      | 5         | half of the nodes start 4 seconds after the first culprit   |
+      | 5         | all endpoints cut their responses for 2 seconds and stay up |
+
+  Scenario: Endpoints that cut all responses for two seconds and stay up blame no part
+    Given a simulated fleet of 9 nodes and 5 endpoints
+    And all endpoints cut their responses for 2 seconds and stay up
+    When 3 seeds are played
+    Then at most 1 % of the sound requests are refused for a part
+
+  Scenario: Nodes that all restart learn again that a culprit is to be refused
+    Given a simulated fleet of 9 nodes and 5 endpoints
+    And 1 culprit parts at position 1 of 3 requests a second
+    And all nodes restart 20 seconds after the first culprit
+    When 3 seeds are played
+    Then at most three are sent after it must be known, not counting 3 s from the restart
+    And at most 1 % of the sound requests are refused for a part
+
+  # A limit: the first event clears a part, since sound streams break after theirs too.
+  Scenario: A part under which endpoints crash after up to three events is not blamed
+    Given a simulated fleet of 9 nodes and 5 endpoints
+    And 1 culprit parts at position 1 of 3 requests a second
+    And endpoints that crash after up to 3 events of such a request
+    When 2 seeds are played
+    Then more than three requests with a culprit are sent after it must be known
+    And at most 1 % of the sound requests are refused for a part
+
   Scenario: A culprit that is sent for longer than a blame lasts is refused to the end
     Given a simulated fleet of 9 nodes and 5 endpoints
     And 1 culprit parts at position 1 of 3 requests a second
