--- a/tests/features/gateway/unframed_responses.feature
+++ b/tests/features/gateway/unframed_responses.feature
@@ -136,12 +136,16 @@
     Examples:
       | end                              |
       | closed before the head           |
+      | closed inside a line of the head |
       | closed between lines of the head |
       | closed after the head            |
       | closed inside the first part     |
       | closed inside a later part       |
       | closed before the last byte      |
+      | reset before the head            |
       | reset after the head             |
+      | reset inside the first part      |
+      | reset before the last byte       |
       | reset between two parts          |
       | reset inside a later part        |
       | reset after the last byte        |
