--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -51,6 +51,7 @@
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
+from .survived_breaks import SurvivedBreaks
 from .waiting_tokens import Admission, StoredJob, TokenSource, WaitingTokens
 from .watch_guard import (
     GUARD_SECONDS,
@@ -122,6 +123,7 @@
     "StoreCall",
     "StoreContact",
     "StreamVersions",
+    "SurvivedBreaks",
     "TokenSource",
     "WaitingTokens",
     "WatchPosition",
