Test of broken streams tells which stream failed and what its node knows

The flaky entries "A broken stream is resumed -- @1.1 to @1.5" say that a caller timed out after 20 s and that which one was not noted. A stream that fails now fails the scenario with its id, its runs and the node's decisions about it.

--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -98,7 +98,14 @@
     client = model_client(context.fleet)
 
     def call(number):
-        return read_stream(chat(client, tokens, True, f"stream-{number}"))
+        request_id = f"stream-{number}"
+        try:
+            return read_stream(chat(client, tokens, True, request_id))
+        except Exception as error:
+            runs = runs_of(context.fleet, request_id)
+            history = context.fleet.operator("GET", f"explain/{request_id}")
+            found = (repr(error), request_id, runs, history["sentences"])
+            raise AssertionError(found) from error
 
     context.texts = at_once(call, count)
     context.tokens = tokens
