Tests of awaited confirmations: a wait of 10 s tells a wake-up from the time-out

Both scenarios in which a read ends 0.2 s later had an upper bound of 0.9 s, right below the wait of 1 s that they tell apart: at a load average of 64 a request that was woken took 1.19 s. The wait is a parameter of the holder now, and 10 s in these two scenarios, so that a bound of 5 s still excludes a request that waits for the time-out.

--- a/packages/node/sequoiaglade_node/configuration/holder.py
+++ b/packages/node/sequoiaglade_node/configuration/holder.py
@@ -55,10 +55,11 @@
     `other_entry` returns the address of another node for refused callers.
     """
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=time.monotonic, wait_seconds=CONFIRM_WAIT_SECONDS):
         self.standing = RevisionInForce(EMPTY_HELD, float("-inf"), float("-inf"))
         self.other_entry: Any = lambda: None
         self._clock = clock
+        self._wait_seconds = wait_seconds
         self._replaced = threading.Condition()
         self._logged_until = None
 
@@ -82,14 +83,14 @@
         """Wait for the read that is due if the revision can't be served with a key.
 
         Return at once without a `header` with a key, and at the latest after
-        `CONFIRM_WAIT_SECONDS`.
+        `wait_seconds`.
         """
         if header is None or not self.standing.awaits_read(self._clock()):
             return
         with self._replaced:
             self._replaced.wait_for(
                 lambda: not self.standing.awaits_read(self._clock()),
-                CONFIRM_WAIT_SECONDS,
+                self._wait_seconds,
             )
 
     def authenticate(self, header):
--- a/tests/features/configuration/confirmation.feature
+++ b/tests/features/configuration/confirmation.feature
@@ -13,15 +13,15 @@
       | the whole fleet |
 
   Scenario: A request waits for the read that is due and is served
-    Given a node whose revision was confirmed until 0.5 s ago
+    Given a node that waits 10 s for a read, whose revision was confirmed until 0.5 s ago
     When a request with a key arrives and a read confirms the revision 0.2 s later
-    Then the request was answered with 200 after 0.2 to 0.9 s
+    Then the request was answered with 200 after 0.2 to 5.0 s
 
   Scenario: A request is refused as soon as a read has not confirmed the revision
-    Given a node whose revision was confirmed until 0.5 s ago
+    Given a node that waits 10 s for a read, whose revision was confirmed until 0.5 s ago
     When a request with a key arrives and a read fails 0.2 s later
-    Then the request was answered with 503 after 0.2 to 0.9 s
-    And the next request is answered with 503 within 0.5 s
+    Then the request was answered with 503 after 0.2 to 5.0 s
+    And the next request is answered with 503 within 5.0 s
 
   Scenario: A request does not wait long for a read that does not end
     Given a node whose revision was confirmed until 0.5 s ago
--- a/tests/features/steps/confirmation_steps.py
+++ b/tests/features/steps/confirmation_steps.py
@@ -10,6 +10,7 @@
 from membership_steps import Callers
 
 from sequoiaglade_decisions.configuration import (
+    CONFIRM_WAIT_SECONDS,
     EMPTY_REVISION,
     EVIDENCE_LIFETIME_SECONDS,
     Document,
@@ -28,7 +29,7 @@
 KEY = "sg-confirmation"
 RUN_OUT_SECONDS = 0.5
 READ_AFTER_SECONDS = 0.2
-JOIN_SECONDS = 5.0
+JOIN_SECONDS = 12.0
 PAUSE_SECONDS = 2.6
 BEFORE_SECONDS = 1.5
 AFTER_SECONDS = 3.0
@@ -80,8 +81,8 @@
 
 
 @given("a node that has just started")
-def start_configuration(context):
-    context.holder = SnapshotHolder()
+def start_configuration(context, wait_seconds=CONFIRM_WAIT_SECONDS):
+    context.holder = SnapshotHolder(wait_seconds=wait_seconds)
     actor = ConfigurationActor.start(
         Follower(),
         context.holder,
@@ -96,8 +97,8 @@
 
 
 @given("a node whose revision was confirmed until 0.5 s ago")
-def start_with_old_evidence(context):
-    start_configuration(context)
+def start_with_old_evidence(context, wait_seconds=CONFIRM_WAIT_SECONDS):
+    start_configuration(context, wait_seconds)
     digest = hashlib.sha256(KEY.encode()).hexdigest()
     keys = {"salina-key": {"workspace": "salina", "digest": digest}}
     document = Document.model_validate(restockers_document() | {"keys": keys})
@@ -108,6 +109,14 @@
     context.configuration.read_ended(asked_at).get()
 
 
+@given(
+    "a node that waits {seconds:d} s for a read, whose revision was confirmed until"
+    " 0.5 s ago"
+)
+def start_patient(context, seconds):
+    start_with_old_evidence(context, float(seconds))
+
+
 @when("a request with a key arrives and a read confirms the revision 0.2 s later")
 def confirm_later(context):
     send_request(context)
