Gateways of a scenario are killed when it is over

At the end of each scenario its gateways were stopped by SIGTERM, and their exits waited for: 5 to 6 s by scenario (gateway/batch 109 of 177 s, gateway/endless 213 of 317 s were spent outside of the steps). No step sees this; nothing checked it either, a gateway that took over 15 s was killed silently. Steps on stops send SIGTERM and wait for the exit themselves, as before. The scenarios on unframed responses did this already; now all with gateways on the emulator do.

--- a/tests/features/steps/gateway_calls.py
+++ b/tests/features/steps/gateway_calls.py
@@ -11,6 +11,14 @@
     context.gateways = context.stack.enter_context(
         GatewayFleet(nodes, plans, **options)
     )
+    context.stack.callback(_kill_gateways, context.gateways)
+
+
+def _kill_gateways(gateways):
+    # A regular stop takes some seconds; the steps on stops wait for it themselves.
+    for node in gateways.nodes:
+        if node.is_running:
+            node.kill()
 
 
 def runs(context):
