A reservation of waiting tokens outlasts a write that takes effect late

What callers could see: jobs accepted beyond the limit. A job whose write was not answered gets 504; a list of the stored jobs 5 s after its check dropped its reservation, while the store may apply the write for 8 s more (page_validity), and a repeat of the job is then accepted as stored before.

The new doctest fails with 5 s. The reservation lasts as long as a submission, 6 s, and a late write together now.

--- a/packages/decisions/sequoiaglade_decisions/gateway/waiting_tokens.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/waiting_tokens.py
@@ -7,11 +7,15 @@
 from enum import Enum
 from typing import NamedTuple
 
+from .page_validity import LATE_WRITE_SECONDS
+
 # A job that no node has reported for this long may be finished, or may never have been
 # stored; the headers in the store tell.
 UNREPORTED_SECONDS = 6.0
-# Longer than a submission lasts; a write whose answer was lost takes effect by then.
-WRITE_SETTLE_SECONDS = 5.0
+# How long a submission may last, in calls to the store and to peers.
+SUBMISSION_SECONDS = 6.0
+# A write whose answer was lost has taken effect this long after its job was checked.
+WRITE_SETTLE_SECONDS = SUBMISSION_SECONDS + LATE_WRITE_SECONDS
 # Maximum number of records, about 300 bytes each.
 RECORDS_MAX = 20_000
 
@@ -107,7 +111,17 @@
         self.note_job(key, None, 0, TokenSource.STORED, now)
 
     def note_stored(self, jobs, began_at, now):
-        """Record all jobs of the store, from a read of it that began at a time."""
+        """Record all jobs of the store, from a read of it that began at a time.
+
+        A job that is not stored keeps its reservation while its write may take effect.
+
+        >>> tokens = WaitingTokens()
+        >>> tokens.take("j", ("w", "r"), 900, 1000, 1.0, now=0.0).is_accepted
+        True
+        >>> tokens.note_stored([], began_at=9.0, now=9.0)
+        >>> tokens.take("k", ("w", "r"), 200, 1000, 1.0, now=9.0).is_accepted
+        False
+        """
         keys = set()
         for job in jobs:
             keys.add(job.job_key)
