Submissions at a new gateway wait for one call to a silent store

What callers would see: jobs sent to a gateway that has just started, while the store is silent, wait one after the other for the time-out of their own list of the stored jobs, the k-th for k times as long, and hold a thread each.

Cause: the pause between two lists counted from the begin of a call, so that it was over once the call had timed out, and reachability was read before the lock only. Found in review.

--- a/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
@@ -42,9 +42,10 @@
         is_reachable = self._parts.store_cache.is_store_reachable
         if is_reachable and not self._has_listed:
             with self._lock:
-                if not self._has_listed:
+                is_reachable = self._parts.store_cache.is_store_reachable
+                if is_reachable and not self._has_listed:
                     self._list(UNLISTED_RETRY_AFTER_SECONDS)
-            if not self._has_listed:
+            if is_reachable and not self._has_listed:
                 reason = "the stored jobs are not known yet"
                 return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
         admission = self._check(spec, route)
@@ -93,6 +94,8 @@
         self._listed_at = began_at
         headers = self._storage.list_headers()
         if isinstance(headers, Failure):
+            # Submissions that waited for the lock meanwhile do not wait for the store.
+            self._listed_at = self._registry.clock()
             self._log.info("jobs not listed", reason=headers.reason)
         else:
             self.note_headers(headers, began_at)
--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -112,3 +112,9 @@
     When "a" is replaced by a new gateway that does not reach the store
     And "b" accepts 2 jobs, of which "a" has not heard
     Then a job of 100 tokens at "a" is answered with 503
+
+  # Submissions asked a silent store one after another, each until its time-out.
+  Scenario: Submissions at a new gateway wait for one call to a silent store
+    Given a gateway that has just started, and a store that fails each list after 0.8 s
+    When 4 jobs arrive at once
+    Then each is refused with 503 within 2.0 s
