--- a/packages/decisions/sequoiaglade_decisions/gateway/survived_breaks.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/survived_breaks.py
@@ -83,6 +83,7 @@
         for endpoint_key, request in news:
             self._requests_by_key.get(endpoint_key, {}).pop(request, None)
             self._survived_at[endpoint_key, request] = (now, False)
+        self._trim()
         return news
 
     def records(self, now):
@@ -100,6 +101,9 @@
 
     def _survive(self, endpoint_key, request, at):
         self._survived_at[endpoint_key, request] = (at, True)
+        self._trim()
+
+    def _trim(self):
         while len(self._survived_at) > BREAKS_MAX:
             self._survived_at.popitem(last=False)
 
