A read of the configuration that raises an error has ended too

Found in review: requests that wait for a read waited for a second each while reads raised errors, since the end of such a read was not recorded.

--- a/packages/node/sequoiaglade_node/configuration/reader.py
+++ b/packages/node/sequoiaglade_node/configuration/reader.py
@@ -36,6 +36,12 @@
     def read(self):
         """Read the platform once, and the peers if the node is still behind."""
         asked_at = time.monotonic()
+        try:
+            self._read(asked_at)
+        finally:
+            self._follower.read_ended(asked_at).get()
+
+    def _read(self, asked_at):
         found = self._store.root(timeout=READ_TIMEOUT_SECONDS)
         if isinstance(found, Failure):
             self._follower.platform_failed(asked_at).get()
@@ -45,7 +51,6 @@
             self._take(self._store, found.root, asked_at)
         if self._follower.is_behind().get():
             self._read_peers()
-        self._follower.read_ended(asked_at).get()
 
     def _interrupt(self):
         self._wake.set()
