--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -51,7 +51,15 @@
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_ends import missing_part
 from .stream_versions import RecentVersions, StreamVersions, stream_keepers
-from .watch_guard import GUARD_SECONDS, GuardStep, WatchPosition, guard_step
+from .survived_breaks import SurvivedBreaks
+from .waiting_tokens import Admission, StoredJob, TokenSource, WaitingTokens
+from .watch_guard import (
+    GUARD_SECONDS,
+    GuardStep,
+    WatchPosition,
+    guard_step,
+    standby_delay,
+)
 
 __all__ = [
     "DEFAULT_SLOTS",
@@ -61,6 +69,7 @@
     "SHARED_BYTES_MAX",
     "SILENCE_CHECK_SECONDS",
     "SILENT_AFTER_SECONDS",
+    "Admission",
     "AttemptCounts",
     "Batch",
     "Blame",
@@ -110,9 +119,13 @@
     "SharedBytes",
     "SilenceStep",
     "SoundPart",
+    "StoredJob",
     "StoreCall",
     "StoreContact",
     "StreamVersions",
+    "SurvivedBreaks",
+    "TokenSource",
+    "WaitingTokens",
     "WatchPosition",
     "Workspace",
     "batch_allowance",
@@ -131,5 +144,6 @@
     "schedulers",
     "silence_step",
     "stable_hash",
+    "standby_delay",
     "stream_keepers",
 ]
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -40,7 +40,7 @@
     KindWatcher,
     StoreCache,
     StoreContactKeeper,
-    WatchGuard,
+    guards_of,
 )
 from .store_calls import CountedStore
 
@@ -86,6 +86,7 @@
         self.find_ends = client.find_ends
         self.holds_job = client.holds_job
         self.store_job = client.store_job
+        self.note_job = client.note_job
         self.live_node_fraction = gossip.live_node_fraction
         self.contact_since = gossip.contact_since
         self.seconds_since_resume = gossip.seconds_since_resume
@@ -248,8 +249,8 @@
             endpoint_watcher,
             self._ends_watcher,
             # Ends are confirmed by `JobEnds` instead.
-            WatchGuard(parts.store, configuration_watcher, parts.metrics),
-            WatchGuard(parts.store, endpoint_watcher, parts.metrics),
+            *guards_of(parts.store, configuration_watcher, parts.metrics),
+            *guards_of(parts.store, endpoint_watcher, parts.metrics),
             StoreContactKeeper(parts.store, parts.metrics),
         ):
             stack.enter_context(thread)
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -41,7 +41,7 @@
         admitted=_encode_admitted(state.admitted_by_workspace),
         batch_backlog=state.batch_backlog,
         batch_running=state.batch_running,
-        jobs=[fleet_pb2.HeldJob(**job._asdict()) for job in state.jobs],
+        jobs=[encode_summary(job) for job in state.jobs],
         crashes=[
             fleet_pb2.EndpointCrash(
                 fingerprint=fingerprint,
@@ -72,6 +72,10 @@
             )
             for sound in state.sound_parts
         ],
+        survived_breaks=[
+            fleet_pb2.SurvivedBreak(endpoint_key=key, fingerprint=fingerprint)
+            for key, fingerprint in state.survived_breaks
+        ],
     )
 
 
@@ -81,6 +85,7 @@
     >>> crash = PartCrash("s", ("p", "q"), "f", "e-1/5", 1.5)
     >>> state = NodeState("n", 1, 1, part_crashes=(crash,))
     >>> state = state._replace(sound_parts=(SoundPart("s", "p", 0.25),))
+    >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -103,16 +108,7 @@
         admitted_by_workspace=_decode_admitted(message.admitted),
         batch_backlog=message.batch_backlog,
         batch_running=message.batch_running,
-        jobs=tuple(
-            JobSummary(
-                job.job_key,
-                job.workspace,
-                job.route,
-                job.waiting_tokens,
-                job.is_open,
-            )
-            for job in message.jobs
-        ),
+        jobs=tuple(decode_summary(job) for job in message.jobs),
         crashes=tuple(
             (
                 row.fingerprint,
@@ -139,6 +135,25 @@
             SoundPart(row.service, row.part, row.age_ms / MS_PER_SECOND)
             for row in message.sound_parts
         ),
+        survived_breaks=tuple(
+            (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
+        ),
+    )
+
+
+def encode_summary(summary):
+    """Return the message for a `JobSummary`."""
+    return fleet_pb2.HeldJob(**summary._asdict())
+
+
+def decode_summary(message):
+    """Return the `JobSummary` of a message."""
+    return JobSummary(
+        message.job_key,
+        message.workspace,
+        message.route,
+        message.waiting_tokens,
+        message.is_open,
     )
 
 
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -28,6 +28,7 @@
 from sequoiaglade_gateway.messages import LiveNodes
 from sequoiaglade_gateway.node import Parts, PeerCalls
 from sequoiaglade_gateway.peers import FleetServicer, Gossip, PeerClient
+from sequoiaglade_gateway.peers.codec import encode_summary
 from sequoiaglade_gateway.settings import GatewaySettings
 
 from sequoiaglade_decisions.gateway import (
@@ -55,6 +56,10 @@
         self._simulation = simulation
         self._own_address = address
 
+    def note_job(self, address, summary):
+        """Tell a peer of a job."""
+        self._call(address, "NoteJob", encode_summary(summary))
+
     def close_unused(self, used_addresses):
         """Keep nothing open."""
 
@@ -107,6 +112,7 @@
         self.adopter = JobAdopter(parts, self.registry, storage, clock)
         self.writer = ResultWriter(self.registry, storage)
         self.batch = BatchService(parts, self.registry, storage, runner, self.adopter)
+        parts.batch = self.batch
         client = SimulatedPeerClient(simulation, self.address)
         self.gossip = Gossip(
             parts,
@@ -168,12 +174,16 @@
         return self._simulation.now - self.suspended_seconds
 
     def submit(self, job_id):
-        """Submit a job of the simulation's items."""
+        """Submit a job of the simulation's items, which is accepted."""
+        response = self.send_job(job_id)
+        assert response.status == 202, response
+
+    def send_job(self, job_id):
+        """Return the response to a job of the simulation's items."""
         call = SimpleNamespace(request_id=job_id, host=HOST, path=PATH + job_id)
         request = SimpleNamespace(stream=io.BytesIO())
         with self._simulation.acting(self):
-            response = self.batch.submit(call, request, self._simulation.route, None)
-        assert response.status == 202, response
+            return self.batch.submit(call, request, self._simulation.route, None)
 
     def read(self, job_id):
         """Return the results as lists; None if the read is refused for now."""
@@ -239,11 +249,19 @@
     gateway, as triples of caller, callee and name.
     """
 
-    def __init__(self, names, item_count=5):
+    def __init__(self, names, item_count=5, waiting_tokens=0):
         self.now = START_SECONDS
         self.store = MemoryStore()
         self.route = Route(
-            "jobs", HOST, PATH, RouteKind.BATCH, (("s", 1),), 4.0, 0.4, due_seconds=18.0
+            "jobs",
+            HOST,
+            PATH,
+            RouteKind.BATCH,
+            (("s", 1),),
+            4.0,
+            0.4,
+            due_seconds=18.0,
+            waiting_tokens=waiting_tokens,
         )
         self.configuration = FleetConfiguration(1, (self.route,), (), ())
         self.items = tuple(
