--- a/tests/features/steps/parts_simulation.py
+++ b/tests/features/steps/parts_simulation.py
@@ -163,7 +163,8 @@
         """Add requests at random times and nodes, at a mean rate a second."""
         at = start
         while (at := at + self.random.expovariate(rate)) < start + seconds:
-            self.after(at - self.now, self._arrive, make_request())
+            node = self.random.choice(self.nodes)
+            self.after(at - self.now, self._arrive, node, make_request())
 
     def crash(self, endpoint, culprit=None):
         """Crash an endpoint, which is back some seconds later."""
@@ -192,8 +193,9 @@
         """Let these nodes reach each other, and no others."""
         self.separated = nodes
 
-    def _arrive(self, request):
-        node = self.random.choice([node for node in self.nodes if node.is_live])
+    def _arrive(self, node, request):
+        if not node.is_live:
+            node = self.random.choice([node for node in self.nodes if node.is_live])
         self._send(node, request, self.now)
 
     def _send(self, node, request, arrived_at):
@@ -216,7 +218,7 @@
         attempt = object()
         endpoint.running[attempt] = (request, node)
         request.arrived_at = arrived_at
-        count = self.random.randint(0, request.events_max)
+        count = request.events_max and self.random.randint(0, request.events_max)
         if request.culprit:
             self.sent_at[request.culprit].append(self.now)
         if endpoint.cuts_from <= self.now < endpoint.cuts_until:
