Test of items that yield: its online requests last long enough to overlap

A request of three tokens lasts about 30 ms. If the last client starts later than that, it takes the slot that the first one has left, and no item has to yield for it.

The bounds of the check are the same.

--- a/tests/features/steps/batch_yield_steps.py
+++ b/tests/features/steps/batch_yield_steps.py
@@ -14,9 +14,9 @@
 
 @when(
     "a job of {count:d} items of {tokens:d} tokens fills the endpoint and {online:d}"
-    " online requests arrive"
+    " online requests of {online_tokens:d} tokens arrive"
 )
-def fill_and_burst(context, count, tokens, online):
+def fill_and_burst(context, count, tokens, online, online_tokens):
     context.items = make_items(count, tokens)
     context.client = make_client(context.fleet)
     context.jobs = [submit(context.client, context.items, "yielding")]
@@ -26,7 +26,11 @@
         time.sleep(0.02)
     client = make_client(context.fleet, "hays")
     with ThreadPoolExecutor(online) as threads:
-        answers = [threads.submit(complete, client) for _ in range(online)]
+        answers = [
+            threads.submit(complete, client, max_tokens=online_tokens)
+            for _ in range(online)
+        ]
+    context.expected_answer = "".join(f"w{number} " for number in range(online_tokens))
     context.answers = [a.result().choices[0].message.content for a in answers]
     context.runs_in_burst = item_runs(context)
 
@@ -35,7 +39,7 @@
     "the online requests are served while items run, and {count:d} items yield to them"
 )
 def check_burst(context, count):
-    assert context.answers == ["w0 w1 w2 "] * count, context.answers
+    assert context.answers == [context.expected_answer] * count, context.answers
     states = [run["state"] for run in context.runs_in_burst]
     assert "done" not in states and "running" in states, states
     assert states.count("hung_up") + states.count("cancelled") == count, states
