--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -43,10 +43,12 @@
       | excused                                                          |
       | a key that was replaced opens 1.9 s later                        |
       | a removed route is served 4 s later by a gateway without a store |
+      | a removed route is served 4 s later by a gateway that was suspended |
       | a route is served 4 s after its removal was sent, 1 s after its late acknowledgement |
       | a gateway that was killed goes back to an older version          |
       | an item runs 2.9 s after the end of its job                      |
       | an item runs 4 s after the end of its job while a gateway is killed |
+      | an item runs 4 s after the end of its job while a gateway is suspended |
 
   # An operator that makes its first change while the store is away.
   Scenario: Gateways without a store keep the version before the operator's first change
@@ -75,7 +77,9 @@
       | CONFIG  | a removed route is served 4 s later                     |
       | CONFIG  | an added route is refused 4 s later                     |
       | CONFIG  | a removed route is served 4 s later beside another gateway without a store |
+      | CONFIG  | a removed route is served 4 s later beside a suspended gateway |
       | CONFIG  | a gateway goes back to an older version                 |
+      | CONFIG  | a gateway that was suspended goes back to an older version |
       | CONFIG  | a gateway serves the route of an invalid document       |
       | UNASKED | an item runs 4 s after the end of its job               |
 
--- a/tests/features/steps/gateway_hunt_change_steps.py
+++ b/tests/features/steps/gateway_hunt_change_steps.py
@@ -134,6 +134,18 @@
     _disturb(context, "StoreSilent", 1, REMOVED_AT, REMOVED_AT + seconds - 2.9)
 
 
+@when("a removed route is served {seconds:g} s later by a gateway that was suspended")
+def serve_removed_after_suspension(context, seconds):
+    serve_removed(context, seconds)
+    _disturb(context, "GatewaySuspended", 1, REMOVED_AT, REMOVED_AT + seconds - 2.9)
+
+
+@when("a removed route is served {seconds:g} s later beside a suspended gateway")
+def serve_removed_beside_suspended(context, seconds):
+    serve_removed(context, seconds)
+    _disturb(context, "GatewaySuspended", 0, REMOVED_AT, REMOVED_AT + seconds)
+
+
 @when(
     "a removed route is served {seconds:g} s later beside another gateway without a"
     " store"
@@ -172,6 +184,12 @@
     _disturb(context, "GatewayKilled", 1, CHANGED_AT + 0.3, CHANGED_AT + 0.4)
 
 
+@when("a gateway that was suspended goes back to an older version")
+def go_back_after_suspension(context):
+    go_back(context)
+    _disturb(context, "GatewaySuspended", 1, CHANGED_AT + 0.3, CHANGED_AT + 0.4)
+
+
 @when("a gateway serves the route of an invalid document")
 def serve_invalid(context):
     context.evidence.changes.append(_change(12, 6.0, [], "", invalid_route=INVALID))
@@ -190,10 +208,11 @@
     context.evidence = evidence
 
 
-@when("an item runs {seconds:g} s after the end of its job while a gateway is killed")
-def run_ended_item_excused(context, seconds):
+@when("an item runs {seconds:g} s after the end of its job while a gateway is {away}")
+def run_ended_item_excused(context, seconds, away):
     run_ended_item(context, seconds)
-    _disturb(context, "GatewayKilled", 0, 4.0, 4.0 + seconds - 2.9)
+    kind = {"killed": "GatewayKilled", "suspended": "GatewaySuspended"}[away]
+    _disturb(context, kind, 0, 4.0, 4.0 + seconds - 2.9)
 
 
 @when(
