Scenarios: items are sent by a configuration that has been replaced

Seen: a pass of the item runner reads the configuration once and then places up to 64 items, each by a call that may take 0.15 s in a large fleet. An item then waits up to 1.6 s for recent ends of jobs. Nothing looks at the configuration again.

--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -1,6 +1,7 @@
 """Steps for an item runner of its own, without a node, on an emulated runner."""
 
 import threading
+import time
 from types import SimpleNamespace
 from unittest import mock
 
@@ -36,11 +37,13 @@
 class _Placer:
     """Places requests by the coordinator, after a fault that happens once."""
 
-    def __init__(self, coordinator, fault):
+    def __init__(self, coordinator, fault, seconds):
         self._coordinator = coordinator
         self._fault = fault
+        self._seconds = seconds
 
     def place(self, place):
+        time.sleep(self._seconds)
         fault, self._fault = self._fault, None
         if fault is not None:
             fault()
@@ -61,11 +64,17 @@
         self._start(thread)
 
 
-def start_item_runner(context, fault=None):
+def start_item_runner(
+    context,
+    fault=None,
+    plan=SLOW,
+    placement_seconds=0.0,
+    read_ends=lambda: None,
+):
     stack = context.stack
     store = stack.enter_context(EmulatedStore())
     context.endpoint = stack.enter_context(
-        EmulatedRunner(store, "runner-0", SERVICE, SLOW)
+        EmulatedRunner(store, "runner-0", SERVICE, plan)
     )
     address = context.endpoint.address
     parts = SimpleNamespace(
@@ -84,13 +93,14 @@
     )
     parts.coordinator = Coordinator.start(parts.settings, 1)
     stack.callback(parts.coordinator.stop)
-    endpoint = Endpoint("runner-0", SERVICE, address, "d", SLOW.slots)
+    endpoint = Endpoint("runner-0", SERVICE, address, "d", plan.slots)
     parts.coordinator.tell(EndpointsListed([endpoint]))
-    parts.placer = _Placer(parts.coordinator, fault)
+    parts.placer = _Placer(parts.coordinator, fault, placement_seconds)
+    context.store_cache = parts.store_cache
     context.coordinator = parts.coordinator
     context.registry = JobRegistry()
     metrics = SimpleNamespace(count=lambda event, outcome: None)
-    parts.job_ends = JobEnds(context.registry, metrics, lambda: None, lambda: None)
+    parts.job_ends = JobEnds(context.registry, metrics, read_ends, lambda: None)
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
