An item follows the configuration that is in force when it is sent

Seen: item_changes.feature, 4 of 4 rows failed: items reached the former service up to 3.9 s after the change of their route.

Cause: the item runner read the configuration at the begin of a pass, and neither the placements of the pass nor the wait for recent ends of jobs looked at it again.

Change: right before an item is sent, after the check of ends, the route of its job is looked up once more; an item whose route is gone or leads to another service is withheld and goes back to its job. A pass ends when a newer configuration is in force, so that it does not place items that would be withheld. The item's attempt moves to a module of its own.

Evidence: item_changes.feature 4 of 4 passed; ended_jobs and unlucky_items passed with it, 30 scenarios in all.

--- a/packages/decisions/sequoiaglade_decisions/gateway/routes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/routes.py
@@ -125,6 +125,11 @@
                 return route
         return None
 
+    def service_for(self, spec):
+        """Return the service of the items of a `JobSpec`, None without a route."""
+        route = self.match(spec.host, spec.path)
+        return route and route.service_for(spec.job_id)
+
     def workspace_of(self, key):
         """Return the `Workspace` that `key` belongs to, or None."""
         return self._workspace_by_key.get(key)
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
@@ -0,0 +1,48 @@
+"""The attempt to run a batch item, with the checks right before it is sent."""
+
+import structlog
+
+from sequoiaglade_endpoints import Attempt
+
+
+class ItemAttempt(Attempt):
+    """An attempt that is aborted before it is sent if the item must not be any more.
+
+    That is if its job has ended, or its route has changed since it was placed.
+    """
+
+    def __init__(self, parts, job, item_id, service):
+        super().__init__()
+        self._parts = parts
+        self._job = job
+        self._item_id = item_id
+        self._service = service
+
+    def may_send(self):
+        """Return whether the item may be sent now."""
+        if not self.is_aborted and not self._is_allowed():
+            self.abort()
+        return not self.is_aborted
+
+    def _is_allowed(self):
+        # The first check may wait for the store, so that the second one is the last.
+        return (
+            self._parts.job_ends.may_send(self._job, self._item_id)
+            and self._is_routed()
+        )
+
+    def _is_routed(self):
+        configuration = self._parts.store_cache.configuration
+        service = configuration.service_for(self._job.batch.spec)
+        if service == self._service:
+            return True
+        structlog.get_logger().info(
+            "item withheld",
+            item_id=self._item_id,
+            job=self._job.key,
+            placed_service=self._service,
+            service=service,
+            configuration_version=configuration.version,
+        )
+        self._parts.metrics.count("item send check", "rerouted")
+        return False
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -33,6 +33,7 @@
     UsableVersions,
 )
 from ..patient_socket import FixedPatience
+from .item_attempt import ItemAttempt
 
 TICK_SECONDS = 0.1
 # An item's stream counts as stalled after this time without an event.
@@ -58,24 +59,6 @@
     service: str
 
 
-class _ItemAttempt(Attempt):
-    """An attempt that is aborted before it is sent if the item's job has ended."""
-
-    def __init__(self, job_ends, job, item_id):
-        super().__init__()
-        self._job_ends = job_ends
-        self._job = job
-        self._item_id = item_id
-
-    def may_send(self):
-        """Return whether the job is known not to have ended."""
-        if not self.is_aborted and not self._job_ends.may_send(
-            self._job, self._item_id
-        ):
-            self.abort()
-        return not self.is_aborted
-
-
 class ItemRunner(OwnedThread):
     """One thread that runs as many items as the node's share; a context manager."""
 
@@ -155,7 +138,7 @@
                 service = route.service_for(spec.job_id)
                 jobs_by_service.setdefault(service, []).append((job, route))
         for service, rows in jobs_by_service.items():
-            self._adjust_to_share(service, rows)
+            self._adjust_to_share(service, rows, configuration)
 
     def _give_up_overdue(self, job, route, confirmed_at):
         with self._registry.lock:
@@ -167,7 +150,7 @@
         if is_doubtful:
             self._parts.configuration_reader.request()
 
-    def _adjust_to_share(self, service, rows):
+    def _adjust_to_share(self, service, rows, configuration):
         backlog = sum(job.batch.unfinished_count for job, _ in rows)
         share = self._parts.coordinator.ask(BatchShare(service, backlog))
         share = min(share, RUNNING_ITEMS_MAX)
@@ -184,6 +167,9 @@
             return
         versions = self._parts.coordinator.ask(UsableVersions(service))
         while count < share and not self.is_leaving:
+            # Placements take time; the next pass follows a newer configuration.
+            if self._parts.store_cache.configuration is not configuration:
+                return
             if not self._start_one(service, rows, versions):
                 return
             count += 1
@@ -216,7 +202,7 @@
                 self._retry_at_by_service[service] = retry_at
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             return False
-        attempt = _ItemAttempt(self._parts.job_ends, job, item.item_id)
+        attempt = ItemAttempt(self._parts, job, item.item_id, service)
         run = _ItemRun(job, progress, placed.endpoint, attempt, service)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -99,8 +99,8 @@
     context.store_cache = parts.store_cache
     context.coordinator = parts.coordinator
     context.registry = JobRegistry()
-    metrics = SimpleNamespace(count=lambda event, outcome: None)
-    parts.job_ends = JobEnds(context.registry, metrics, read_ends, lambda: None)
+    parts.metrics = SimpleNamespace(count=lambda event, outcome: None)
+    parts.job_ends = JobEnds(context.registry, parts.metrics, read_ends, lambda: None)
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
