Scenario: a gateway starts again after its clock was set back

Peers compare the incarnation of a state, which is the time of day at the start of the process, with the one they know, and ignore a lower one. A gateway that starts again with an earlier time of day is not live for its peers, until they forget it after 600 s: it is not in their directory, its admitted requests are charged nowhere, and the jobs that it stores are taken over by peers while it runs them.

--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -96,8 +96,9 @@
     it is suspended, its boot clock never does.
     """
 
-    def __init__(self, simulation, name, seeds):
+    def __init__(self, simulation, name, seeds, seconds_behind=0.0):
         self.name = name
+        self._seconds_behind = seconds_behind
         self.address = f"{name}:1"
         self._simulation = simulation
         self.is_running = True
@@ -141,7 +142,7 @@
             store={"address": "127.0.0.1:2"},
             seeds=seeds,
         )
-        incarnation = int(simulation.now * 1000)
+        incarnation = int((simulation.now - self._seconds_behind) * 1000)
         parts.coordinator = DirectCoordinator(
             parts.settings, incarnation, self._steady_seconds
         )
@@ -173,6 +174,11 @@
     def _steady_seconds(self):
         return self._simulation.now - self.suspended_seconds
 
+    def known_peers(self):
+        """Return the names of the peers that this gateway takes for live, sorted."""
+        live = self._parts.coordinator.ask(LiveNodes())
+        return sorted(state.node_id for state in live)
+
     def submit(self, job_id):
         """Submit a job of the simulation's items, which is accepted."""
         response = self.send_job(job_id)
@@ -288,10 +294,13 @@
     def __exit__(self, *exc_info):
         self._stack.close()
 
-    def add(self, name):
-        """Start a gateway, in place of the one of this name if there is one."""
+    def add(self, name, seconds_behind=0.0):
+        """Start a gateway, in place of the one of this name if there is one.
+
+        Its time of day is `seconds_behind`.
+        """
         seeds = tuple(f"{seed}:1" for seed in self._names)
-        gateway = SimulatedGateway(self, name, seeds)
+        gateway = SimulatedGateway(self, name, seeds, seconds_behind)
         self.gateway_by_name[name] = gateway
         return gateway
 
