A gateway that starts again with an earlier time of day renews its incarnation

Seen: clock_changes.feature, rows @1.2 to @1.4: peers did not know the gateway 3 s after its start.

Cause: the incarnation is the time of day at the start of the process, and a lower one than the known one counts as an older state.

Change: the answer to a gateway's gossip names its later incarnation if the peer knows one. A gateway that hears of a later start of itself raises its incarnation beyond it, from which its next states, counts of admitted requests and load reports are newer.

--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -96,6 +96,35 @@
         """Return the states received in the last `seconds`, to be relayed."""
         return [s for s, at in self._entry_by_id.values() if now - at <= seconds]
 
+    def later_starts(self, node_id, incarnation):
+        """Return the known states of a node with a later incarnation, as a list.
+
+        There is one if its time of day was set back before it started again.
+        """
+        state = self.state(node_id)
+        return [state] if state is not None and state.incarnation > incarnation else []
+
+    def renewed(self, own, states):
+        """Return the state `own` of this node, as peers will take it for the newest.
+
+        `states` are those that a peer sent. If they name a later start of this node,
+        the incarnation of `own` is raised beyond it.
+
+        >>> table = NodeTable("a")
+        >>> own = NodeState("a", incarnation=5, sequence=1)
+        >>> heard = [NodeState("a", 9, 40), NodeState("b", 12, 1)]
+        >>> table.renewed(own, heard).incarnation
+        10
+        >>> table.renewed(own, [NodeState("a", 5, 1)]).incarnation
+        5
+        """
+        later = [
+            state.incarnation
+            for state in states
+            if state.node_id == own.node_id and state.incarnation > own.incarnation
+        ]
+        return own._replace(incarnation=max(later) + 1) if later else own
+
     def state(self, node_id):
         """Return the newest state of a node, or None."""
         entry = self._entry_by_id.get(node_id)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -352,12 +352,14 @@
         others = []
         if is_large or self._state.sequence % MESSAGES_PER_RELAY == 0:
             others = self._nodes.heard_within(now, RELAY_MAX_AGE_SECONDS)
+        others += self._nodes.later_starts(*message.recipient)
         is_busy = self._loads.is_busy(now)
         return Published(self._state, others, is_busy, is_large)
 
     def _receive_states(self, states, now):
         """Merge states that a peer sent; return those that are new."""
         new_states = []
+        self._state = self._nodes.renewed(self._state, states)
         for state in states:
             if not self._nodes.observe_state(state, now):
                 continue
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -258,12 +258,16 @@
 
 
 class Publish(NamedTuple):
-    """Asks for this node's next state and those to relay; the reply is `Published`."""
+    """Asks for this node's next state and those to relay; the reply is `Published`.
+
+    `recipient` is the pair of the id and the incarnation of the peer that is answered.
+    """
 
     batch_backlog: int
     batch_running: int
     jobs: tuple
     is_store_reachable: bool
+    recipient: tuple[str, int] = ("", 0)
 
 
 class Published(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -81,13 +81,19 @@
         super().__exit__(*exc_info)
         self._pool.shutdown(wait=False)
 
-    def make_digest(self):
-        """Return a message with this node's next state and those to relay."""
+    def make_digest(self, request=None):
+        """Return a message with this node's next state and those to relay.
+
+        `request` is the digest of a peer that the message answers.
+        """
+        sender = request.nodes[0] if request is not None and request.nodes else None
+        recipient = (sender.node_id, sender.incarnation) if sender else ("", 0)
         publish = Publish(
             self._job_registry.backlog(),
             self._runner.running_count,
             self._job_registry.summaries(),
             self._parts.store_cache.is_store_reachable,
+            recipient,
         )
         published = self._parts.coordinator.ask(publish)
         self._is_busy = published.is_busy
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -35,7 +35,7 @@
     def Gossip(self, request, context):  # noqa: N802
         # The reply names the jobs that this node releases on receiving the request, so
         # that the peer learns of its results.
-        reply = self._gossip.make_digest()
+        reply = self._gossip.make_digest(request)
         self._gossip.receive_digest(request)
         return reply
 
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -24,7 +24,7 @@
 class _Gossip:
     """Answers every digest by an empty one."""
 
-    def make_digest(self):
+    def make_digest(self, request=None):
         return fleet_pb2.FleetDigest()
 
     def receive_digest(self, digest):
