Scenario: a clock that is set forward ends the retention of items

Seen: with a retention of 60 s and the time of day set forward by 120 s, an item runner gives all waiting items up at once. They are listed as dead letters, which is final. The age of an item is the holder's time of day less that of the gateway that accepted the job.

--- a/tests/features/gateway/clock_changes.feature
+++ b/tests/features/gateway/clock_changes.feature
@@ -14,3 +14,15 @@
       | b    | 5       |
       | b    | 900     |
       | c    | 30      |
+
+  # All waiting items were listed as dead letters at once, for good.
+  Scenario: The clock of a gateway is set forward beyond the retention of its items
+    Given an item runner whose route retains items for 60 seconds
+    When a job of 40 items that was submitted 0 seconds ago is held
+    And its clock is set forward by 120 seconds
+    Then no item is given up within 1 second
+
+  Scenario: Items are given up at the end of their retention
+    Given an item runner whose route retains items for 1 seconds
+    When a job of 60 items that was submitted 0 seconds ago is held
+    Then all items that do not run are given up within 3 seconds
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -70,6 +70,7 @@
     plan=SLOW,
     placement_seconds=0.0,
     read_ends=lambda: None,
+    route=ROUTE,
 ):
     stack = context.stack
     store = stack.enter_context(EmulatedStore())
@@ -86,7 +87,7 @@
         ),
         dialect=PlatformDialect(),
         store_cache=SimpleNamespace(
-            configuration=FleetConfiguration(1, (ROUTE,), (), ()), confirmed_at=0.0
+            configuration=FleetConfiguration(1, (route,), (), ()), confirmed_at=0.0
         ),
         writer=SimpleNamespace(wake=lambda: None),
         response_memory=ResponseMemory(),
@@ -104,9 +105,9 @@
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
-def hold_job(context, count, job_id="job", headers=()):
+def hold_job(context, count, job_id="job", headers=(), submitted_at=0.0):
     items = tuple(Item(f"item-{n}", "/batch/x", headers, b"", 1) for n in range(count))
-    spec = JobSpec(job_id, "yard", HOST, "/batch/job", 0.0, "gateway-0", items)
+    spec = JobSpec(job_id, "yard", HOST, "/batch/job", submitted_at, "gateway-0", items)
     job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, ROUTE)
     context.registry.add(job)
     return job
