Tests of keyed calls don't assume how fast they reach a moment

Seen: with a pause of 1 s of the test process before the node is killed, frozen or cut off, or before the call is resent, 7 of the 15 scenarios of once.feature failed (one run): the call had ended meanwhile, or its record had been created.

Cause: the calls took 0.5 or 1 s and the creation of a record 1 s, and the steps counted on acting within that time. "Disconnects after 0.2 s" counted on the call having begun by then.

Change: the service stand-in holds its calls, and the platform stand-in a named write, until the step has acted. The steps wait for the call, the held write or the look-up of the record instead of sleeping. The checks are unchanged; what was a caller's time-out is now an end of the connection while the call runs.

--- a/packages/standins/sequoiaglade_standins/endpoint.py
+++ b/packages/standins/sequoiaglade_standins/endpoint.py
@@ -21,6 +21,7 @@
 from .http import StandinHandler, StandinServer
 
 DEFAULT_MAX_TOKENS = 16
+HOLD_POLL_SECONDS = 0.02
 _CREDENTIAL_HEADERS = ("authorization", "cookie", "proxy-authorization", "x-api-key")
 _KEY_PATTERN = re.compile("sg-[0-9a-f]{8}")
 _HOP_BY_HOP_HEADERS = ("te", "trailer", "upgrade", "keep-alive", "proxy-connection")
@@ -91,6 +92,8 @@
             self.abort()
             return "crashed"
         time.sleep(engine.faults.delay)
+        while engine.faults.hold:
+            time.sleep(HOLD_POLL_SECONDS)
         if engine.faults.fail_status:
             self.respond(engine.faults.fail_status, {"error": {"message": "failed"}})
             return "failed"
--- a/packages/standins/sequoiaglade_standins/engine.py
+++ b/packages/standins/sequoiaglade_standins/engine.py
@@ -14,6 +14,7 @@
     ``truncate``: responses end early, without their end marker.
     ``cross``: responses carry the id of another request.
     ``delay``: seconds before each response starts.
+    ``hold``: responses start only after this fault has ended.
     ``leaving``: requests are refused with ``X-Endpoint-State: leaving``.
     ``restart_seconds``: downtime after a crash.
     ``late``: responses carry the id of the previous request.
@@ -33,6 +34,7 @@
     truncate: bool = False
     cross: bool = False
     delay: float = 0.0
+    hold: bool = False
     leaving: bool = False
     restart_seconds: float = 1.0
     late: bool = False
--- a/packages/standins/sequoiaglade_standins/platform.py
+++ b/packages/standins/sequoiaglade_standins/platform.py
@@ -9,8 +9,10 @@
 of the next writes that take effect but whose connections are reset),
 ``refused_clients`` (node ids, compared with User-Agent, whose calls are reset),
 ``stale_reads`` (lag of reads in seconds), ``list_lag`` (lag of the instance list in
-seconds), ``writes_per_second`` (0: no limit).
-``GET /calls`` returns the number of calls by operation and kind.
+seconds), ``writes_per_second`` (0: no limit), ``held_writes`` (writes that wait until
+this fault has ended, each named like ``put work``).
+``GET /calls`` returns the number of calls by operation and kind, and that of the writes
+that were held, as in ``held put work``.
 """
 
 import argparse
@@ -23,6 +25,8 @@
 from .http import StandinHandler, StandinServer
 from .store import Store
 
+HOLD_POLL_SECONDS = 0.02
+
 
 class Faults(NamedTuple):
     """Faults that are injected; see the docstring of this module."""
@@ -35,6 +39,7 @@
     stale_reads: float = 0.0
     list_lag: float = 0.0
     writes_per_second: int = 0
+    held_writes: tuple = ()
 
 
 class PlatformState:
@@ -50,11 +55,19 @@
 
     def set_faults(self, values):
         """Replace the current faults."""
-        if "refused_clients" in values:
-            values["refused_clients"] = tuple(values["refused_clients"])
+        for name in ("refused_clients", "held_writes"):
+            if name in values:
+                values[name] = tuple(values[name])
         with self.lock:
             self.faults = Faults(**values)
 
+    def wait_while_held(self, write):
+        """Wait while `held_writes` contains the write; count it first."""
+        if write in self.faults.held_writes:
+            self.calls[f"held {write}"] += 1
+        while write in self.faults.held_writes:
+            time.sleep(HOLD_POLL_SECONDS)
+
     def consume_lost_response(self):
         """Return whether to lose this write's response; decrement `lose_answers`."""
         with self.lock:
@@ -191,6 +204,7 @@
         self.respond(200, {"changes": listed, "version": version})
 
     def _put(self, operation, kind, name, value):
+        self.state.wait_while_held(f"{operation} {kind}")
         self.state.calls[f"{operation} {kind}"] += 1
         expected = int(self.headers.get("If-Match", 0))
         before = self.state.store.get(kind, name)
--- a/tests/features/once/once.feature
+++ b/tests/features/once/once.feature
@@ -14,7 +14,7 @@
 
   Scenario: A call resent while it runs is refused with a retry delay
     Given a fleet of 2 nodes with 1 services for unrepeatable calls
-    And each service takes 1.0 s
+    And each service holds its calls
     When a keyed call is sent again to node 1 while node 0 runs it
     Then the resent call is refused with request_in_progress, unknown and a retry delay
     And the call resent to node 1 succeeds within 5 s
@@ -22,7 +22,7 @@
 
   Scenario: The node is killed while the call runs
     Given a fleet of 2 nodes with 1 services for unrepeatable calls
-    And each service takes 0.5 s
+    And each service holds its calls
     When node 0 is killed while it runs a keyed call
     Then calls resent to node 1 are refused with outcome_unknown and unknown within 12 s
     And the keyed call was run once
@@ -41,7 +41,7 @@
 
   Scenario: The node is killed between the service's response and the storing of it
     Given a fleet of 2 nodes with 1 services for unrepeatable calls
-    And each service takes 1.0 s
+    And each service holds its calls
     When node 0 is disconnected from the platform while it runs a keyed call
     Then the caller of node 0 gets the response
     When node 0 is killed and listed as gone
@@ -50,7 +50,7 @@
 
   Scenario: The node is frozen while the call runs
     Given a fleet of 2 nodes with 1 services for unrepeatable calls
-    And each service takes 0.5 s
+    And each service holds its calls
     When node 0 is frozen for 6 s while it runs a keyed call
     And the keyed call is resent to node 1
     Then the resent call is refused with request_in_progress, unknown and a retry delay
@@ -88,8 +88,8 @@
 
   Scenario: A caller that disconnects can get the response later
     Given a fleet of 2 nodes with 1 services for unrepeatable calls
-    And each service takes 0.5 s
-    When the caller of a keyed call disconnects after 0.2 s
+    And each service holds its calls
+    When the caller of a keyed call disconnects while it runs
     Then the call resent to node 1 succeeds within 5 s
     And the keyed call was run once
 
--- a/tests/features/steps/once_steps.py
+++ b/tests/features/steps/once_steps.py
@@ -1,13 +1,15 @@
 """Steps on unrepeatable calls and on idempotency keys."""
 
+import contextlib
+import http.client
 import random
 import signal
 import sys
 import time
 import uuid
 from pathlib import Path
+from urllib.parse import urlsplit
 
-import urllib3
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
@@ -28,7 +30,10 @@
 import idempotency  # noqa: E402
 
 KEY = "order-17"
-PLATFORM_DELAY_SECONDS = 1.0
+RECORD_CREATION = "put idempotency"
+# Bounds the waits for what a scenario needs before it checks anything.
+SETUP_SECONDS = 20.0
+NOTICE_SECONDS = 0.3
 
 
 def call_keyed(context, node=0, **options):
@@ -42,9 +47,29 @@
     open_fleet(context, nodes, 1, services=services, slots=slots)
 
 
-@given("each service takes {seconds:g} s")
-def slow_services(context, seconds):
-    set_service_faults(context, delay=seconds)
+@given("each service holds its calls")
+def hold_services(context):
+    set_service_faults(context, hold=True)
+
+
+def release_services(context):
+    set_service_faults(context)
+
+
+def start_keyed(context):
+    """Start a keyed call at node 0 in the background, and wait until it runs."""
+    context.first = in_background(lambda: call_keyed(context))
+    await_keyed_run(context)
+
+
+def await_keyed_run(context):
+    wait_until(lambda: runs_of(context.fleet, "keyed"), SETUP_SECONDS, "the call runs")
+
+
+def await_platform_call(context, name):
+    wait_until(
+        lambda: context.fleet.platform_calls().get(name), SETUP_SECONDS, f"a {name}"
+    )
 
 
 def set_service_faults(context, **faults):
@@ -105,9 +130,9 @@
 
 @when("a keyed call is sent again to node 1 while node 0 runs it")
 def resend_while_running(context):
-    context.first = in_background(lambda: call_keyed(context))
-    wait_until(lambda: runs_of(context.fleet, "keyed"), 5, "the call runs")
+    start_keyed(context)
     context.response = call_keyed(context, 1)
+    release_services(context)
 
 
 @then("the resent call is refused with {code}, {execution} and a retry delay")
@@ -125,10 +150,10 @@
 
 @when("node 0 is killed while it runs a keyed call")
 def kill_while_running(context):
-    context.first = in_background(lambda: call_keyed(context))
-    wait_until(lambda: runs_of(context.fleet, "keyed"), 5, "the call runs")
+    start_keyed(context)
     list_instances(context)
     context.fleet.nodes[0].process.kill()
+    release_services(context)
     set_instance(context, "node-0", "gone")
 
 
@@ -162,14 +187,16 @@
 
 @when("node 0 is killed while a keyed call waits for a slot")
 def kill_while_queued(context):
-    set_service_faults(context, delay=1.0)
+    hold_services(context)
     blocker = in_background(lambda: call_path(context.fleet, "/orders/1"))
-    wait_until(lambda: context.fleet.runs(), 5, "the slot is taken")
+    wait_until(lambda: context.fleet.runs(), SETUP_SECONDS, "the slot is taken")
     context.first = in_background(lambda: call_keyed(context))
-    time.sleep(0.3)
+    # The call waits for a slot soon after it has looked for its record.
+    await_platform_call(context, "get idempotency")
+    time.sleep(NOTICE_SECONDS)
     context.fleet.nodes[0].process.kill()
     wait_until(lambda: blocker, 5, "the caller has lost its connection")
-    set_service_faults(context)
+    release_services(context)
 
 
 @then("the call succeeds when resent to node {node:d}")
@@ -178,24 +205,34 @@
     assert response.status == 200, response.data
 
 
+def begin_record(context):
+    """Start a keyed call at node 0; hold the creation of its record."""
+    context.fleet.set_platform_faults(held_writes=[RECORD_CREATION])
+    context.first = in_background(lambda: call_keyed(context))
+    await_platform_call(context, f"held {RECORD_CREATION}")
+
+
+def end_record(context):
+    """End the hold, and wait until the record is created."""
+    context.fleet.set_platform_faults()
+    await_platform_call(context, RECORD_CREATION)
+
+
 @when("node 0 is killed while it creates the record of a keyed call")
 def kill_while_creating(context):
     list_instances(context)
-    context.fleet.set_platform_faults(delay=PLATFORM_DELAY_SECONDS)
-    context.first = in_background(lambda: call_keyed(context))
-    time.sleep(1.5 * PLATFORM_DELAY_SECONDS)
+    begin_record(context)
     context.fleet.nodes[0].process.kill()
-    time.sleep(PLATFORM_DELAY_SECONDS)
-    context.fleet.set_platform_faults()
+    end_record(context)
     set_instance(context, "node-0", "gone")
 
 
 @when("node 0 is disconnected from the platform while it runs a keyed call")
 def disconnect_while_running(context):
     list_instances(context)
-    context.first = in_background(lambda: call_keyed(context))
-    wait_until(lambda: runs_of(context.fleet, "keyed"), 5, "the call runs")
+    start_keyed(context)
     context.fleet.set_platform_faults(refused_clients=["node-0"])
+    release_services(context)
 
 
 @then("the caller of node 0 gets the response")
@@ -213,9 +250,9 @@
 @when("node 0 is frozen for {seconds:d} s while it runs a keyed call")
 def freeze_while_running(context, seconds):
     list_instances(context)
-    context.first = in_background(lambda: call_keyed(context))
-    wait_until(lambda: runs_of(context.fleet, "keyed"), 5, "the call runs")
+    start_keyed(context)
     context.fleet.nodes[0].process.send(signal.SIGSTOP)
+    release_services(context)
     time.sleep(seconds)
 
 
@@ -227,12 +264,9 @@
 @when("node 0 is frozen while it creates the record of a keyed call")
 def freeze_while_creating(context):
     list_instances(context)
-    context.fleet.set_platform_faults(delay=PLATFORM_DELAY_SECONDS)
-    context.first = in_background(lambda: call_keyed(context))
-    time.sleep(1.5 * PLATFORM_DELAY_SECONDS)
+    begin_record(context)
     context.fleet.nodes[0].process.send(signal.SIGSTOP)
-    time.sleep(PLATFORM_DELAY_SECONDS)
-    context.fleet.set_platform_faults()
+    end_record(context)
     set_instance(context, "node-0", "gone")
 
 
@@ -271,17 +305,25 @@
 
 @when("the service accepts calls again")
 def resume_service(context):
-    set_service_faults(context)
-    time.sleep(1.5)
-
-
-@when("the caller of a keyed call disconnects after {seconds:g} s")
-def disconnect_keyed(context, seconds):
-    try:
-        call_keyed(context, timeout=seconds)
-    except urllib3.exceptions.HTTPError:
-        return
-    raise AssertionError("the call was answered before the caller disconnected")
+    release_services(context)
+    is_served = lambda: call_path(context.fleet, "/orders/1").status == 200  # noqa: E731
+    wait_until(is_served, SETUP_SECONDS, "the service gets calls again")
+
+
+@when("the caller of a keyed call disconnects while it runs")
+def disconnect_keyed(context):
+    url = urlsplit(context.fleet.nodes[0].url)
+    headers = {
+        "Authorization": f"Bearer {context.fleet.key_by_workspace['salina']}",
+        "X-Request-Id": "keyed",
+        "Idempotency-Key": KEY,
+    }
+    connection = http.client.HTTPConnection(url.hostname, url.port, SETUP_SECONDS)
+    with contextlib.closing(connection):
+        connection.request("POST", "/orders/17", b"{}", headers)
+        await_keyed_run(context)
+    time.sleep(NOTICE_SECONDS)
+    release_services(context)
 
 
 @when("a keyed stream is read at node 0 and again at node 1")
