Tests of confirmations don't depend on when their threads run

Seen: with a pause of 0.6 s within the timed call, "A node that has never been confirmed refuses at once" failed in one run of one: its bound was 0.5 s.

Cause: the bound had to lie below the wait of 1 s for a read. The reads "0.2 s later" were timed from the start of the request's thread, which may begin later than that.

Change: the node waits 10 s for a read, as in the scenarios beside it, and has to refuse within 5 s: a node that waited would take twice as long. The reads begin once the request waits, as its reads of the clock tell.

--- a/tests/features/configuration/confirmation.feature
+++ b/tests/features/configuration/confirmation.feature
@@ -29,6 +29,6 @@
     Then the request was answered with 503 after 1.0 to 1.9 s
 
   Scenario: A node that has never been confirmed refuses at once
-    Given a node that has just started
+    Given a node that waits 10 s for a read and has just started
     When a request with a key arrives and no read ends
-    Then the request was answered with 503 after 0.0 to 0.5 s
+    Then the request was answered with 503 after 0.0 to 5.0 s
--- a/tests/features/steps/confirmation_steps.py
+++ b/tests/features/steps/confirmation_steps.py
@@ -56,6 +56,22 @@
     time.sleep(AFTER_SECONDS)
 
 
+class AwaitedClock:
+    """A clock that tells when the request that reads it waits for a confirmation."""
+
+    def __init__(self):
+        self._reads = threading.Semaphore(0)
+
+    def __call__(self):
+        self._reads.release()
+        return time.monotonic()
+
+    def await_waiting(self):
+        """Return once the request has found that it may wait, and again as it waits."""
+        for _ in range(2):
+            assert self._reads.acquire(timeout=JOIN_SECONDS), "the request didn't wait"
+
+
 class AnsweredRequest(threading.Thread):
     """A request for the list of models, in a thread: its status and its seconds."""
 
@@ -80,9 +96,14 @@
         self.seconds = time.monotonic() - started_at
 
 
-@given("a node that has just started")
-def start_configuration(context, wait_seconds=CONFIRM_WAIT_SECONDS):
-    context.holder = SnapshotHolder(wait_seconds=wait_seconds)
+@given("a node that waits {seconds:d} s for a read and has just started")
+def start_unconfirmed(context, seconds):
+    start_configuration(context, float(seconds))
+
+
+def start_configuration(context, wait_seconds):
+    context.clock = AwaitedClock()
+    context.holder = SnapshotHolder(context.clock, wait_seconds)
     actor = ConfigurationActor.start(
         Follower(),
         context.holder,
@@ -120,6 +141,7 @@
 @when("a request with a key arrives and a read confirms the revision 0.2 s later")
 def confirm_later(context):
     send_request(context)
+    context.clock.await_waiting()
     asked_at = time.monotonic()
     time.sleep(READ_AFTER_SECONDS)
     context.configuration.platform_gave(1, asked_at).get()
@@ -129,6 +151,7 @@
 @when("a request with a key arrives and a read fails 0.2 s later")
 def fail_later(context):
     send_request(context)
+    context.clock.await_waiting()
     asked_at = time.monotonic()
     time.sleep(READ_AFTER_SECONDS)
     context.configuration.platform_failed(asked_at).get()
