Tests of waiting requests: time left at the placement, log lines awaited

The gateway sends a request with the time left at its placement; the step compared it with the time at which the runner, which is in the behave process, began the run.

The step now takes the time of the log line on the placement, which the gateway wrote, and waits for that line, which a thread writes. The slack of 0.05 s is the same.

--- a/tests/features/steps/gateway_waiting_steps.py
+++ b/tests/features/steps/gateway_waiting_steps.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
 
 from behave import given, then, when
 from emulator import RunnerPlan
@@ -15,8 +16,9 @@
 STREAM_DEADLINE_SECONDS = 5.0
 # The request of a suspended gateway is in its kernel's buffer after this time.
 SENT_SECONDS = 0.3
-# Differences of the callers' and the runners' clocks from the gateway's.
+# Differences of the callers' clock from the gateway's.
 SLACK_SECONDS = 0.05
+LOG_SECONDS = 5.0
 WAIT_METRIC = re.compile(r"^sequoiaglade_gateway_arrival_wait\w*_sum\S* (\S+)$", re.M)
 
 
@@ -131,24 +133,35 @@
     (request,) = context.sent
     assert request.answer.status == 200 and request.answer.is_complete, request.answer
     (run,) = [run for run in runs(context) if run.request_id == request.request_id]
-    context.waited_seconds = run.began_at - request.sent_at
+    # The time left is that at the placement, not at the begin of the run.
+    placed_at = datetime.fromisoformat(placement(context)["timestamp"]).timestamp()
+    placed_at -= time.time() - time.monotonic()
+    context.waited_seconds = placed_at - request.sent_at
     most = request.deadline - context.waited_seconds + SLACK_SECONDS
     assert run.seconds_left <= most, (run.seconds_left, most)
 
 
 @then("the gateway's metrics and log tell that it waited")
 def check_wait_told(context):
-    (request,) = context.sent
     text = context.gateways.metrics()
     sums = [float(number) for number in WAIT_METRIC.findall(text)]
     assert sum(sums) > 0.5 * context.waited_seconds, (sums, context.waited_seconds)
-    (line,) = [
+    line = placement(context)
+    assert line["arrival_wait_ms"] > 500 * context.waited_seconds, line
+
+
+def placement(context):
+    """Return the log line on the placement of the only request, once it is written."""
+    (request,) = context.sent
+    found = lambda: [  # noqa: E731
         line
         for line in context.gateways.nodes[0].log_lines()
         if line["event"] == "request placed"
         and line["request_id"] == request.request_id
     ]
-    assert line["arrival_wait_ms"] > 500 * context.waited_seconds, line
+    wait_until(found, LOG_SECONDS, "the placement is logged")
+    (line,) = found()
+    return line
 
 
 @then("it is answered at most {seconds:g} s after its deadline")
