Renewals by guards count for StoreContact

A call that was sent before such a renewal and timed out after it renewed all watches again, though none of them had been sent on the old connections: 3 short calls, 3 watches and the guards' calls more for each gateway.

Cause: guards called renew_connections themselves, so that StoreContact did not know when the connections were renewed last.

Change: StoreContactKeeper.renew_watches is the only place that renews; guards call it, and StoreContact.note_renewal records it. A guard still renews at once: it has an answer that shows the missed change, and a pause of 3 s would break the bound of 2 s for it. Renewals by time-outs now keep their pause after those by guards as well.

Changed steps: the guarded watcher gets a StoreContactKeeper. In the older scenarios it is not started, so that the guards alone have to notice, as before.

--- a/packages/decisions/sequoiaglade_decisions/gateway/store_contact.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/store_contact.py
@@ -85,10 +85,7 @@
         The step counts as taken.
         """
         if self._renewal_due_at <= now:
-            self._renewal_due_at = math.inf
-            self._is_probe_wanted = True
-            self._probed_at = self._proved_at = None
-            self._renewed_at = now
+            self.note_renewal(now)
             return ContactStep.RENEW, 0.0
         due_at = self._probe_due_at(now)
         if due_at > now:
@@ -97,6 +94,13 @@
         self._is_probe_wanted = False
         return ContactStep.PROBE, self._interval_seconds
 
+    def note_renewal(self, now):
+        """Record that all connections are renewed now."""
+        self._renewal_due_at = math.inf
+        self._is_probe_wanted = True
+        self._probed_at = self._proved_at = None
+        self._renewed_at = now
+
     def _probe_due_at(self, now):
         if self._is_probe_wanted:
             return (
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -60,6 +60,7 @@
     settings: Any
     dialect: Any
     store: Any
+    store_contact: Any
     coordinator: Any
     store_cache: Any
     configuration_reader: Any
@@ -168,6 +169,7 @@
         parts.coordinator = actor
         parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.store = CountedStore(parts.store, parts.metrics)
+        parts.store_contact = StoreContactKeeper(parts.store, parts.metrics)
         parts.store_cache = StoreCache(parts.dialect, actor)
         parts.metrics.observe_configuration(lambda: parts.store_cache.version)
         parts.configuration_reader = stack.enter_context(
@@ -231,6 +233,7 @@
         parts = self._parts
         cache = parts.store_cache
         kinds = parts.dialect.kinds
+        contact = parts.store_contact
         configuration_watcher = KindWatcher(
             parts.store,
             kinds.configuration,
@@ -249,9 +252,9 @@
             endpoint_watcher,
             self._ends_watcher,
             # Ends are confirmed by `JobEnds` instead.
-            *guards_of(parts.store, configuration_watcher, parts.metrics),
-            *guards_of(parts.store, endpoint_watcher, parts.metrics),
-            StoreContactKeeper(parts.store, parts.metrics),
+            *guards_of(parts.store, configuration_watcher, contact, parts.metrics),
+            *guards_of(parts.store, endpoint_watcher, contact, parts.metrics),
+            contact,
         ):
             stack.enter_context(thread)
 
--- a/packages/gateway/sequoiaglade_gateway/store_cache/contact.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/contact.py
@@ -15,6 +15,7 @@
     """One thread that probes and renews the connections of a `DocumentStore`.
 
     A context manager. `StoreContact` decides from the outcome of all calls.
+    `renew_watches` may be called from any thread.
     """
 
     def __init__(self, store, metrics):
@@ -29,6 +30,13 @@
         )
         store.observe(self._on_call)
 
+    def renew_watches(self, reason):
+        """Renew the connections of the store, and log the kinds of its watches."""
+        with self._lock:
+            self._contact.note_renewal(time.monotonic())
+        self._renew(reason)
+        self._woken.set()
+
     def _on_call(self, call):
         with self._lock:
             self._contact.note_call(call)
@@ -47,13 +55,11 @@
                 case ContactStep.PROBE:
                     self._store.probe()
                 case ContactStep.RENEW:
-                    renew_watches(self._store, self._metrics, "a call timed out")
+                    self._renew("a call timed out")
                 case ContactStep.WAIT:
                     self._woken.wait(seconds)
 
-
-def renew_watches(store, metrics, reason):
-    """Renew the connections of a `DocumentStore`, and log the kinds of its watches."""
-    for kind in store.renew_connections():
-        metrics.count("watch renewed", kind)
-        structlog.get_logger().info("watch renewed", kind=kind, reason=reason)
+    def _renew(self, reason):
+        for kind in self._store.renew_connections():
+            self._metrics.count("watch renewed", kind)
+            structlog.get_logger().info("watch renewed", kind=kind, reason=reason)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
@@ -13,7 +13,6 @@
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.threads import OwnedThread
 
-from .contact import renew_watches
 from .watcher import PROBE_TIMEOUT_SECONDS, WATCH_TIMEOUT_SECONDS
 
 # Interval of looks at the guarded watch, while it does not know a change or does not
@@ -27,11 +26,14 @@
 PAUSE_SECONDS = 1.2
 
 
-def guards_of(store, watcher, metrics):
-    """Return the threads that guard a `KindWatcher`, to be entered after it."""
+def guards_of(store, watcher, contact, metrics):
+    """Return the threads that guard a `KindWatcher`, to be entered after it.
+
+    `contact` is the `StoreContactKeeper` of the store.
+    """
     return [
-        WatchGuard(store, watcher, metrics),
-        StandbyWatch(store, watcher, metrics),
+        WatchGuard(store, watcher, contact, metrics),
+        StandbyWatch(store, watcher, contact, metrics),
     ]
 
 
@@ -42,10 +44,11 @@
     from its last revision.
     """
 
-    def __init__(self, name, store, watcher, metrics):
+    def __init__(self, name, store, watcher, contact, metrics):
         super().__init__(f"{name} {watcher.kind}", join_seconds=0.2)
         self._store = store
         self._watcher = watcher
+        self._contact = contact
         self._metrics = metrics
         self._log = structlog.get_logger()
 
@@ -70,7 +73,7 @@
         self._log.warning(
             "watch missed changes", kind=kind, revision=revision, change=change
         )
-        renew_watches(self._store, self._metrics, f"a watch of {kind} missed changes")
+        self._contact.renew_watches(f"a watch of {kind} missed changes")
 
 
 class WatchGuard(_Guard):
@@ -79,8 +82,8 @@
     These may be outdated and have a fraction of the price of the guarded ones.
     """
 
-    def __init__(self, store, watcher, metrics):
-        super().__init__("guard", store, watcher, metrics)
+    def __init__(self, store, watcher, contact, metrics):
+        super().__init__("guard", store, watcher, contact, metrics)
         # The connections may have fallen silent in a pause. A first call that does not
         # wait for changes tells soon.
         self._is_paused = False
@@ -117,8 +120,8 @@
 class StandbyWatch(_Guard):
     """Guards a watch by one call for each change, which is never outdated."""
 
-    def __init__(self, store, watcher, metrics):
-        super().__init__("standby", store, watcher, metrics)
+    def __init__(self, store, watcher, contact, metrics):
+        super().__init__("standby", store, watcher, contact, metrics)
         self._covered_since = None
 
     def _run(self):
--- a/tests/features/gateway/store_contact.feature
+++ b/tests/features/gateway/store_contact.feature
@@ -63,6 +63,13 @@
       | 0   |
       | 4   |
 
+  Scenario: A call from before the renewal by a guard times out after it
+    Given a guarded and probed watcher of "servers", and outdated reads of 0 seconds ago
+    When the store answers nothing from 0.3 to 0.5 seconds after a document was written, and loses a write that waits for 4 seconds
+    And another document is written
+    Then the watcher has told 2 documents within 3.0 seconds
+    And the watch was renewed 1 time when that write has timed out
+
   Scenario: Calls that begin during a renewal are not interrupted
     Given a watcher of "batch-ends" whose connections can fall silent
     When 4 threads read 200 times while the connections are renewed at least 50 times
--- a/tests/features/steps/store_contact_steps.py
+++ b/tests/features/steps/store_contact_steps.py
@@ -11,7 +11,11 @@
 from emulator.links import Link
 from emulator.store import EmulatedStore
 from fleet_adapter.objects import ObjectStore
-from sequoiaglade_gateway.store_cache import KindWatcher, guards_of
+from sequoiaglade_gateway.store_cache import (
+    KindWatcher,
+    StoreContactKeeper,
+    guards_of,
+)
 
 from sequoiaglade_decisions.gateway import ContactStep, StoreCall, StoreContact
 from sequoiaglade_decisions.outcomes import Failure
@@ -185,6 +189,11 @@
     context.link = context.stack.enter_context(Link(context.emulated.address))
     context.store = context.stack.enter_context(ObjectStore(context.link.address))
     context.told, context.reachable = [], []
+    context.counted = Counter()
+    context.metrics = SimpleNamespace(
+        count=lambda *labels: context.counted.update([labels])
+    )
+    context.contact = StoreContactKeeper(context.store, context.metrics)
     watcher = context.watcher = KindWatcher(
         context.store,
         kind,
@@ -200,8 +209,25 @@
 def given_guarded_watcher(context, kind, seconds):
     given_watcher(context, kind)
     context.emulated.set_outdated(seconds)
-    metrics = SimpleNamespace(count=lambda *labels: None)
-    for guard in guards_of(context.store, context.watcher, metrics):
+    # The keeper of the contact is not entered: the guards alone have to notice.
+    enter_guards(context)
+
+
+@given(
+    'a guarded and probed watcher of "{kind}",'
+    " and outdated reads of {seconds:g} seconds ago"
+)
+def given_probed_watcher(context, kind, seconds):
+    given_watcher(context, kind)
+    context.emulated.set_outdated(seconds)
+    context.stack.enter_context(context.contact)
+    enter_guards(context)
+
+
+def enter_guards(context):
+    for guard in guards_of(
+        context.store, context.watcher, context.contact, context.metrics
+    ):
         context.stack.enter_context(guard)
     # A call of the guard waits from 1.8 to 3.6 seconds on.
     time.sleep(2.2)
@@ -219,6 +245,32 @@
     context.emulated.set_silent(False)
 
 
+@when(
+    "the store answers nothing from {begin:g} to {end:g} seconds after a document was"
+    " written, and loses a write that waits for {wait:g} seconds"
+)
+def silence_store_and_write(context, begin, end, wait):
+    write(context, 1)
+    time.sleep(begin)
+    context.emulated.set_silent(True)
+    lost = threading.Thread(
+        target=context.store.create, args=("notes", "lost", {}, wait), daemon=True
+    )
+    lost.start()
+    time.sleep(end - begin)
+    context.emulated.set_silent(False)
+    context.stack.callback(lost.join)
+    context.lost_write = lost
+
+
+@then("the watch was renewed {count:d} time when that write has timed out")
+def check_renewals(context, count):
+    context.lost_write.join()
+    time.sleep(0.5)
+    assert context.counted["watch missed changes", context.kind] == 1, context.counted
+    assert context.counted["watch renewed", context.kind] == count, context.counted
+
+
 @when("another document is written")
 def write_another(context):
     write(context, 1)
