Items are given up by the steady time of their holder as well as by their age

Change: a job is overdue only once its holder has held it for the retention as well, by the clock that no one sets and that counts suspensions.

--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -29,7 +29,7 @@
     """A job whose items this node runs or ran, with its listed results.
 
     `accepted_at` is when this node stored the job as a new one, None for a job that it
-    took over.
+    took over. `held_since` is when it was added to the registry.
     """
 
     def __init__(self, header, spec, route, pages=None, accepted_at=None):
@@ -39,6 +39,7 @@
         )
         self.pages = pages or ResultPages()
         self.accepted_at = accepted_at
+        self.held_since = None
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
         self.validity = PageValidity(accepted_at)
@@ -77,6 +78,7 @@
         with self.lock:
             if job.key in self._ended_keys:
                 job.batch.is_ended = True
+            job.held_since = self.clock()
             self._job_by_key.setdefault(job.key, job)
 
     def get(self, key):
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -142,10 +142,12 @@
 
     def _give_up_overdue(self, job, route, confirmed_at):
         with self._registry.lock:
-            age = time.time() - job.batch.spec.submitted_at
+            now = self._registry.clock()
+            # The time of day may have been set, here or where the job was accepted.
+            age = min(time.time() - job.batch.spec.submitted_at, now - job.held_since)
             is_overdue = route is not None and 0 < route.retention < age
             is_doubtful = job.batch.give_up_overdue(
-                is_overdue, route is not None, confirmed_at, self._registry.clock()
+                is_overdue, route is not None, confirmed_at, now
             )
         if is_doubtful:
             self._parts.configuration_reader.request()
