Scenarios: an endpoint leaves while an item waits for recent ends

Seen: an item that was placed before its endpoint announced its shutdown, or left the list, is sent there 1.6 s later, after the answer about ends of jobs.

--- a/tests/features/gateway/item_changes.feature
+++ b/tests/features/gateway/item_changes.feature
@@ -20,3 +20,13 @@
       | change                   |
       | moves to another service |
       | is removed               |
+
+  Scenario Outline: An endpoint leaves while an item waits for recent ends of jobs
+    Given an item runner whose endpoint <change> while an item waits for recent ends
+    When a job of 3 items is held
+    Then no item is sent later than 250 ms after the change
+
+    Examples:
+      | change                 |
+      | announces its shutdown |
+      | leaves the list        |
--- a/tests/features/steps/item_change_steps.py
+++ b/tests/features/steps/item_change_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then
 from emulator import RunnerPlan
 from gateway_item_runner_steps import ROUTE, start_item_runner
+from sequoiaglade_gateway.messages import EndpointChanged, EndpointLeaving
 
 from sequoiaglade_decisions.gateway import FleetConfiguration
 
@@ -45,6 +46,21 @@
     start_item_runner(context, plan=MANY_SLOTS, read_ends=read_ends)
 
 
+@given("an item runner whose endpoint {change} while an item waits for recent ends")
+def given_leaving(context, change):
+    message_by_change = {
+        "announces its shutdown": EndpointLeaving("runner-0", 0),
+        "leaves the list": EndpointChanged("runner-0", None),
+    }
+
+    def read_ends():
+        context.coordinator.tell(message_by_change[change])
+        context.changed_at = time.monotonic()
+        time.sleep(ENDS_SECONDS)
+
+    start_item_runner(context, plan=MANY_SLOTS, read_ends=read_ends)
+
+
 @then("no item is sent later than {milliseconds:d} ms after the change")
 def check_sent(context, milliseconds):
     time.sleep(5.0)
