An item is not sent to an endpoint that has begun to leave since it was placed

Seen: item_changes.feature, both rows of "An endpoint leaves while an item waits for recent ends of jobs": the item was sent there 1.6 s later.

Cause: the endpoint was looked at when the item was placed only, before the wait for recent ends.

Change: the check right before an item is sent asks the coordinator whether the endpoint still accepts requests, as a reserved place does for online requests.

--- a/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
@@ -4,19 +4,23 @@
 
 from sequoiaglade_endpoints import Attempt
 
+from ..messages import AcceptsRequests
+
 
 class ItemAttempt(Attempt):
     """An attempt that is aborted before it is sent if the item must not be any more.
 
-    That is if its job has ended, or its route has changed since it was placed.
+    That is if its job has ended, or if its route has changed or its endpoint begun to
+    leave since it was placed.
     """
 
-    def __init__(self, parts, job, item_id, service):
+    def __init__(self, parts, job, item_id, service, endpoint_id):
         super().__init__()
         self._parts = parts
         self._job = job
         self._item_id = item_id
         self._service = service
+        self._endpoint_id = endpoint_id
 
     def may_send(self):
         """Return whether the item may be sent now."""
@@ -25,24 +29,34 @@
         return not self.is_aborted
 
     def _is_allowed(self):
-        # The first check may wait for the store, so that the second one is the last.
+        # The first check may wait for the store, so that the others follow it.
         return (
             self._parts.job_ends.may_send(self._job, self._item_id)
             and self._is_routed()
+            and self._is_accepted()
         )
 
+    def _is_accepted(self):
+        if self._parts.coordinator.ask(AcceptsRequests(self._endpoint_id)):
+            return True
+        self._log_withheld(endpoint_id=self._endpoint_id)
+        self._parts.metrics.count("item send check", "endpoint leaving")
+        return False
+
     def _is_routed(self):
         configuration = self._parts.store_cache.configuration
         service = configuration.service_for(self._job.batch.spec)
         if service == self._service:
             return True
-        structlog.get_logger().info(
-            "item withheld",
-            item_id=self._item_id,
-            job=self._job.key,
+        self._log_withheld(
             placed_service=self._service,
             service=service,
             configuration_version=configuration.version,
         )
         self._parts.metrics.count("item send check", "rerouted")
         return False
+
+    def _log_withheld(self, **inputs):
+        structlog.get_logger().info(
+            "item withheld", item_id=self._item_id, job=self._job.key, **inputs
+        )
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -204,7 +204,8 @@
                 self._retry_at_by_service[service] = retry_at
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             return False
-        attempt = ItemAttempt(self._parts, job, item.item_id, service)
+        endpoint_id = placed.endpoint.endpoint_id
+        attempt = ItemAttempt(self._parts, job, item.item_id, service, endpoint_id)
         run = _ItemRun(job, progress, placed.endpoint, attempt, service)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
@@ -212,7 +213,7 @@
             "item placed",
             item_id=item.item_id,
             job=job.key,
-            endpoint_id=placed.endpoint.endpoint_id,
+            endpoint_id=endpoint_id,
             endpoint_version=placed.endpoint.version,
             in_flight=placed.in_flight,
             after_event=progress.last_event_id,
