Scenario: a job that is taken over while its route is missing keeps no route

Seen: the name of a job's route and its due time are read once, when the job is added. A gateway that takes a job over between two versions, of which the later has the route again, gossips its waiting tokens for no route, so that submissions are accepted beyond the limit, and its items are due at once, so that all others go first.

--- a/tests/features/gateway/item_changes.feature
+++ b/tests/features/gateway/item_changes.feature
@@ -30,3 +30,9 @@
       | change                 |
       | announces its shutdown |
       | leaves the list        |
+
+  # A job that was taken over between two versions kept no route for as long as it was held.
+  Scenario: A route is missing while a job is taken over, and is back later
+    Given an item runner whose route is limited, and a job that was taken over without it
+    When 1 second passes
+    Then its waiting tokens count for the route, and its items are due by the route
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -105,10 +105,10 @@
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
-def hold_job(context, count, job_id="job", headers=(), submitted_at=0.0):
+def hold_job(context, count, job_id="job", headers=(), submitted_at=0.0, route=ROUTE):
     items = tuple(Item(f"item-{n}", "/batch/x", headers, b"", 1) for n in range(count))
     spec = JobSpec(job_id, "yard", HOST, "/batch/job", submitted_at, "gateway-0", items)
-    job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, ROUTE)
+    job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, route)
     context.registry.add(job)
     return job
 
--- a/tests/features/steps/item_change_steps.py
+++ b/tests/features/steps/item_change_steps.py
@@ -2,9 +2,9 @@
 
 import time
 
-from behave import given, then
+from behave import given, then, when
 from emulator import RunnerPlan
-from gateway_item_runner_steps import ROUTE, start_item_runner
+from gateway_item_runner_steps import ROUTE, hold_job, start_item_runner
 from sequoiaglade_gateway.messages import EndpointChanged, EndpointLeaving
 
 from sequoiaglade_decisions.gateway import FleetConfiguration
@@ -14,6 +14,7 @@
 PLACEMENT_SECONDS = 0.1
 # A silent store and silent peers delay the check of ends this long.
 ENDS_SECONDS = 1.6
+DUE_ROUTE = ROUTE._replace(due_seconds=18.0, waiting_tokens=1000)
 CONFIGURATION_BY_CHANGE = {
     "moves to another service": FleetConfiguration(
         2, (ROUTE._replace(targets=(("other", 1),)),), (), ()
@@ -70,3 +71,24 @@
         if run.began_at > context.changed_at + milliseconds / 1000
     ]
     assert not late, late
+
+
+@given(
+    "an item runner whose route is limited, and a job that was taken over without it"
+)
+def given_without_route(context):
+    start_item_runner(context, route=DUE_ROUTE)
+    context.held_job = hold_job(context, 40, submitted_at=100.0, route=None)
+
+
+@when("{seconds:d} second passes")
+def pass_second(context, seconds):
+    time.sleep(seconds)
+
+
+@then("its waiting tokens count for the route, and its items are due by the route")
+def check_route(context):
+    (summary,) = context.registry.summaries()
+    assert summary.waiting_tokens, summary
+    assert summary.route == DUE_ROUTE.name, summary
+    assert context.held_job.batch.due == 118.0, context.held_job.batch.due
