A held job follows the route that it has in the configuration in force

Seen: item_changes.feature, "A route is missing while a job is taken over, and is back later": its waiting tokens counted for no route.

Cause: HeldJob kept the name of the route, and the due time by it, of the configuration at the moment when the job was added.

Change: each pass of the item runner gives a job its route of today. The due time is set by the first route that the job has at its holder, and stays.

--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -45,6 +45,15 @@
         self.validity = PageValidity(accepted_at)
         self.batch.note_listed(self.pages.results)
 
+    def follow(self, route):
+        """Take the route over that the job has in the configuration in force.
+
+        The due time stays that of the first route that the job had here.
+        """
+        if not self.route_name:
+            self.batch.due = self.batch.spec.submitted_at + route.due_seconds
+        self.route_name = route.name
+
     def is_current(self, contact_since):
         """Return whether `pages` are those of the store; see `PageValidity`."""
         is_complete = self.pages.count >= len(self.batch.spec.items)
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -135,6 +135,8 @@
             route = configuration.match(spec.host, spec.path)
             self._give_up_overdue(job, route, confirmed_at)
             if route is not None:
+                with self._registry.lock:
+                    job.follow(route)
                 service = route.service_for(spec.job_id)
                 jobs_by_service.setdefault(service, []).append((job, route))
         for service, rows in jobs_by_service.items():
