--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -135,6 +135,8 @@
             route = configuration.match(spec.host, spec.path)
             self._give_up_overdue(job, route, confirmed_at)
             if route is not None:
+                with self._registry.lock:
+                    job.follow(route)
                 service = route.service_for(spec.job_id)
                 jobs_by_service.setdefault(service, []).append((job, route))
         for service, rows in jobs_by_service.items():
@@ -142,10 +144,12 @@
 
     def _give_up_overdue(self, job, route, confirmed_at):
         with self._registry.lock:
-            age = time.time() - job.batch.spec.submitted_at
+            now = self._registry.clock()
+            # The time of day may have been set, here or where the job was accepted.
+            age = min(time.time() - job.batch.spec.submitted_at, now - job.held_since)
             is_overdue = route is not None and 0 < route.retention < age
             is_doubtful = job.batch.give_up_overdue(
-                is_overdue, route is not None, confirmed_at, self._registry.clock()
+                is_overdue, route is not None, confirmed_at, now
             )
         if is_doubtful:
             self._parts.configuration_reader.request()
@@ -202,7 +206,8 @@
                 self._retry_at_by_service[service] = retry_at
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             return False
-        attempt = ItemAttempt(self._parts, job, item.item_id, service)
+        endpoint_id = placed.endpoint.endpoint_id
+        attempt = ItemAttempt(self._parts, job, item.item_id, service, endpoint_id)
         run = _ItemRun(job, progress, placed.endpoint, attempt, service)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
@@ -210,7 +215,7 @@
             "item placed",
             item_id=item.item_id,
             job=job.key,
-            endpoint_id=placed.endpoint.endpoint_id,
+            endpoint_id=endpoint_id,
             endpoint_version=placed.endpoint.version,
             in_flight=placed.in_flight,
             after_event=progress.last_event_id,
