Tests of membership wait for their streams and for enough results

Cause (found by reading, not seen to fail): node 1 got SIGTERM 0.5 s after its streams were sent, begun or not, and "no request was lost" needs more than 50 results, which callers had to get in fixed times of 4 to 6 s.

Change: SIGTERM follows once all four streams run, and the callers go on until there are more than 50 results, for at most 30 s. What is required of the results is unchanged.

Evidence: 7 of 7 scenarios of membership.feature passed (one run, load average about 22).

--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -11,6 +11,7 @@
 
 import urllib3
 from behave import given, then, when
+from online_calls import wait_until
 
 from sequoiaglade_decisions.membership import (
     MARKS_PER_MESSAGE,
@@ -30,6 +31,10 @@
 CALL_KINDS = ("whole", "streamed", "unrepeatable")
 PAUSE_SECONDS = 0.02
 CALL_PAUSE_SECONDS = 0.1
+STREAM_COUNT = 4
+MIN_RESULTS = 50
+# Bounds the waits for the calls that a scenario needs.
+CALLS_SECONDS = 30.0
 
 
 class Callers:
@@ -59,6 +64,11 @@
         for thread in self._threads:
             thread.join()
 
+    @property
+    def are_calling(self):
+        """Whether the threads still send requests."""
+        return not self._stopped.is_set()
+
     def send(self, http, url, tokens=3, stream=False, kind="whole"):
         """Send one request and record its outcome under its id."""
         request_id = f"{kind}-{uuid.uuid4().hex}"
@@ -114,13 +124,17 @@
         context.stack.enter_context(callers)
     time.sleep(1.0)
     http = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=8)
-    stream = (http, fleet.nodes[1].url, STREAM_TOKENS, True)
+    stream = (http, fleet.nodes[1].url, STREAM_TOKENS, True, "long")
     context.streams = [
-        threading.Thread(target=context.callers[0].send, args=stream) for _ in range(4)
+        threading.Thread(target=context.callers[0].send, args=stream)
+        for _ in range(STREAM_COUNT)
     ]
     for thread in context.streams:
         thread.start()
-    time.sleep(0.5)
+    run_count = lambda: sum(  # noqa: E731
+        run["request_id"].startswith("long") for run in fleet.runs()
+    )
+    wait_until(lambda: run_count() == STREAM_COUNT, CALLS_SECONDS, "streams run")
 
 
 @when("node 1 gets SIGTERM meanwhile")
@@ -143,11 +157,18 @@
 
 @then("no request was lost, truncated or run twice")
 def check_results(context):
+    result_count = lambda: sum(len(c.results) for c in context.callers)  # noqa: E731
+    if any(callers.are_calling for callers in context.callers):
+        wait_until(lambda: result_count() > MIN_RESULTS, CALLS_SECONDS, "more results")
     for callers in context.callers:
         callers.__exit__()
     results = {i: r for callers in context.callers for i, r in callers.results.items()}
     wrong = [result for result in results.values() if result[0] != 200]
-    assert len(results) > 50 and not wrong, (len(results), len(wrong), wrong[:3])
+    assert len(results) > MIN_RESULTS and not wrong, (
+        len(results),
+        len(wrong),
+        wrong[:3],
+    )
     counts = Counter(run["request_id"] for run in context.fleet.runs())
     doubled = [i for i in results if counts[i] != 1]
     assert not doubled, doubled[:3]
