Test of streams of several versions: streams of 3 s, killed half a second after their begin

Seen: with gateway 0 suspended for 1.3 s from 0.1 or 0.15 s after the begin of the step 'gateway 0 is killed while they run', 'A stream whose gateway was killed goes on at its version' failed 2 of 2: streams of 1.2 s were complete before the kill. The kill also came 0.1 s after the last first event, so that a later delay would have left a caller without an event.

The streams last 3 s now, and the kill comes 0.5 s after their first events. The checks are the same.

--- a/tests/features/steps/gateway_version_steps.py
+++ b/tests/features/steps/gateway_version_steps.py
@@ -13,8 +13,10 @@
 
 # Longer than any stream of these scenarios, as the gateway's decision assumes.
 STREAM_SECONDS = 6.5
+# Streams last so long that all of them run at the same time.
+LASTING = SLOW._replace(event_seconds=0.25)
 # Time for an event that the gateway has counted to reach its caller.
-FORWARD_SECONDS = 0.1
+FORWARD_SECONDS = 0.5
 FIRST_EVENT_COUNT = re.compile(
     r"^sequoiaglade_gateway_first_event_seconds_count\S* (\S+)$", re.MULTILINE
 )
@@ -57,7 +59,7 @@
 
 @given('{nodes:d} gateways and slow runners of "{versions}"')
 def given_slow_versions(context, nodes, versions):
-    start(context, nodes, _plans(versions, SLOW))
+    start(context, nodes, _plans(versions, LASTING))
     fleet = context.gateways
     have_met = lambda: all(  # noqa: E731
         len(fleet.status(node)["peers"]) == nodes - 1 for node in range(nodes)
