A workspace that was limited lately does not get its burst anew

Seen: decisions.feature, "A workspace is left out by every other version": 341 requests in 5 s, the bound is 185.

Cause: a configuration without a workspace, or without its limit, dropped its bucket, and the next one with it began with a full one.

Change: buckets without a limit in force are kept until they would be full.

--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -14,6 +14,10 @@
         self.level = level
         self.updated_at = now
 
+    def is_full(self, now):
+        """Whether it would be full by now at its whole rate."""
+        return self.level + (now - self.updated_at) * self.rate >= self.burst
+
     def refill(self, now, share):
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = now
@@ -65,25 +69,43 @@
     def __init__(self, is_first_start):
         self._initial_fill = 1.0 if is_first_start else RESTART_FILL_FRACTION
         self._bucket_by_workspace = {}
+        # Buckets without a limit in force; a later version may limit them again.
+        self._unlimited_by_workspace = {}
         self._admitted_by_workspace = {}
         self._admitted_at_by_workspace = {}
         self._counts_by_peer = {}
 
     def configure(self, limit_by_workspace, now):
-        """Set the pairs of rate and burst by workspace; a rate of 0 is no limit."""
-        for workspace in set(self._bucket_by_workspace) - set(limit_by_workspace):
-            del self._bucket_by_workspace[workspace]
+        """Set the pairs of rate and burst by workspace; a rate of 0 is no limit.
+
+        A workspace that was limited lately does not get its burst anew.
+
+        >>> quotas = FleetQuotas(is_first_start=True)
+        >>> quotas.configure({"w": (1.0, 2.0)}, now=0.0)
+        >>> [quotas.take("w", now=0.0, share=1.0) for _ in range(2)]
+        [None, None]
+        >>> quotas.configure({}, now=0.5)
+        >>> quotas.configure({"w": (1.0, 2.0)}, now=0.5)
+        >>> quotas.take("w", now=0.5, share=1.0)
+        0.5
+        """
+        known = self._unlimited_by_workspace | self._bucket_by_workspace
+        self._bucket_by_workspace = {}
         for workspace, (rate, burst) in limit_by_workspace.items():
-            bucket = self._bucket_by_workspace.get(workspace)
             if rate <= 0:
-                self._bucket_by_workspace.pop(workspace, None)
-            elif bucket is None:
-                level = burst * self._initial_fill
-                self._bucket_by_workspace[workspace] = _Bucket(rate, burst, level, now)
-            else:
-                bucket.rate = rate
-                bucket.burst = burst
-                bucket.level = min(bucket.level, burst)
+                continue
+            bucket = known.pop(workspace, None)
+            if bucket is None:
+                bucket = _Bucket(rate, burst, burst * self._initial_fill, now)
+            bucket.rate = rate
+            bucket.burst = burst
+            bucket.level = min(bucket.level, burst)
+            self._bucket_by_workspace[workspace] = bucket
+        self._unlimited_by_workspace = {
+            workspace: bucket
+            for workspace, bucket in known.items()
+            if not bucket.is_full(now)
+        }
 
     def take(self, workspace, now, share):
         """Admit a request and return None, or return the seconds until admission."""
