--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -102,6 +102,20 @@
       | 300   | 3    | 0.7   |
       | 300   | 4    | 0.7   |
 
+  # Its share of the rest bounded each job that it accepted, not their sum.
+  Scenario Outline: The limit holds while a gateway is cut off from its peers alone
+    Given gateways "a, b, c, d, e, f, g" with a limit of waiting tokens
+    When "<group>" are cut off from the other gateways for <seconds> seconds
+    And each gateway gets <count> jobs of 30 tokens, in turn, within 4 seconds
+    Then no acceptance is more than a tenth above the limit
+    And over 0.9 of the limit was used at the end
+
+    Examples:
+      | group   | seconds | count |
+      | a       | 2       | 20    |
+      | a       | 10      | 20    |
+      | a, b, c | 2       | 20    |
+
   Scenario: A gateway is told at once of a job that another one accepts
     Given 2 gateways and 1 runner with few slots
     When gateway 0 accepts jobs until it refuses one for its workspace's tokens
--- a/tests/features/steps/waiting_token_steps.py
+++ b/tests/features/steps/waiting_token_steps.py
@@ -82,6 +82,27 @@
         context.play.submit_at(name)
 
 
+@when('"{group}" are cut off from the other gateways for {seconds:d} seconds')
+def cut_group_off(context, group, seconds):
+    simulation = context.simulation
+    others = set(simulation.gateway_by_name) - set(names_in(group))
+    for name in names_in(group):
+        simulation.cut(name, others)
+    simulation.run(float(seconds))
+
+
+@when(
+    "each gateway gets {count:d} jobs of {tokens:d} tokens, in turn, within "
+    "{seconds:d} seconds"
+)
+def send_in_turn(context, count, tokens, seconds):
+    context.play = _Play(context, 1, tokens)
+    for _ in range(count):
+        context.simulation.run(seconds / count, seconds / count)
+        for name in context.simulation.gateway_by_name:
+            context.play.submit_at(name)
+
+
 @then("over {least:g} of the limit was used at the end")
 def check_used_at_end(context, least):
     assert context.play.used[-1] > least * LIMIT, context.play.used[-1]
