Test of quiet watches: 22 seconds by the clock, not by the number of sleeps

The step slept 220 times for 0.1 s and wrote a document each time, so that its 22 seconds grew with the load, and with them the calls that it counts: a guard asks once in 1.8 s, and 13 of these are allowed. In a trial beside 8 busy processes there were 13, the bound; the scenario passed. It now ends after 22 s of the clock. Both bounds are the same.

--- a/tests/features/steps/store_call_steps.py
+++ b/tests/features/steps/store_call_steps.py
@@ -76,9 +76,10 @@
     before = store.calls_by_kind["config"]
     outdated_before = store.outdated_calls_by_kind["config"]
     lists_before = store.lists_by_kind["config"]
-    for number in range(10 * seconds):
-        store.put("notes", "n", {"number": number})
-        time.sleep(0.1)
+    until = time.monotonic() + seconds
+    while (left := until - time.monotonic()) > 0:
+        store.put("notes", "n", {"seconds_left": left})
+        time.sleep(min(left, 0.1))
     outdated = store.outdated_calls_by_kind["config"] - outdated_before
     context.outdated_count = outdated
     context.call_count = store.calls_by_kind["config"] - before - outdated
