--- a/tests/features/gateway/batch.feature
+++ b/tests/features/gateway/batch.feature
@@ -101,7 +101,7 @@
     Then the workspace "other" cannot find it
 
   Scenario: Waiting tokens are limited over all gateways
-    Given 2 gateways and 1 slow runner
+    Given 2 gateways and 1 runner with long items
     When jobs of 40,000 tokens are submitted alternately at both gateways
     Then 2 are accepted and the third is refused with 429
 
--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -103,7 +103,7 @@
       | 300   | 4    | 0.7   |
 
   Scenario: A gateway is told at once of a job that another one accepts
-    Given 2 gateways and 1 runner with few slots
+    Given 2 gateways and 1 runner with long items
     When gateway 0 accepts jobs until it refuses one for its workspace's tokens
     Then the next job at gateway 1 is answered with 429 as well
 
--- a/tests/features/steps/gateway_batch_steps.py
+++ b/tests/features/steps/gateway_batch_steps.py
@@ -11,6 +11,8 @@
 
 EVENTS = 6
 UNREACHABLE_ADDRESS = "127.0.0.1:1"
+# No item ends before its scenario is over.
+LONG_ITEMS = RunnerPlan(event_count=30, event_seconds=1.0)
 
 
 @given("2 gateways, one more that cannot reach the store, and 1 runner")
@@ -20,6 +22,11 @@
     context.gateways.wait_ready(node)
 
 
+@given("2 gateways and 1 runner with long items")
+def given_long_items(context):
+    start(context, 2, [LONG_ITEMS])
+
+
 @given('1 gateway and 2 runners that answer 422 on "never" and 500 on "fails"')
 def given_failing(context):
     start(context, 1, [RunnerPlan(status_by_word={"never": 422, "fails": 500})] * 2)
