Probes ask a silent store in place of watches and guards

The calls of 2 gateways in 12 s of silence, in a trial with 77 calls: 48 short calls of the three first watches (16 a kind), 16 lists of job headers, 9 probes, 4 standby calls. The standby calls, which are what made the bound fail, begin before any call has timed out, so that no evidence of the silence can exist; the guards that end often asked nothing. What asked needlessly were the first watches: each asked by itself each 1.4 s, at full price for two kinds, and each waited for its own time-out and pause after the return.

Change: StoreContact.is_silent: a call that was sent after the last answer has timed out, within the last 1.5 s. While it is true a probe is made each second, at a tenth of the price, and watches that failed ask again once any call is answered, after 3 s more than before at the latest. Guards and standby watches begin no call either, and go on within 0.1 s of an answer, 0.05 s for watches. First calls after a renewal are made at once, as before. If connections are refused no evidence is added, so that watches ask as before.

With 400 gateways a silence costs 400 probes a second (40 full prices) in place of 840 watches, two thirds of them at full price. Without the evidence of probes the watches ask after 4.4 s. Weighed: one watch that asks for all (a kind at full price, and its own failure would look like the silence of all); guards alone (saves none of the calls above).

'A guarded watch is lost right after a silent store returned' shows that the standby covers a watch that begins right after the return; it was written for the new code and was not run before it.

The steps name the calls by form, and the gateways' own counts.

--- a/packages/decisions/sequoiaglade_decisions/gateway/store_contact.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/store_contact.py
@@ -1,4 +1,9 @@
-"""Evidence of whether watches of the store wait on connections that pass nothing."""
+"""Evidence of whether the store answers, and whether open connections to it pass data.
+
+The load pattern: the store answers nothing for seconds, and each watch of each node
+asks it again and again. While calls show that, one cheap probe at a time asks for all
+watches of a node.
+"""
 
 import math
 from enum import Enum
@@ -11,6 +16,9 @@
 RENEWAL_PAUSE_SECONDS = 3.0
 # A call that waited less before it timed out may only have met a slow store.
 SILENCE_SECONDS = 0.9
+# How long an unanswered call shows that the store is silent. It is longer than a probe
+# that times out, so that the evidence lasts as long as the silence.
+EVIDENCE_SECONDS = 1.5
 
 
 class StoreCall(NamedTuple):
@@ -58,6 +66,15 @@
     (<ContactStep.RENEW: 'renew'>, 0.0)
     >>> contact.next_step(16.0)
     (<ContactStep.PROBE: 'probe'>, 3.0)
+
+    A call that was sent after the last answer and timed out shows that the store is
+    silent, until any call is answered. The next probe is due soon then.
+
+    >>> contact.is_silent(16.0)
+    True
+    >>> contact.note_call(StoreCall(16.0, 16.0, 16.1, True, is_probe=True))
+    >>> contact.is_silent(16.1)
+    False
     """
 
     def __init__(self, interval_seconds=PROBE_INTERVAL_SECONDS):
@@ -68,14 +85,19 @@
         # When to renew the connections, because a call was not answered.
         self._renewal_due_at = math.inf
         self._is_probe_wanted = True
+        self._answered_at = -math.inf
+        # When the last call ended that was not answered though it was sent after the
+        # last answer.
+        self._silent_at = -math.inf
 
     def note_call(self, call):
         """Record a `StoreCall`."""
         if not call.is_answered:
             self._note_unanswered(call)
-        elif not self._is_outdated(call) and (
-            call.is_probe or self._proves_others(call)
-        ):
+            return
+        self._answered_at = max(call.ended_at, self._answered_at)
+        self._silent_at = -math.inf
+        if not self._is_outdated(call) and (call.is_probe or self._proves_others(call)):
             self._proved_at = max(call.ended_at, self._proved_at or call.ended_at)
             self._is_probe_wanted = False
 
@@ -101,8 +123,12 @@
         self._probed_at = self._proved_at = None
         self._renewed_at = now
 
+    def is_silent(self, now):
+        """Return whether unanswered calls show that the store answers nothing."""
+        return now - self._silent_at < EVIDENCE_SECONDS
+
     def _probe_due_at(self, now):
-        if self._is_probe_wanted:
+        if self._is_probe_wanted or self.is_silent(now):
             return (
                 now
                 if self._probed_at is None
@@ -112,9 +138,12 @@
         return max(times, default=now) + self._interval_seconds
 
     def _note_unanswered(self, call):
+        has_waited = call.ended_at - call.sent_at >= SILENCE_SECONDS
+        if has_waited and call.sent_at >= self._answered_at:
+            self._silent_at = max(call.ended_at, self._silent_at)
         if self._is_outdated(call):
             return
-        if call.ended_at - call.sent_at < SILENCE_SECONDS:
+        if not has_waited:
             self._is_probe_wanted = True
         else:
             # Watches that wait may have been lost with a call right after a renewal.
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -191,6 +191,7 @@
             self._on_job_ends_listed,
             self._on_job_end_changed,
             may_be_outdated=True,
+            is_store_silent=parts.store_contact.is_store_silent,
         )
         parts.job_ends = JobEnds(
             registry, parts.metrics, self._ends_watcher.read_now, PeerEnds(parts).read
@@ -239,6 +240,7 @@
             kinds.configuration,
             cache.on_configurations_listed,
             cache.on_configuration_changed,
+            is_store_silent=contact.is_store_silent,
         )
         endpoint_watcher = KindWatcher(
             parts.store,
@@ -246,6 +248,7 @@
             cache.on_endpoints_listed,
             cache.on_endpoint_changed,
             cache.on_endpoints_reachable,
+            is_store_silent=contact.is_store_silent,
         )
         for thread in (
             configuration_watcher,
--- a/packages/gateway/sequoiaglade_gateway/store_cache/contact.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/contact.py
@@ -15,7 +15,7 @@
     """One thread that probes and renews the connections of a `DocumentStore`.
 
     A context manager. `StoreContact` decides from the outcome of all calls.
-    `renew_watches` may be called from any thread.
+    `is_store_silent` and `renew_watches` may be called from any thread.
     """
 
     def __init__(self, store, metrics):
@@ -30,6 +30,11 @@
         )
         store.observe(self._on_call)
 
+    def is_store_silent(self):
+        """Return whether unanswered calls show that the store answers nothing."""
+        with self._lock:
+            return self._contact.is_silent(time.monotonic())
+
     def renew_watches(self, reason):
         """Renew the connections of the store, and log the kinds of its watches."""
         with self._lock:
--- a/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
@@ -16,7 +16,7 @@
 from .watcher import PROBE_TIMEOUT_SECONDS, WATCH_TIMEOUT_SECONDS
 
 # Interval of looks at the guarded watch, while it does not know a change or does not
-# wait.
+# wait, and at whether the store answers again.
 LOOK_SECONDS = 0.1
 # Interval of looks for a call that the standby is due for. It is shorter than the delay
 # of the standby.
@@ -41,7 +41,7 @@
     """Base class of threads that guard a `KindWatcher`; a context manager.
 
     They tell nobody of changes: a watch that has missed some is renewed, and asks again
-    from its last revision.
+    from its last revision. They ask nothing while the store is known to be silent.
     """
 
     def __init__(self, name, store, watcher, contact, metrics):
@@ -91,7 +91,8 @@
     def _run(self):
         while not self._stopped.is_set():
             position = self._watcher.position
-            if position is None or position.waiting_since is None:
+            is_waiting = position is not None and position.waiting_since is not None
+            if not is_waiting or self._contact.is_store_silent():
                 self._stopped.wait(LOOK_SECONDS)
                 continue
             seconds = PROBE_TIMEOUT_SECONDS if self._is_paused else GUARD_SECONDS
@@ -132,6 +133,9 @@
                 seconds = STANDBY_LOOK_SECONDS
                 self._stopped.wait(seconds if delay is None else min(delay, seconds))
                 continue
+            if self._contact.is_store_silent():
+                self._stopped.wait(LOOK_SECONDS)
+                continue
             result = self._store.watch(
                 self._watcher.kind, position.revision, WATCH_TIMEOUT_SECONDS
             )
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -29,6 +29,11 @@
 LISTS_WITHOUT_PAUSE = 2
 # Mean pause after a failed call; a change has to reach all nodes within 2 seconds.
 RETRY_SECONDS = 0.4
+# While the store is known to be silent, probes ask in place of the watches, and the
+# watches ask once an answer is seen. They do not rely on that for longer than this.
+SILENT_RETRY_SECONDS = 3.0
+# Interval of looks at whether the store answers again.
+SILENT_LOOK_SECONDS = 0.05
 
 
 class KindWatcher(OwnedThread):
@@ -38,6 +43,7 @@
     `DocumentChange`, and `on_reachable` with whether the store answers when that
     changes. With `may_be_outdated` this may be told seconds late; `read_now` never is.
     If the history of an outdated list is gone, the next list is not outdated.
+    `is_store_silent` tells whether unanswered calls show that the store is silent.
     """
 
     def __init__(
@@ -48,6 +54,7 @@
         on_change,
         on_reachable=None,
         may_be_outdated=False,
+        is_store_silent=lambda: False,
     ):
         super().__init__(f"watch {kind}", join_seconds=0.2)
         self._store = store
@@ -56,6 +63,7 @@
         self._on_change = on_change
         self._on_reachable = on_reachable or (lambda is_reachable: None)
         self._may_be_outdated = may_be_outdated
+        self._is_store_silent = is_store_silent
         self._revision = None
         # Watches that expired one after another.
         self._expired_count = 0
@@ -119,7 +127,15 @@
                 self._expired_count += 1
                 if self._expired_count <= LISTS_WITHOUT_PAUSE:
                     continue
-            self._stopped.wait(RETRY_SECONDS * (0.75 + 0.5 * random.random()))
+            self._pause()
+
+    def _pause(self):
+        """Pause after a failed call."""
+        self._stopped.wait(RETRY_SECONDS * (0.75 + 0.5 * random.random()))
+        end = time.monotonic() + SILENT_RETRY_SECONDS
+        while self._is_store_silent() and time.monotonic() < end:
+            if self._stopped.wait(SILENT_LOOK_SECONDS):
+                return
 
     def _list(self):
         # Outdated reads may lag behind the history that is gone, for seconds.
--- a/tests/features/gateway/store_contact.feature
+++ b/tests/features/gateway/store_contact.feature
@@ -70,6 +70,20 @@
     Then the watcher has told 2 documents within 3.0 seconds
     And the watch was renewed 1 time when that write has timed out
 
+  Scenario: Probes ask a silent store in place of its watches
+    Given a guarded and probed watcher of "servers", and outdated reads of 0 seconds ago
+    When the store answers nothing for 9 seconds
+    Then it received at most 3 watches in that time
+    When another document is written
+    Then the watcher has told 1 documents within 1.5 seconds
+
+  Scenario: A guarded watch is lost right after a silent store returned
+    Given a guarded and probed watcher of "servers", and outdated reads of 4 seconds ago
+    When the store answers nothing for 5 seconds
+    And a watch that begins after that is lost
+    And another document is written
+    Then the watcher has told 1 documents within 3.0 seconds
+
   Scenario: Calls that begin during a renewal are not interrupted
     Given a watcher of "batch-ends" whose connections can fall silent
     When 4 threads read 200 times while the connections are renewed at least 50 times
--- a/tests/features/steps/store_contact_steps.py
+++ b/tests/features/steps/store_contact_steps.py
@@ -1,5 +1,6 @@
 """Steps for probes and renewals of the connections to the store."""
 
+import math
 import threading
 import time
 from collections import Counter
@@ -24,6 +25,8 @@
 PROBE_TIMEOUT_SECONDS = 1.0
 ANSWER_SECONDS = 0.05
 READS_SECONDS = 20.0
+# A guarded watch waits longer than this for changes, other calls shorter.
+LONG_WATCH_SECONDS = 10.0
 START = 100.0
 
 
@@ -200,6 +203,7 @@
         lambda documents: context.told.extend(d.name for d in documents),
         lambda change: context.told.append(change.name),
         context.reachable.append,
+        is_store_silent=context.contact.is_store_silent,
     )
     context.stack.enter_context(watcher)
     wait_until(lambda: kind in context.emulated.watched_kinds(), 5.0, "a watch waits")
@@ -271,6 +275,18 @@
     assert context.counted["watch renewed", context.kind] == count, context.counted
 
 
+@when("a watch that begins after that is lost")
+def lose_watch(context):
+    store = context.emulated
+
+    def begins():
+        calls = store.calls[context.returned_index :]
+        return any((call.wait_seconds or 0.0) > LONG_WATCH_SECONDS for call in calls)
+
+    wait_until(begins, 5.0, "the watch begins again")
+    store.lose_watch_responses(context.kind)
+
+
 @when("another document is written")
 def write_another(context):
     write(context, 1)
@@ -351,28 +367,62 @@
 @when("nothing happens for {seconds:d} seconds")
 def wait_idle(context, seconds):
     store = context.gateways.store
-    before = Counter(store.outdated_calls_by_kind)
+    first = len(store.calls)
     time.sleep(seconds)
-    context.outdated_calls_by_kind = store.outdated_calls_by_kind - before
+    context.calls = store.calls[first:]
 
 
 @then("the store received {least:d} to {most:d} probes or calls of guards")
 def check_probes(context, least, most):
-    counts = context.outdated_calls_by_kind
+    counts = Counter(call.kind for call in context.calls if call.is_outdated)
     count = sum(counts[kind] for kind in ("probes", "config", "servers"))
-    assert least <= count <= most, counts
+    assert least <= count <= most, describe_calls(context.calls)
 
 
 @when("the store answers nothing for {seconds:d} seconds")
 def silence_store(context, seconds):
-    store = context.gateways.store
-    before = store.calls_by_kind.total()
+    has_gateways = hasattr(context, "gateways")
+    store = context.gateways.store if has_gateways else context.emulated
+    first = len(store.calls)
     store.set_silent(True)
     time.sleep(seconds)
-    context.call_count = store.calls_by_kind.total() - before
+    context.calls = store.calls[first:]
+    context.returned_index = first + len(context.calls)
     store.set_silent(False)
 
 
 @then("it received at most {count:d} calls in that time")
 def check_calls(context, count):
-    assert context.call_count <= count, context.call_count
+    fleet = context.gateways
+    assert len(context.calls) <= count, (
+        describe_calls(context.calls),
+        [describe_counted_calls(fleet.metrics(n)) for n in range(len(fleet.nodes))],
+    )
+
+
+@then("it received at most {count:d} watches in that time")
+def check_watches(context, count):
+    watches = [call for call in context.calls if call.wait_seconds is not None]
+    assert len(watches) <= count, describe_calls(context.calls)
+
+
+def describe_calls(calls):
+    """Return how many calls there were of each form."""
+    return Counter(
+        (
+            "outdated" if call.is_outdated else "newest",
+            call.method if call.wait_seconds is None else "watch",
+            call.kind,
+            call.wait_seconds and math.ceil(call.wait_seconds),
+        )
+        for call in calls
+    )
+
+
+def describe_counted_calls(metrics):
+    """Return the lines of a gateway's metrics that count its ended calls."""
+    return [
+        line
+        for line in metrics.splitlines()
+        if line.startswith("sequoiaglade_gateway_store_calls_total{")
+    ]
