--- a/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
@@ -13,11 +13,10 @@
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.threads import OwnedThread
 
-from .contact import renew_watches
 from .watcher import PROBE_TIMEOUT_SECONDS, WATCH_TIMEOUT_SECONDS
 
 # Interval of looks at the guarded watch, while it does not know a change or does not
-# wait.
+# wait, and at whether the store answers again.
 LOOK_SECONDS = 0.1
 # Interval of looks for a call that the standby is due for. It is shorter than the delay
 # of the standby.
@@ -27,11 +26,14 @@
 PAUSE_SECONDS = 1.2
 
 
-def guards_of(store, watcher, metrics):
-    """Return the threads that guard a `KindWatcher`, to be entered after it."""
+def guards_of(store, watcher, contact, metrics):
+    """Return the threads that guard a `KindWatcher`, to be entered after it.
+
+    `contact` is the `StoreContactKeeper` of the store.
+    """
     return [
-        WatchGuard(store, watcher, metrics),
-        StandbyWatch(store, watcher, metrics),
+        WatchGuard(store, watcher, contact, metrics),
+        StandbyWatch(store, watcher, contact, metrics),
     ]
 
 
@@ -39,13 +41,14 @@
     """Base class of threads that guard a `KindWatcher`; a context manager.
 
     They tell nobody of changes: a watch that has missed some is renewed, and asks again
-    from its last revision.
+    from its last revision. They ask nothing while the store is known to be silent.
     """
 
-    def __init__(self, name, store, watcher, metrics):
+    def __init__(self, name, store, watcher, contact, metrics):
         super().__init__(f"{name} {watcher.kind}", join_seconds=0.2)
         self._store = store
         self._watcher = watcher
+        self._contact = contact
         self._metrics = metrics
         self._log = structlog.get_logger()
 
@@ -70,7 +73,7 @@
         self._log.warning(
             "watch missed changes", kind=kind, revision=revision, change=change
         )
-        renew_watches(self._store, self._metrics, f"a watch of {kind} missed changes")
+        self._contact.renew_watches(f"a watch of {kind} missed changes")
 
 
 class WatchGuard(_Guard):
@@ -79,8 +82,8 @@
     These may be outdated and have a fraction of the price of the guarded ones.
     """
 
-    def __init__(self, store, watcher, metrics):
-        super().__init__("guard", store, watcher, metrics)
+    def __init__(self, store, watcher, contact, metrics):
+        super().__init__("guard", store, watcher, contact, metrics)
         # The connections may have fallen silent in a pause. A first call that does not
         # wait for changes tells soon.
         self._is_paused = False
@@ -88,7 +91,8 @@
     def _run(self):
         while not self._stopped.is_set():
             position = self._watcher.position
-            if position is None or position.waiting_since is None:
+            is_waiting = position is not None and position.waiting_since is not None
+            if not is_waiting or self._contact.is_store_silent():
                 self._stopped.wait(LOOK_SECONDS)
                 continue
             seconds = PROBE_TIMEOUT_SECONDS if self._is_paused else GUARD_SECONDS
@@ -117,8 +121,8 @@
 class StandbyWatch(_Guard):
     """Guards a watch by one call for each change, which is never outdated."""
 
-    def __init__(self, store, watcher, metrics):
-        super().__init__("standby", store, watcher, metrics)
+    def __init__(self, store, watcher, contact, metrics):
+        super().__init__("standby", store, watcher, contact, metrics)
         self._covered_since = None
 
     def _run(self):
@@ -129,6 +133,9 @@
                 seconds = STANDBY_LOOK_SECONDS
                 self._stopped.wait(seconds if delay is None else min(delay, seconds))
                 continue
+            if self._contact.is_store_silent():
+                self._stopped.wait(LOOK_SECONDS)
+                continue
             result = self._store.watch(
                 self._watcher.kind, position.revision, WATCH_TIMEOUT_SECONDS
             )
--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -117,7 +117,7 @@
       | a, b, c | 2       | 20    |
 
   Scenario: A gateway is told at once of a job that another one accepts
-    Given 2 gateways and 1 runner with few slots
+    Given 2 gateways and 1 runner with long items
     When gateway 0 accepts jobs until it refuses one for its workspace's tokens
     Then the next job at gateway 1 is answered with 429 as well
 
--- a/tests/features/steps/quiet_runner_steps.py
+++ b/tests/features/steps/quiet_runner_steps.py
@@ -19,13 +19,15 @@
 # A stream has several events, and more to come, this long after its run has begun.
 MID_STREAM_SECONDS = 0.35
 DEADLINE_SECONDS = 5.0
+# A gateway notes a silence within this time, also if it was suspended meanwhile.
+NOTE_SECONDS = 3.0
 # More than the buffers of a connection hold.
 LARGE_BODY = bytes(range(256)) * 32_768
 
 
 @given("1 gateway and 2 runners with 1 slot and long streams")
 def given_one_slot_each(context):
-    start(context, 1, [RunnerPlan(slots=1, event_count=50, event_seconds=0.05)] * 2)
+    start(context, 1, [RunnerPlan(slots=1, event_count=50, event_seconds=0.055)] * 2)
 
 
 @given("1 gateway, 1 slow runner and 1 runner that refuses all requests")
@@ -50,6 +52,13 @@
     context.streams.append(sent)
 
 
+@when('a stream of "{path}" begins at gateway 0')
+def begin_stream(context, path):
+    count = len(runs(context))
+    send_stream(context, path)
+    wait_until(lambda: len(runs(context)) > count, 3.0, "the stream runs")
+
+
 @when('a stream of "{path}" runs at gateway 0')
 def run_stream(context, path, deadline=DEADLINE_SECONDS):
     count = len(runs(context))
@@ -117,9 +126,19 @@
     context.answered_at = time.monotonic()
 
 
-@then("{seconds:f} seconds later {count:d} requests run at the other runner")
-def check_avoided(context, seconds, count):
-    time.sleep(seconds)
+@then("gateway 0 notes it after at most {seconds:g} seconds of silence")
+def check_silence_noted(context, seconds):
+    found = lambda: [  # noqa: E731
+        line["silent_seconds"]
+        for line in context.gateways.nodes[0].log_lines()
+        if line["event"] == "endpoint silent"
+    ]
+    wait_until(found, NOTE_SECONDS, "the silence is noted")
+    assert found()[0] <= seconds, found()
+
+
+@then("then {count:d} requests run at the other runner")
+def check_avoided(context, count):
     ask_together(context, count, 0)
     assert len(context.runner.runs) == 1, context.runner.runs
     assert len(runs(context)) == 1 + count, runs(context)
