Tests of job histories wait until the job's end is recorded

Seen: with a pause of 0.6 s of the node between the end of a job and its record, "The history of an item shows that it was preempted" failed in one run of one: the history lacked the end.

Cause: a node records the end after it has written it to the platform, and the steps read the history as soon as callers see the end.

The checks are unchanged.

--- a/tests/features/steps/explain_batch_steps.py
+++ b/tests/features/steps/explain_batch_steps.py
@@ -35,7 +35,10 @@
 
 @when("the job has ended")
 def await_end(context):
-    await_job(context.client, context.jobs[0].id)
+    job_id = context.jobs[0].id
+    await_job(context.client, job_id)
+    # A job's end is recorded after callers can see it.
+    await_history(context, job_id, lambda found: "job_ended" in rules_of(found))
 
 
 @when("online requests of salina arrive while long items occupy all {slots:d} slots")
