Test of a restarted single node: reads lag until the node listens

Cause (found by reading, not seen to fail): the platform's reads lagged 10 s from the change on, and the step has to see the key refused as not confirmed while they lag. A node that took longer to start was ready at once, which failed the scenario.

Change: the reads lag until 5 s after the node listens.

--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -16,6 +16,9 @@
 
 BOUND_SECONDS = 3.0
 START_SECONDS = 20.0
+# Longer than the start of a node on a slow machine.
+RESTART_LAG_SECONDS = 60.0
+OBSERVED_LAG_SECONDS = 5.0
 
 
 def ask_stock(fleet, node, key, path="/orders/1"):
@@ -120,7 +123,10 @@
 def key_is_accepted_or_not_confirmed(context, node):
     fleet = context.fleet
     restarted = fleet.nodes[node]
+    fleet.set_platform_faults(stale_reads=RESTART_LAG_SECONDS)
     fleet.await_url(f"{restarted.control_url}/healthz", restarted.process)
+    age = time.monotonic() - context.accepted_at
+    fleet.set_platform_faults(stale_reads=age + OBSERVED_LAG_SECONDS)
     url = f"{restarted.control_url}/readyz"
     deadline = time.monotonic() + START_SECONDS
     codes = Counter()
