Tests of log lines wait for the thread that writes them

Found by reading, not seen failing: the steps on endless responses read the gateway's log right after the last response, and those on explanations 0.3 s after it, while a thread writes the log. Both wait up to 5 s for the lines now; which lines are expected, and how many, is the same.

--- a/tests/features/steps/gateway_endless_steps.py
+++ b/tests/features/steps/gateway_endless_steps.py
@@ -30,6 +30,8 @@
 BYTES_PER_MB = 1_000_000
 WARM_UP_CALLERS = 32
 RECORD_SECONDS = 10.0
+# A thread writes the log, so that a line may follow the end of its response.
+LOG_SECONDS = 5.0
 ABANDONED = "invalid response abandoned"
 
 
@@ -101,17 +103,21 @@
 )
 def check_closed_and_logged(context, size, seconds):
     calls = check_closed(context, size, seconds)
-    lines = [
-        line
-        for line in context.gateways.nodes[0].log_lines()
-        if line["event"] == ABANDONED
-    ]
+    count = lambda: len(abandoned_lines(context))  # noqa: E731
+    wait_until(lambda: count() >= len(calls), LOG_SECONDS, "all are logged")
+    lines = abandoned_lines(context)
     logged = Counter(line["request_id"] for line in lines)
     assert logged == Counter(call.request_id for call in calls), (logged, calls)
     address = context.gateways.runners[0].address
     assert all(line["address"] == address and line["bound"] for line in lines), lines
 
 
+def abandoned_lines(context):
+    """Return the log lines of gateway 0 on responses that it abandoned."""
+    lines = context.gateways.nodes[0].log_lines()
+    return [line for line in lines if line["event"] == ABANDONED]
+
+
 @then("each endless response was closed within {size:d} MB and {seconds:d} seconds")
 def check_closed(context, size, seconds):
     runner = context.gateways.runners[0]
--- a/tests/features/steps/gateway_explain_steps.py
+++ b/tests/features/steps/gateway_explain_steps.py
@@ -6,11 +6,15 @@
 import time
 
 from behave import then
+from emulator.fleet import wait_until
 from gateway_calls import runs
 
 from sequoiaglade_cli.logs import explain_from_logs
 from sequoiaglade_cli.main import main
 
+# A thread writes the log, so that a line may follow the response to its request.
+LOG_SECONDS = 5.0
+
 
 def explain(context, searched_id):
     paths = [str(node.log_path) for node in context.gateways.nodes]
@@ -19,10 +23,10 @@
 
 
 def check_explanation(context, searched_id, *texts):
-    time.sleep(0.3)
-    explanation = explain(context, searched_id)
-    assert all(text in explanation for text in texts), explanation
-    return explanation
+    explanation = lambda: explain(context, searched_id)  # noqa: E731
+    is_complete = lambda: all(text in explanation() for text in texts)  # noqa: E731
+    wait_until(is_complete, LOG_SECONDS, f"{texts} are logged", explanation)
+    return explanation()
 
 
 @then('the explanation of a refused request contains "{first}" and "{second}"')
