Scenarios of parts that crash endpoints after 1 to 8 events

Cause: any event counts as an answer and clears the parts of its request. Draws of the older plays are as before: the new kind draws nothing.

--- a/tests/features/gateway/prompt_parts.feature
+++ b/tests/features/gateway/prompt_parts.feature
@@ -76,6 +76,29 @@
     Then at most three are sent after it must be known, not counting 3 s from the restart
     And at most 1 % of the sound requests are refused for a part
 
+  # The first event of an answer cleared the parts of its request.
+  Scenario Outline: A part that crashes endpoints after <events> events is refused at <rate> a second
+    Given a simulated fleet of <nodes> nodes and 5 endpoints
+    And 1 culprit parts at position <position> of <rate> requests a second
+    And endpoints that crash after <events> events of such a request
+    And culprits for <seconds> seconds
+    When 3 seeds are played
+    Then at most three requests with each culprit are sent after it must be known
+    And sound requests with the same first part begin at least half as often as before
+    And at most 1 % of the sound requests are refused for a part
+
+    Examples:
+      | nodes | rate | events | position | seconds |
+      | 7     | 0.5  | 1      | 1        | 90      |
+      | 9     | 2    | 1      | 0        | 40      |
+      | 9     | 10   | 1      | 2        | 40      |
+      | 9     | 0.5  | 3      | 0        | 90      |
+      | 7     | 2    | 3      | 1        | 40      |
+      | 7     | 10   | 3      | 1        | 40      |
+      | 9     | 0.5  | 8      | 2        | 90      |
+      | 9     | 2    | 8      | 1        | 40      |
+      | 7     | 10   | 8      | 0        | 40      |
+
   # A limit: the first event clears a part, since sound streams break after theirs too.
   Scenario: A part under which endpoints crash after up to three events is not blamed
     Given a simulated fleet of 9 nodes and 5 endpoints
--- a/tests/features/steps/parts_simulation.py
+++ b/tests/features/steps/parts_simulation.py
@@ -76,12 +76,14 @@
 class Request:
     """A caller's request and its attempts."""
 
-    def __init__(self, fingerprint, parts, culprit, events_max=0):
+    def __init__(self, fingerprint, parts, culprit, events_max=0, events_before=0):
         self.fingerprint = fingerprint
         self.parts = parts
         self.culprit = culprit
         # A culprit crashes its endpoint after up to this number of events.
         self.events_max = events_max
+        # ... or after exactly this number of them, if it isn't 0.
+        self.events_before = events_before
         self.runs = 0
         self.has_event = False
         self.excluded = set()
@@ -224,11 +226,11 @@
         if endpoint.cuts_from <= self.now < endpoint.cuts_until:
             delay = self.random.uniform(*CULPRIT_SECONDS)
             self.after(delay, self._cut, endpoint, attempt, request, node)
-        elif request.culprit and not count:
+        elif request.culprit and not count and not request.events_before:
             delay = self.random.uniform(*CULPRIT_SECONDS)
             self.after(delay, self._crash_by, endpoint, attempt, request)
         else:
-            if request.culprit:
+            if count:
                 delay = FIRST_EVENT_SECONDS[1] + count * EVENT_SECONDS
                 self.after(delay, self._crash_by, endpoint, attempt, request)
             delay = self.random.uniform(*FIRST_EVENT_SECONDS)
@@ -264,6 +266,10 @@
         if not request.has_event:
             request.has_event = True
             self._end(request, request.arrived_at, is_begun=True)
+        if request.events_before:
+            delay = (request.events_before - 0.5) * EVENT_SECONDS
+            self.after(delay, self._crash_by, endpoint, attempt, request)
+            return
         delay = self.random.uniform(*STREAM_SECONDS)
         self.after(delay, endpoint.running.pop, attempt, None)
 
--- a/tests/features/steps/prompt_part_steps.py
+++ b/tests/features/steps/prompt_part_steps.py
@@ -29,12 +29,13 @@
 class _Callers:
     """Makes requests; no two are alike."""
 
-    def __init__(self, seed, culprits, position, events_max=0):
+    def __init__(self, seed, culprits, position, events_max=0, events_before=0):
         self._random = random.Random(seed)
         self._numbers = itertools.count()
         self._culprits = culprits
         self._position = position
         self._events_max = events_max
+        self._events_before = events_before
 
     def sound(self):
         parts = [self._random.choice(FIRST_PARTS), self._middle()]
@@ -45,7 +46,8 @@
         parts = [FIRST_PARTS[0], self._middle()]
         parts.insert(self._position, culprit)
         name = f"r{next(self._numbers)}"
-        return Request(name, tuple(parts), culprit, self._events_max)
+        events = (self._events_max, self._events_before)
+        return Request(name, tuple(parts), culprit, *events)
 
     def _middle(self):
         is_rare = self._random.random() < RARE_PROBABILITY
@@ -62,6 +64,7 @@
         rate=0.0,
         seconds=40.0,
         events_max=0,
+        events_before=0,
         restart_at=None,
         disruptions=[],
         decisions=Parts,
@@ -124,6 +127,11 @@
     context.plan.events_max = count
 
 
+@given("endpoints that crash after {count:d} events of such a request")
+def _(context, count):
+    context.plan.events_before = count
+
+
 @given("all endpoints cut their responses for {seconds:g} seconds and stay up")
 def _(context, seconds):
     def disrupt(simulation):
@@ -173,7 +181,8 @@
 
 def _play(plan, seed):
     simulation = Simulation(seed, plan.nodes, plan.endpoints, plan.decisions)
-    callers = _Callers(seed, plan.culprits, plan.position, plan.events_max)
+    events = (plan.events_max, plan.events_before)
+    callers = _Callers(seed, plan.culprits, plan.position, *events)
     end_at = WARM_SECONDS + plan.seconds
     sound_rate = SOUND_RATE_PER_ENDPOINT * plan.endpoints
     simulation.load(sound_rate, end_at + COOL_SECONDS, callers.sound)
