Parts that crash endpoints after some events are blamed

Cause: any event counted as an answer and cleared the parts of its request, and breaks of begun streams were no evidence; such streams were also resumed at further endpoints.

Change: a second body of evidence beside the one for crashes without an event, which decides as before (`PartEvidence`, moved out of `PromptParts`, holds one body). In the second all crashes of requests without a whole answer count; a whole answer is a response that ended, or whose events went on for 2 s after the first one of the attempt. A part is blamed after four starts, never if it had a whole answer before, and not for starts that the first body explains. Nodes keep their own crashes of begun streams only if a part of theirs had no whole answer. Begun streams with a blamed part are not resumed and not taken up. Such crashes are gossiped in a field of their own, since older releases would count them as crashes without an event; answers in gossip say whether they are whole.

"A part under which endpoints crash after up to three events is not blamed" stated the limit that is gone; it is replaced by its opposite with the bounds of the other scenarios. The simulation reports first events and ends of streams, without further draws.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -18,9 +18,10 @@
 from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
 from .pages import ResultPages
+from .part_evidence import Blame, PartCrash, SoundPart
 from .peer_acks import PeerAcks
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
-from .prompt_parts import Blame, PartCrash, PromptParts, SoundPart
+from .prompt_parts import LASTING_SECONDS, PromptParts
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
 from .response_bounds import (
@@ -94,6 +95,7 @@
     "ItemOutcome",
     "JobSpec",
     "JobSummary",
+    "LASTING_SECONDS",
     "LeavingEndpoints",
     "NextStep",
     "NodeState",
--- a/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/prompt_parts.py
@@ -1,97 +1,30 @@
 """Blame of prompt parts that crash the endpoints that begin to answer on them.
 
 Load pattern: requests that are all different share one part of their prompt, arrive at
-all nodes, and each crashes the endpoint that it is sent to. Sound requests share their
-callers and their other parts, and break with them.
+all nodes, and each crashes the endpoint that it is sent to, before its first event or
+after some. Sound requests share their callers and their other parts, and break with
+them.
 """
 
-from collections import OrderedDict, defaultdict
-from typing import NamedTuple
+from .part_evidence import GOSSIPED_MAX, EvidenceLimits, PartCrash, PartEvidence
 
-# Crashed endpoint instances, and different requests, that a part is blamed after.
-INSTANCES_MIN = 3
-REQUESTS_MIN = 2
-# The same for a part with answers before the crashes, but none since.
-KNOWN_INSTANCES_MIN = 5
-KNOWN_SECONDS_MIN = 1.0
-# Time in which answers elsewhere become known before a blamed part is refused.
-SETTLE_SECONDS = 1.0
-# A blame ends this long after the last crash or refused request with the part ...
-BLAME_SECONDS = 120.0
-# ... and at the latest this long after the last crash.
-BLAME_MAX_SECONDS = 900.0
-# A crash counts against a part only if its service answered within this time.
-SERVICE_SECONDS = 60.0
-# A blamed part is tried this long after its last crash, and again after more of it.
-TRIAL_SECONDS = (8.0, 60.0)
-# A crash this long after the part was refused was a trial, or a node without the news.
-LATE_SECONDS = 3.0
-# Interval at which expired crashes are looked for.
-EXPIRY_SECONDS = 1.0
-# Crashes of parts that are not blamed are gossiped for this long, as in `Quarantine`.
-GOSSIP_SECONDS = 10.0
-GOSSIPED_MAX = 32
-GOSSIPED_SOUND_MAX = 64
-CRASHES_MAX = 512
-SOUND_PARTS_MAX = 8192
-
-
-class PartCrash(NamedTuple):
-    """A request that broke without an event when its endpoint crashed.
-
-    `parts` are those of its prompt without the last one, `request` its fingerprint,
-    `endpoint_key` identifies the endpoint and its start time. `at` is a time in
-    seconds; in gossip it is the age of the crash.
-    """
-
-    service: str
-    parts: tuple[str, ...]
-    request: str
-    endpoint_key: str
-    at: float
-
-
-class SoundPart(NamedTuple):
-    """A part with an answer at time `at`; in gossip, the age of that answer.
-
-    An empty part states that the service answered any request.
-    """
-
-    service: str
-    part: str
-    at: float
-
-
-class Blame(NamedTuple):
-    """A part that crashes endpoints, and the evidence for that.
-
-    `crashes` counts endpoint instances, the `late` ones among them after the blame was
-    known. `since` is the time of the crash that completed the evidence, `services` are
-    those of the crashes.
-    """
-
-    part: str
-    crashes: int
-    since: float
-    last_at: float
-    late: int
-    services: frozenset
-
-    def is_settled(self, now):
-        """Return whether answers elsewhere would be known by now."""
-        return now - self.since >= SETTLE_SECONDS
+# Crashes without an event count against parts without any event since.
+EARLY_LIMITS = EvidenceLimits(instances=3, known_instances=5)
+# Each crash also breaks streams that had begun. So more crashes are needed where these
+# count, and a part with a whole answer is never blamed for them.
+BEGUN_LIMITS = EvidenceLimits(instances=4, known_instances=None)
+# Events that go on for this long after the first one show, as the end of the response
+# does, that the request crashes no endpoint.
+LASTING_SECONDS = 2.0
 
 
 class PromptParts:
-    """The crashes and answers by prompt part, of one node and of its peers.
+    """The parts of prompts that are blamed for crashes of endpoints.
 
-    A crash counts against each part of the requests that broke on it without an event,
-    unless a part has an answer since, or the crash is explained by a part that is
-    blamed with more reason. At high rates no endpoint is left for sound requests, so
-    that answers before the crashes tell the sound parts from the culprit: a part
-    without any is blamed first. Routes may spread requests over several services, so
-    that crashes are counted over all of them; a service that has answered a part and
-    did not crash on it goes on to serve it.
+    Two bodies of evidence are kept. In the first, crashes of requests without an event
+    count, and a first event is an answer. In the second, all crashes count, and only a
+    response that ended or lasted is an answer. Crashes that the first explains count
+    only there.
 
     >>> parts = PromptParts()
     >>> parts.note_answer("s", ("shared",), now=0.0)
@@ -106,74 +39,84 @@
 
     >>> parts.note_answer("s", ("culprit",), now=5.0)
     >>> parts.find_refusal("s", ("culprit",), now=5.0)
+
+    A first event does not end a blame for crashes after one.
+
+    >>> for n in range(4):
+    ...     parts.note_answer("s", ("late",), now=6.0 + n, is_complete=False)
+    ...     parts.note_crash("s", ("late",), f"q{n}", f"f-{n}", 6.5 + n, has_begun=True)
+    >>> parts.note_answer("s", ("late",), now=10.0, is_complete=False)
+    >>> parts.find_refusal("s", ("late",), now=10.5).part
+    'late'
     """
 
     def __init__(self):
-        self._crash_by_key = OrderedDict()
-        self._local_keys = set()
-        self._last_crash_at = {}
-        self._expiry_at = 0.0
-        self._answered_at = OrderedDict()
-        self._service_answered_at = {}
-        self._cleared_at = {}
-        self._refused_at = {}
-        self._tried_at = {}
-        self._blame_by_part = None
+        self._early = PartEvidence(EARLY_LIMITS)
+        self._begun = PartEvidence(BEGUN_LIMITS)
 
-    def note_crash(self, service, parts, request, endpoint_key, now):
-        """Count a crash that this node saw, at an attempt without an event."""
-        crash = PartCrash(service, tuple(parts), request, endpoint_key, now)
-        if self._add(crash):
-            self._local_keys.add((endpoint_key, request))
+    def note_crash(self, service, parts, request, endpoint_key, now, has_begun=False):
+        """Count a crash that this node saw.
+
+        `has_begun` is whether the request had got events, but no whole answer.
+        """
+        crash = PartCrash(service, tuple(parts), request, endpoint_key, now, has_begun)
+        if not has_begun:
+            self._early.note_crash(crash)
+        self._begun.note_crash(crash)
 
     def withdraw(self, request, endpoint_key):
         """Forget a break that turned out to be no crash."""
-        if self._crash_by_key.pop((endpoint_key, request), None):
-            self._local_keys.discard((endpoint_key, request))
-            self._blame_by_part = None
+        self._early.withdraw(request, endpoint_key)
+        self._begun.withdraw(request, endpoint_key)
 
-    def note_answer(self, service, parts, now):
-        """Note an event, or a complete response, of a request with these parts."""
-        self._service_answered_at[service] = now
-        for part in parts:
-            if part in self._find_blames():
-                self._cleared_at[service, part] = now
-            self._note_sound(service, part, now)
+    def note_answer(self, service, parts, now, is_complete=True):
+        """Note an answer to a request with these parts, or only its first event."""
+        self._early.note_answer(service, parts, now)
+        if is_complete:
+            self._begun.note_answer(service, parts, now)
 
-    def find_refusal(self, service, parts, now, may_try=False):
+    def find_refusal(self, service, parts, now, may_try=False, has_begun=False):
         """Return the `Blame` for which a request is refused, or None.
 
         `may_try` states that this node is the one that tries blamed parts again. A
         request that is let through for that counts as the trial of its part.
+        `has_begun` is whether the request has got events already.
         """
-        found = [b for b in self._find(service, parts, now) if b.is_settled(now)]
+        found = [
+            (evidence, blame)
+            for evidence, blame in self._find(service, parts, now, has_begun)
+            if blame.is_settled(now)
+        ]
         if not found:
             return None
-        if may_try and len(found) == 1 and self._is_trial_due(found[0], now):
-            self._tried_at.setdefault(found[0].part, []).append(now)
-            return None
-        for blame in found:
-            self._refused_at[blame.part] = now
-        return found[0]
-
-    def find_suspicion(self, service, parts, now):
+        names = {blame.part for _, blame in found}
+        if may_try and len(names) == 1:
+            if all(evidence.is_trial_due(blame, now) for evidence, blame in found):
+                for evidence in (self._early, self._begun):
+                    evidence.note_trial(*names, now)
+                return None
+        for evidence, blame in found:
+            evidence.note_refusal(blame, now)
+        return found[0][1]
+
+    def find_suspicion(self, service, parts, now, has_begun=False):
         """Return the `Blame` for which a broken request is not sent again, or None.
 
         It needs no settling: a request that broke with its part suspected would crash
         the next endpoint.
         """
-        return next(iter(self._find(service, parts, now)), None)
+        found = self._find(service, parts, now, has_begun)
+        return found[0][1] if found else None
 
     @property
     def crash_count(self):
         """Number of crashes kept."""
-        return len(self._crash_by_key)
+        return len(self._early.keys | self._begun.keys)
 
     def refused_parts(self, now):
         """Return the `Blame` of each part that is refused, by part."""
-        self._drop_expired(now)
-        blames = self._find_blames().items()
-        return {part: blame for part, blame in blames if blame.is_settled(now)}
+        self._explain()
+        return self._begun.refused_parts(now) | self._early.refused_parts(now)
 
     def crashes(self, now, is_relaying=False):
         """Return the `PartCrash` records to gossip, with ages.
@@ -183,35 +126,19 @@
         A crash whose parts all have an answer since is evidence of nothing. So crashes
         for another cause fill few messages.
         """
-        records = [
-            crash
-            for crash in self._gossiped_crashes(now)
-            if (
-                (crash.endpoint_key, crash.request) in self._local_keys
-                or (is_relaying and self._is_blamed(crash))
-            )
-            and any(self._counts_against(part, crash) for part in crash.parts)
-        ]
-        return [c._replace(at=now - c.at) for c in records[-GOSSIPED_MAX:]]
+        self._explain()
+        early = self._early.crashes(now, is_relaying)
+        keys = {crash.key for crash in early}
+        begun = self._begun.crashes(now, is_relaying)
+        more = [crash for crash in begun if crash.key not in keys]
+        return early + more[max(0, len(early) + len(more) - GOSSIPED_MAX) :]
 
     def sound_parts(self, now):
         """Return the `SoundPart` records of parts with recent crashes, with ages."""
-        crashes = self._gossiped_crashes(now)
-        # Answers that ended a blame come first: peers may still refuse these parts.
-        keys = dict.fromkeys(
-            key for key, at in self._cleared_at.items() if now - at < GOSSIP_SECONDS
-        )
-        for crash in reversed(crashes):
-            keys.update(((crash.service, part), None) for part in crash.parts)
-        known = [key for key in keys if key in self._answered_at]
-        records = [SoundPart(*key, now - self._answered_at[key]) for key in known]
-        services = {
-            crash.service for crash in crashes
-        } & self._service_answered_at.keys()
-        return records[:GOSSIPED_SOUND_MAX] + [
-            SoundPart(service, "", now - self._service_answered_at[service])
-            for service in sorted(services)
+        whole = [
+            sound._replace(is_complete=True) for sound in self._begun.sound_parts(now)
         ]
+        return self._early.sound_parts(now) + whole
 
     def merge(self, crashes, sound_parts, now):
         """Add the records that a peer gossips.
@@ -225,167 +152,24 @@
         3
         """
         for crash in crashes:
-            self._add(crash._replace(at=now - crash.at))
-        for service, part, age in sound_parts:
-            if part:
-                self._note_sound(service, part, now - age)
-            answered_at = self._service_answered_at.get(service, now - age)
-            self._service_answered_at[service] = max(answered_at, now - age)
-
-    def _gossiped_crashes(self, now):
-        """Return the crashes that are recent, or of a part that is blamed."""
-        self._drop_expired(now)
-        return [
-            crash
-            for crash in self._crash_by_key.values()
-            if now - crash.at < GOSSIP_SECONDS or self._is_blamed(crash)
-        ]
-
-    def _is_blamed(self, crash):
-        return not self._find_blames().keys().isdisjoint(crash.parts)
-
-    def _add(self, crash):
-        key = (crash.endpoint_key, crash.request)
-        if not crash.parts or key in self._crash_by_key:
-            return False
-        self._crash_by_key[key] = crash
-        for part in crash.parts:
-            known_at = self._last_crash_at.get((crash.service, part), crash.at)
-            self._last_crash_at[crash.service, part] = max(known_at, crash.at)
-        while len(self._crash_by_key) > CRASHES_MAX:
-            dropped, _ = self._crash_by_key.popitem(last=False)
-            self._local_keys.discard(dropped)
-        self._blame_by_part = None
-        return True
-
-    def _note_sound(self, service, part, at):
-        key = (service, part)
-        known_at = self._answered_at.get(key)
-        if known_at is not None and known_at >= at:
-            return
-        crashed_at = self._last_crash_at.get(key)
-        if crashed_at is not None and (known_at is None or known_at < crashed_at):
-            self._blame_by_part = None
-        self._answered_at[key] = at
-        self._answered_at.move_to_end(key)
-        while len(self._answered_at) > SOUND_PARTS_MAX:
-            self._answered_at.popitem(last=False)
-
-    def _is_trial_due(self, blame, now):
-        trials = self._tried_at.get(blame.part, [])
-        # Late crashes include the trials of another node that is lost by now.
-        count = max(len(trials), blame.late)
-        if count >= len(TRIAL_SECONDS):
-            return False
-        return now - max([blame.last_at, *trials]) >= TRIAL_SECONDS[count]
-
-    def _find(self, service, parts, now):
-        """Return the `Blame` of each of the parts that is blamed at a service."""
-        self._drop_expired(now)
-        found = [self._find_blames().get(part) for part in parts]
+            seen = crash._replace(at=now - crash.at)
+            if not crash.has_begun:
+                self._early.merge_crash(seen)
+            self._begun.merge_crash(seen)
+        for service, part, age, is_complete in sound_parts:
+            self._early.merge_answer(service, part, now - age)
+            if is_complete:
+                self._begun.merge_answer(service, part, now - age)
+
+    def _find(self, service, parts, now, has_begun):
+        """Return the `Blame` of each blamed part, after the evidence it rests on."""
+        self._explain()
+        bodies = (self._begun,) if has_begun else (self._early, self._begun)
         return [
-            blame
-            for blame in found
-            if blame is not None
-            and (
-                service in blame.services
-                or (service, blame.part) not in self._answered_at
-            )
+            (evidence, blame)
+            for evidence in bodies
+            for blame in evidence.find(service, parts, now)
         ]
 
-    def _find_blames(self):
-        """Return the `Blame` of each blamed part by its id, settled or not."""
-        if not self._crash_by_key:
-            return {}
-        if self._blame_by_part is None:
-            self._blame_by_part = self._compute_blames()
-        return self._blame_by_part
-
-    def _compute_blames(self):
-        crashes = list(self._crash_by_key.values())
-        blames, explained = {}, set()
-        while True:
-            suspects = self._suspects(crashes, explained)
-            if not suspects:
-                return blames
-            *_, blame = max(suspects)
-            blames[blame.part] = blame
-            explained |= {c.endpoint_key for c in crashes if blame.part in c.parts}
-
-    def _suspects(self, crashes, explained):
-        """Return the blamable parts, each after its rank."""
-        crashes_by_part = defaultdict(list)
-        for crash in crashes:
-            if crash.endpoint_key in explained:
-                continue
-            for position, part in enumerate(crash.parts):
-                if self._counts_against(part, crash):
-                    crashes_by_part[part].append((crash, position))
-        suspects = []
-        for part, rows in crashes_by_part.items():
-            blame, is_known = self._judge(part, [crash for crash, _ in rows])
-            if blame is not None:
-                # Later parts of a prompt are shared by fewer requests.
-                position = max(position for _, position in rows)
-                suspects.append((not is_known, blame.crashes, position, part, blame))
-        return suspects
-
-    def _counts_against(self, part, crash):
-        answered_at = self._answered_at.get((crash.service, part))
-        return answered_at is None or crash.at > answered_at
-
-    def _judge(self, part, crashes):
-        """Return the `Blame` of a part, or None, and whether it was answered before."""
-        services = frozenset(crash.service for crash in crashes)
-        is_known = any((service, part) in self._answered_at for service in services)
-        first_at_by_key = {}
-        for crash in crashes:
-            at = first_at_by_key.get(crash.endpoint_key, crash.at)
-            first_at_by_key[crash.endpoint_key] = min(at, crash.at)
-        times = sorted(first_at_by_key.values())
-        needed = KNOWN_INSTANCES_MIN if is_known else INSTANCES_MIN
-        if len(times) < needed or len({c.request for c in crashes}) < REQUESTS_MIN:
-            return None, is_known
-        never = float("-inf")
-        answered_at = max(self._service_answered_at.get(s, never) for s in services)
-        if answered_at <= times[0] - SERVICE_SECONDS:
-            return None, is_known
-        since = times[needed - 1]
-        if is_known:
-            # The service must answer other requests while this part breaks.
-            is_short = times[-1] - times[0] < KNOWN_SECONDS_MIN
-            if is_short or answered_at < since:
-                return None, is_known
-            since = max(since, times[0] + KNOWN_SECONDS_MIN)
-        late_at = since + SETTLE_SECONDS + LATE_SECONDS
-        late = sum(at > late_at for at in times)
-        blame = Blame(part, len(times), since, times[-1], late, services)
-        return blame, is_known
-
-    def _drop_expired(self, now):
-        """Drop the crashes that are old and not of a part that is still blamed."""
-        if not self._crash_by_key or now < self._expiry_at:
-            return
-        self._expiry_at = now + EXPIRY_SECONDS
-        kept = set()
-        for key, crash in list(self._crash_by_key.items()):
-            blamed = map(self._find_blames().get, crash.parts)
-            is_wanted = any(b is not None and self._is_wanted(b, now) for b in blamed)
-            if now - crash.at < BLAME_SECONDS or is_wanted:
-                kept.update((crash.service, part) for part in crash.parts)
-            else:
-                del self._crash_by_key[key]
-                self._local_keys.discard(key)
-        for times in (self._last_crash_at, self._cleared_at):
-            for key in times.keys() - kept:
-                del times[key]
-        kept_parts = {part for _, part in kept}
-        for times in (self._refused_at, self._tried_at):
-            for part in times.keys() - kept_parts:
-                del times[part]
-        self._blame_by_part = None
-
-    def _is_wanted(self, blame, now):
-        refused_at = self._refused_at.get(blame.part, blame.last_at)
-        is_recent = now - max(blame.last_at, refused_at) < BLAME_SECONDS
-        return is_recent and now - blame.last_at < BLAME_MAX_SECONDS
+    def _explain(self):
+        self._begun.exclude(self._early.explained())
--- a/packages/gateway/sequoiaglade_gateway/crash_blame.py
+++ b/packages/gateway/sequoiaglade_gateway/crash_blame.py
@@ -25,17 +25,22 @@
     def find_part_refusal(self, message, now):
         """Return the reply to a `FindPartRefusal`."""
         service, parts = message.service, message.parts
-        suspicion = self._parts.find_suspicion(service, parts, now)
+        has_begun = message.has_begun
+        suspicion = self._parts.find_suspicion(service, parts, now, has_begun)
         if suspicion is None or message.is_broken:
             return suspicion
-        refusal = self._parts.find_refusal(service, parts, now, self._is_lowest(now))
+        # A request that goes on from its last events tries no part from its begin.
+        may_try = self._is_lowest(now) and not has_begun
+        refusal = self._parts.find_refusal(service, parts, now, may_try, has_begun)
         if refusal is None and suspicion.is_settled(now):
             self._log.info("prompt part tried", **_facts(suspicion, now))
         return refusal
 
     def note_answer(self, message, now):
         """Note the `PartsAnswered` of a request."""
-        self._parts.note_answer(message.service, message.parts, now)
+        self._parts.note_answer(
+            message.service, message.parts, now, message.is_complete
+        )
 
     def note_endpoint_answer(self, message):
         """Note an `EndpointAnswered`: the endpoint did not crash just before."""
@@ -55,7 +60,12 @@
         )
         if message.parts:
             self._parts.note_crash(
-                message.service, message.parts, message.fingerprint, key, now
+                message.service,
+                message.parts,
+                message.fingerprint,
+                key,
+                now,
+                message.has_events,
             )
 
     def add_to(self, state, now):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -17,12 +17,14 @@
     The reply is a `Blame`, or None.
 
     `is_broken` states that an endpoint has just broken off the request, which then is
-    not sent again on less evidence than a new one is refused on.
+    not sent again on less evidence than a new one is refused on. `has_begun` states
+    that the request has got events from some endpoint.
     """
 
     service: str
     parts: tuple[str, ...]
     is_broken: bool = False
+    has_begun: bool = False
 
 
 class EndpointAnswered(NamedTuple):
@@ -37,10 +39,14 @@
 
 
 class PartsAnswered(NamedTuple):
-    """A request with these prompt parts got an event or a complete response."""
+    """A request with these prompt parts got a response.
+
+    `is_complete` is whether it ended or had lasted, else only its first event came.
+    """
 
     service: str
     parts: tuple[str, ...]
+    is_complete: bool = True
 
 
 class QuotaExceeded(NamedTuple):
@@ -185,7 +191,7 @@
 
     `fingerprint` identifies a request that may have crashed the endpoint, `parts` are
     those of its prompt if one of them may have, and `service` its service. `has_begun`
-    is whether events of this endpoint had arrived.
+    is whether events of this endpoint had arrived, `has_events` whether events of any.
     """
 
     endpoint_id: str
@@ -195,6 +201,7 @@
     service: str = ""
     parts: tuple[str, ...] = ()
     has_begun: bool = False
+    has_events: bool = False
 
 
 class AcceptsRequests(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -68,6 +68,8 @@
         self._reserved = self._stack.enter_context(ReservedPlace(parts))
         self._has_moved = False
         self._is_admitted = False
+        # Whether the response shows that the request crashes no endpoint.
+        self._is_answered = False
         self._counts = AttemptCounts(0, 0)
         self._placement_seconds = 0.0
         self._log = structlog.get_logger()
@@ -167,15 +169,22 @@
             ended = ended._replace(
                 fingerprint=self.request.fingerprint,
                 service=self.request.service or "",
-                parts=() if self.last_event_id else self.request.call.prompt_parts,
+                parts=() if self._is_answered else self.request.call.prompt_parts,
                 has_begun=self.last_event_id > self._sent_after_event,
+                has_events=self.last_event_id > 0,
             )
         self._parts.coordinator.tell(ended)
 
     def _may_crash_next(self, fault):
-        if fault.fault is not Fault.BROKEN or self.last_event_id:
+        if fault.fault is not Fault.BROKEN or self._is_answered:
             return False
-        return is_suspect(self._parts, self.request)
+        return is_suspect(self._parts, self.request, self.last_event_id > 0)
+
+    def note_whole_answer(self):
+        """Note that the response ended, or that its events have lasted."""
+        if not self._is_answered:
+            self._is_answered = True
+            note_answer(self._parts, self.request, is_complete=True)
 
     def report_event_interval(self, seconds):
         """Report the mean interval between the events of this attempt, in seconds."""
@@ -323,7 +332,7 @@
             case CompleteResponse(status):
                 self._count_run()
                 if 200 <= status < 300:
-                    note_answer(self._parts, self.request)
+                    note_answer(self._parts, self.request, is_complete=True)
                 return answer
         self._count_run()
         return self._read_first_events(answer)
@@ -344,7 +353,7 @@
             if any(self._is_new(event) for event in events):
                 if unnumbered:
                     events.insert(0, Event(None, (), bytes(unnumbered)))
-                note_answer(self._parts, self.request)
+                note_answer(self._parts, self.request, is_complete=False)
                 return StartedStream(answer, splitter, chunks, events)
             for event in events:
                 if event.event_id is None:
--- a/packages/gateway/sequoiaglade_gateway/online/prompt_parts.py
+++ b/packages/gateway/sequoiaglade_gateway/online/prompt_parts.py
@@ -12,19 +12,22 @@
 
     `parts` are the node's.
     """
-    # A request that takes a stream up had events, so that its prompt is sound.
-    if not call.prompt_parts or call.last_event_id:
+    if not call.prompt_parts:
         return None
-    return parts.coordinator.ask(FindPartRefusal(service or "", call.prompt_parts))
+    # A request that takes a stream up had events before.
+    has_begun = bool(call.last_event_id)
+    return parts.coordinator.ask(
+        FindPartRefusal(service or "", call.prompt_parts, has_begun=has_begun)
+    )
 
 
-def is_suspect(parts, request):
+def is_suspect(parts, request, has_begun):
     """Return whether a broken request may crash the next endpoint too, and log it."""
     call = request.call
     if not call.prompt_parts:
         return False
     blame = parts.coordinator.ask(
-        FindPartRefusal(request.service or "", call.prompt_parts, is_broken=True)
+        FindPartRefusal(request.service or "", call.prompt_parts, True, has_begun)
     )
     if blame is None:
         return False
@@ -35,11 +38,11 @@
     return True
 
 
-def note_answer(parts, request):
-    """Report that no part of a request's prompt crashed its endpoint."""
+def note_answer(parts, request, is_complete):
+    """Report a whole answer, or its first event, to a request with prompt parts."""
     if request.call.prompt_parts:
         parts.coordinator.tell(
-            PartsAnswered(request.service or "", request.call.prompt_parts)
+            PartsAnswered(request.service or "", request.call.prompt_parts, is_complete)
         )
 
 
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import Fault, missing_part
+from sequoiaglade_decisions.gateway import LASTING_SECONDS, Fault, missing_part
 
 from ..endpoint_calls import CallFault
 
@@ -72,6 +72,8 @@
         while True:
             raw_events, gap = self._select_new(events)
             if raw_events:
+                if time.monotonic() - started_at >= LASTING_SECONDS:
+                    self._exchange.note_whole_answer()
                 yield b"".join(raw_events)
             if gap is not None:
                 return gap
@@ -87,6 +89,7 @@
         )
         if missing is not None:
             return CallFault(Fault.BROKEN, missing)
+        self._exchange.note_whole_answer()
         if count > 1:
             self._exchange.report_event_interval(
                 (time.monotonic() - started_at) / (count - 1)
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -55,20 +55,17 @@
         cores=state.cores,
         is_admitted_partial=not state.is_admitted_complete,
         part_crashes=[
-            fleet_pb2.PartCrash(
-                service=crash.service,
-                parts=crash.parts,
-                request=crash.request,
-                endpoint_key=crash.endpoint_key,
-                age_ms=int(crash.at * MS_PER_SECOND),
-            )
-            for crash in state.part_crashes
+            _encode_part_crash(row) for row in state.part_crashes if not row.has_begun
+        ],
+        begun_part_crashes=[
+            _encode_part_crash(row) for row in state.part_crashes if row.has_begun
         ],
         sound_parts=[
             fleet_pb2.SoundPart(
                 service=sound.service,
                 part=sound.part,
                 age_ms=int(sound.at * MS_PER_SECOND),
+                is_complete=sound.is_complete,
             )
             for sound in state.sound_parts
         ],
@@ -84,7 +81,9 @@
 
     >>> crash = PartCrash("s", ("p", "q"), "f", "e-1/5", 1.5)
     >>> state = NodeState("n", 1, 1, part_crashes=(crash,))
-    >>> state = state._replace(sound_parts=(SoundPart("s", "p", 0.25),))
+    >>> state = state._replace(sound_parts=(SoundPart("s", "p", 0.25, True),))
+    >>> begun = crash._replace(request="h", has_begun=True)
+    >>> state = state._replace(part_crashes=(crash, begun))
     >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> decode_state(encode_state(state)) == state
     True
@@ -121,18 +120,14 @@
         is_store_reachable=message.is_store_reachable,
         cores=message.cores,
         is_admitted_complete=not message.is_admitted_partial,
-        part_crashes=tuple(
-            PartCrash(
-                row.service,
-                tuple(row.parts),
-                row.request,
-                row.endpoint_key,
-                row.age_ms / MS_PER_SECOND,
-            )
-            for row in message.part_crashes
+        part_crashes=(
+            *_decode_part_crashes(message.part_crashes, has_begun=False),
+            *_decode_part_crashes(message.begun_part_crashes, has_begun=True),
         ),
         sound_parts=tuple(
-            SoundPart(row.service, row.part, row.age_ms / MS_PER_SECOND)
+            SoundPart(
+                row.service, row.part, row.age_ms / MS_PER_SECOND, row.is_complete
+            )
             for row in message.sound_parts
         ),
         survived_breaks=tuple(
@@ -141,6 +136,30 @@
     )
 
 
+def _encode_part_crash(crash):
+    return fleet_pb2.PartCrash(
+        service=crash.service,
+        parts=crash.parts,
+        request=crash.request,
+        endpoint_key=crash.endpoint_key,
+        age_ms=int(crash.at * MS_PER_SECOND),
+    )
+
+
+def _decode_part_crashes(rows, has_begun):
+    return [
+        PartCrash(
+            row.service,
+            tuple(row.parts),
+            row.request,
+            row.endpoint_key,
+            row.age_ms / MS_PER_SECOND,
+            has_begun,
+        )
+        for row in rows
+    ]
+
+
 def encode_summary(summary):
     """Return the message for a `JobSummary`."""
     return fleet_pb2.HeldJob(**summary._asdict())
--- a/tests/features/gateway/prompt_parts.feature
+++ b/tests/features/gateway/prompt_parts.feature
@@ -99,13 +99,23 @@
       | 9     | 2    | 8      | 1        | 40      |
       | 7     | 10   | 8      | 0        | 40      |
 
-  # A limit: the first event clears a part, since sound streams break after theirs too.
-  Scenario: A part under which endpoints crash after up to three events is not blamed
+  Scenario: A part under which endpoints crash after up to three events is refused
     Given a simulated fleet of 9 nodes and 5 endpoints
     And 1 culprit parts at position 1 of 3 requests a second
     And endpoints that crash after up to 3 events of such a request
-    When 2 seeds are played
-    Then more than three requests with a culprit are sent after it must be known
+    When 5 seeds are played
+    Then at most three requests with each culprit are sent after it must be known
+    And sound requests with the same first part begin at least half as often as before
+    And at most 1 % of the sound requests are refused for a part
+
+  Scenario: A culprit that crashes endpoints after events is refused beside long streams
+    Given a simulated fleet of 9 nodes and 5 endpoints
+    And 1 culprit parts at position 1 of 3 requests a second
+    And endpoints that crash after 3 events of such a request
+    And streams of 4 to 8 seconds
+    When 3 seeds are played
+    Then at most three requests with each culprit are sent after it must be known
+    And sound requests with the same first part begin at least half as often as before
     And at most 1 % of the sound requests are refused for a part
 
   Scenario: A culprit that is sent for longer than a blame lasts is refused to the end
@@ -171,6 +181,27 @@
     When 3 requests with "bad" crash 3 endpoints at node "b" from 1 s on
     Then 2 of 3000 requests with "bad" from 5 s to 600 s are sent and crash endpoints
 
+  Scenario: A part that crashes endpoints after an event is refused until a whole answer
+    Given nodes "a, b" that hear of a service's answer to "first" at 0 s
+    When 4 requests with "first, late" crash as many endpoints after an event at node "b" from 1 s on
+    And a request with "late" has its first event at 4.5 s
+    Then requests with "first, late" are refused from 5.1 s on at "a, b"
+    And streams with "first, late" are refused at 5.1 s when callers take them up
+    And requests with "first" are not refused at 5.1 s at "a, b"
+    When a request with "late" is answered at 6 s
+    Then requests with "first, late" are not refused at 6 s at "a, b"
+
+  Scenario: Three endpoints that crashed after events are too little evidence
+    Given nodes "a, b" that hear of a service's answer to "first" at 0 s
+    When 3 requests with "first, late" crash as many endpoints after an event at node "b" from 1 s on
+    Then requests with "first, late" are not refused at 10 s at "a, b"
+
+  Scenario: Streams are taken up though a part of theirs crashed endpoints before an event
+    Given nodes "a, b" that hear of a service's answer to "other" at 0 s
+    When 3 requests with "bad" crash 3 endpoints at node "b" from 1 s on
+    Then requests with "bad" are refused from 5 s on at "a, b"
+    And streams with "bad" are taken up at 5 s when callers take them up
+
   Scenario: A blame ends when no request with the part comes any more
     Given nodes "a, b" that hear of a service's answer to "other" at 0 s
     When 3 requests with "bad" crash 3 endpoints at node "b" from 1 s on
--- a/tests/features/steps/parts_simulation.py
+++ b/tests/features/steps/parts_simulation.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from sequoiaglade_decisions.gateway import PromptParts, Quarantine
+from sequoiaglade_decisions.gateway import LASTING_SECONDS, PromptParts, Quarantine
 
 SERVICE = "s"
 ATTEMPTS_MAX = 3
@@ -37,18 +37,22 @@
     def __init__(self):
         self._quarantine = Quarantine()
 
-    def note_crash(self, service, parts, request, endpoint_key, now):
-        """Count a crash."""
+    def note_crash(self, service, parts, request, endpoint_key, now, has_begun=False):
+        """Count a crash of a request without an event."""
+        if has_begun:
+            return
         self._quarantine.note_crash(request, endpoint_key, now, is_local=True)
 
-    def note_answer(self, service, parts, now):
+    def note_answer(self, service, parts, now, is_complete=True):
         """Ignore an answer."""
 
-    def find_refusal(self, service, parts, now, may_try=False, request=None):
+    def find_refusal(
+        self, service, parts, now, may_try=False, has_begun=False, request=None
+    ):
         """Return whether the request is quarantined."""
-        return self._quarantine.is_quarantined(request, now) or None
+        return not has_begun and self._quarantine.is_quarantined(request, now) or None
 
-    def find_suspicion(self, service, parts, now):
+    def find_suspicion(self, service, parts, now, has_begun=False):
         """Suspect nothing."""
 
     def crashes(self, now, is_relaying=False):
@@ -68,9 +72,11 @@
 class Parts(PromptParts):
     """`PromptParts` as decisions under test."""
 
-    def find_refusal(self, service, parts, now, may_try=False, request=None):
+    def find_refusal(
+        self, service, parts, now, may_try=False, has_begun=False, request=None
+    ):
         """Return the `Blame` for which a request is refused, or None."""
-        return super().find_refusal(service, parts, now, may_try)
+        return super().find_refusal(service, parts, now, may_try, has_begun)
 
 
 class Request:
@@ -143,6 +149,7 @@
         self.sent_at = defaultdict(list)
         self.crashed_at = defaultdict(list)
         self.separated = frozenset()
+        self.stream_seconds = STREAM_SECONDS
         self._decisions = decisions
         self._events = []
         self._order = itertools.count()
@@ -201,17 +208,18 @@
         self._send(node, request, self.now)
 
     def _send(self, node, request, arrived_at):
-        if not request.has_event:
-            refusal = node.decisions.find_refusal(
-                SERVICE,
-                request.parts,
-                self.now,
-                may_try=self._is_lowest(node) and not request.runs,
-                request=request.fingerprint,
-            )
-            if refusal is not None:
+        refusal = node.decisions.find_refusal(
+            SERVICE,
+            request.parts,
+            self.now,
+            may_try=self._is_lowest(node) and not request.runs,
+            has_begun=request.has_event,
+            request=request.fingerprint,
+        )
+        if refusal:
+            if not request.has_event:
                 self._end(request, arrived_at, is_refused=True)
-                return
+            return
         endpoint = self._connect(request)
         if endpoint is None:
             self._end(request, arrived_at)
@@ -262,7 +270,7 @@
     def _begin(self, endpoint, attempt, request, node):
         if attempt not in endpoint.running:
             return
-        node.decisions.note_answer(SERVICE, request.parts, self.now)
+        node.decisions.note_answer(SERVICE, request.parts, self.now, is_complete=False)
         if not request.has_event:
             request.has_event = True
             self._end(request, request.arrived_at, is_begun=True)
@@ -270,8 +278,19 @@
             delay = (request.events_before - 0.5) * EVENT_SECONDS
             self.after(delay, self._crash_by, endpoint, attempt, request)
             return
-        delay = self.random.uniform(*STREAM_SECONDS)
-        self.after(delay, endpoint.running.pop, attempt, None)
+        delay = self.random.uniform(*self.stream_seconds)
+        if delay > LASTING_SECONDS:
+            last = (endpoint, attempt, request, node)
+            self.after(LASTING_SECONDS, self._last, *last)
+        self.after(delay, self._complete, endpoint, attempt, request, node)
+
+    def _last(self, endpoint, attempt, request, node):
+        if attempt in endpoint.running:
+            node.decisions.note_answer(SERVICE, request.parts, self.now)
+
+    def _complete(self, endpoint, attempt, request, node):
+        if endpoint.running.pop(attempt, None):
+            node.decisions.note_answer(SERVICE, request.parts, self.now)
 
     def _is_lowest(self, node):
         """Return whether a node knows of no live one with a lower id."""
@@ -282,16 +301,15 @@
     def _break(self, request, node, endpoint, key):
         request.excluded.add(endpoint.endpoint_id)
         decisions = node.decisions
-        if not request.has_event:
-            decisions.note_crash(
-                SERVICE, request.parts, request.fingerprint, key, self.now
-            )
-            suspicion = decisions.find_suspicion(SERVICE, request.parts, self.now)
-            if suspicion or request.runs >= ATTEMPTS_MAX:
-                self._end(request, request.arrived_at)
-                return
-        if request.runs < ATTEMPTS_MAX:
+        row = (SERVICE, request.parts, request.fingerprint, key, self.now)
+        decisions.note_crash(*row, has_begun=request.has_event)
+        suspicion = decisions.find_suspicion(
+            SERVICE, request.parts, self.now, has_begun=request.has_event
+        )
+        if not suspicion and request.runs < ATTEMPTS_MAX:
             self._send(node, request, request.arrived_at)
+        elif not request.has_event:
+            self._end(request, request.arrived_at)
 
     def _end(self, request, at, is_begun=False, is_refused=False):
         outcome = Outcome(at, request.parts, request.culprit, is_begun, is_refused)
--- a/tests/features/steps/prompt_part_rule_steps.py
+++ b/tests/features/steps/prompt_part_rule_steps.py
@@ -74,6 +74,28 @@
         _answer(context, context.answered, context.answered_at)
 
 
+@when(
+    '{count:d} requests with "{parts}" crash as many endpoints after an event at node '
+    '"{node}" from {since:g} s on'
+)
+def crash_after_event(context, count, parts, node, since):
+    _answer(context, context.answered, context.answered_at)
+    decisions = context.nodes[node]
+    for n in range(count):
+        now = since + n
+        decisions.note_answer(SERVICE, _split(parts), now, is_complete=False)
+        row = (SERVICE, _split(parts), f"r{n}", f"e-{n}/0", now)
+        decisions.note_crash(*row, has_begun=True)
+        _gossip(context, now)
+
+
+@when('a request with "{parts}" has its first event at {now:g} s')
+def begin_answer(context, parts, now):
+    decisions = context.nodes["b"]
+    decisions.note_answer(SERVICE, _split(parts), now, is_complete=False)
+    _gossip(context, now)
+
+
 @when('a request with "{parts}" is answered at {now:g} s')
 def answer(context, parts, now):
     context.nodes["b"].note_answer(SERVICE, _split(parts), now)
@@ -119,6 +141,13 @@
         assert refusal is None, (node_id, refusal)
 
 
+@then('streams with "{parts}" are {outcome} at {now:g} s when callers take them up')
+def check_taken_up(context, parts, outcome, now):
+    for node in context.nodes.values():
+        refusal = node.find_refusal(SERVICE, _split(parts), now, has_begun=True)
+        assert (refusal is not None) == (outcome == "refused"), refusal
+
+
 @then('requests with "{parts}" to "{service}" are refused at {now:g} s')
 def check_refused_at_service(context, parts, service, now):
     assert context.nodes["a"].find_refusal(service, _split(parts), now)
--- a/tests/features/steps/prompt_part_steps.py
+++ b/tests/features/steps/prompt_part_steps.py
@@ -132,6 +132,14 @@
     context.plan.events_before = count
 
 
+@given("streams of {least:g} to {most:g} seconds")
+def _(context, least, most):
+    def disrupt(simulation):
+        simulation.stream_seconds = (least, most)
+
+    context.plan.disruptions.append(disrupt)
+
+
 @given("all endpoints cut their responses for {seconds:g} seconds and stay up")
 def _(context, seconds):
     def disrupt(simulation):
