Emulator: parts of prompts crash runners after a number of events

`PartCrashes.event_count` lets a run under such a part go on for that many events before its runner crashes.

--- a/tests/features/gateway/prompt_part_crashes.feature
+++ b/tests/features/gateway/prompt_part_crashes.feature
@@ -21,6 +21,14 @@
       | a new id    |
       | the same id |
 
+  # An event cleared the parts of its request, so that such a part was never blamed.
+  Scenario: Requests with a part that crashes runners after three events are refused
+    Given 3 gateways and 6 runners that crash after 3 events under parts
+    When sound requests come 10 times a second for 5 seconds
+    And they go on beside requests with the part "bad", 3 a second for 15 seconds
+    Then at most 3 requests with it reach runners later than 3 s after the fifth crash
+    And from 6 s after it sound requests begin at least half as often as before
+
   # A stream that others break is no culprit; the rules count from a third crash on.
   Scenario: A stream that other requests broke at two runners goes on when it is taken up
     Given 1 gateway and 3 runners that crash under parts and return with a new id
--- a/tests/features/steps/gateway_prompt_part_steps.py
+++ b/tests/features/steps/gateway_prompt_part_steps.py
@@ -39,6 +39,15 @@
     start(context, nodes, [SLOW._replace(part_crashes=context.parts)] * count)
 
 
+@given(
+    "{nodes:d} gateways and {count:d} runners that crash after {events:d} events "
+    "under parts"
+)
+def given_late_crashes(context, nodes, count, events):
+    context.parts = PartCrashes([BAD], event_count=events)
+    start(context, nodes, [SLOW._replace(part_crashes=context.parts)] * count)
+
+
 @when('both runners stream, and a request with the part "bad" reaches runner 0')
 def crash_one(context):
     fleet = context.gateways
