--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -102,8 +102,22 @@
       | 300   | 3    | 0.7   |
       | 300   | 4    | 0.7   |
 
+  # Its share of the rest bounded each job that it accepted, not their sum.
+  Scenario Outline: The limit holds while a gateway is cut off from its peers alone
+    Given gateways "a, b, c, d, e, f, g" with a limit of waiting tokens
+    When "<group>" are cut off from the other gateways for <seconds> seconds
+    And each gateway gets <count> jobs of 30 tokens, in turn, within 4 seconds
+    Then no acceptance is more than a tenth above the limit
+    And over 0.9 of the limit was used at the end
+
+    Examples:
+      | group   | seconds | count |
+      | a       | 2       | 20    |
+      | a       | 10      | 20    |
+      | a, b, c | 2       | 20    |
+
   Scenario: A gateway is told at once of a job that another one accepts
-    Given 2 gateways and 1 runner with few slots
+    Given 2 gateways and 1 runner with long items
     When gateway 0 accepts jobs until it refuses one for its workspace's tokens
     Then the next job at gateway 1 is answered with 429 as well
 
@@ -118,3 +132,8 @@
     Given a gateway that has just started, and a store that fails each list after 0.8 s
     When 4 jobs arrive at once
     Then each is refused with 503 within 2.0 s
+
+  Scenario: Submissions without contact to all peers share the reads of a slow store
+    Given a gateway that is in contact with half of its peers, and a store that answers each list after 0.4 s
+    When 8 jobs of 10 tokens arrive at once
+    Then each is accepted within 1.2 s, after at most 2 lists
--- a/tests/features/steps/store_contact_steps.py
+++ b/tests/features/steps/store_contact_steps.py
@@ -1,5 +1,6 @@
 """Steps for probes and renewals of the connections to the store."""
 
+import math
 import threading
 import time
 from collections import Counter
@@ -11,7 +12,11 @@
 from emulator.links import Link
 from emulator.store import EmulatedStore
 from fleet_adapter.objects import ObjectStore
-from sequoiaglade_gateway.store_cache import KindWatcher, guards_of
+from sequoiaglade_gateway.store_cache import (
+    KindWatcher,
+    StoreContactKeeper,
+    guards_of,
+)
 
 from sequoiaglade_decisions.gateway import ContactStep, StoreCall, StoreContact
 from sequoiaglade_decisions.outcomes import Failure
@@ -20,6 +25,8 @@
 PROBE_TIMEOUT_SECONDS = 1.0
 ANSWER_SECONDS = 0.05
 READS_SECONDS = 20.0
+# A guarded watch waits longer than this for changes, other calls shorter.
+LONG_WATCH_SECONDS = 10.0
 START = 100.0
 
 
@@ -185,12 +192,18 @@
     context.link = context.stack.enter_context(Link(context.emulated.address))
     context.store = context.stack.enter_context(ObjectStore(context.link.address))
     context.told, context.reachable = [], []
+    context.counted = Counter()
+    context.metrics = SimpleNamespace(
+        count=lambda *labels: context.counted.update([labels])
+    )
+    context.contact = StoreContactKeeper(context.store, context.metrics)
     watcher = context.watcher = KindWatcher(
         context.store,
         kind,
         lambda documents: context.told.extend(d.name for d in documents),
         lambda change: context.told.append(change.name),
         context.reachable.append,
+        is_store_silent=context.contact.is_store_silent,
     )
     context.stack.enter_context(watcher)
     wait_until(lambda: kind in context.emulated.watched_kinds(), 5.0, "a watch waits")
@@ -200,8 +213,25 @@
 def given_guarded_watcher(context, kind, seconds):
     given_watcher(context, kind)
     context.emulated.set_outdated(seconds)
-    metrics = SimpleNamespace(count=lambda *labels: None)
-    for guard in guards_of(context.store, context.watcher, metrics):
+    # The keeper of the contact is not entered: the guards alone have to notice.
+    enter_guards(context)
+
+
+@given(
+    'a guarded and probed watcher of "{kind}",'
+    " and outdated reads of {seconds:g} seconds ago"
+)
+def given_probed_watcher(context, kind, seconds):
+    given_watcher(context, kind)
+    context.emulated.set_outdated(seconds)
+    context.stack.enter_context(context.contact)
+    enter_guards(context)
+
+
+def enter_guards(context):
+    for guard in guards_of(
+        context.store, context.watcher, context.contact, context.metrics
+    ):
         context.stack.enter_context(guard)
     # A call of the guard waits from 1.8 to 3.6 seconds on.
     time.sleep(2.2)
@@ -219,6 +249,44 @@
     context.emulated.set_silent(False)
 
 
+@when(
+    "the store answers nothing from {begin:g} to {end:g} seconds after a document was"
+    " written, and loses a write that waits for {wait:g} seconds"
+)
+def silence_store_and_write(context, begin, end, wait):
+    write(context, 1)
+    time.sleep(begin)
+    context.emulated.set_silent(True)
+    lost = threading.Thread(
+        target=context.store.create, args=("notes", "lost", {}, wait), daemon=True
+    )
+    lost.start()
+    time.sleep(end - begin)
+    context.emulated.set_silent(False)
+    context.stack.callback(lost.join)
+    context.lost_write = lost
+
+
+@then("the watch was renewed {count:d} time when that write has timed out")
+def check_renewals(context, count):
+    context.lost_write.join()
+    time.sleep(0.5)
+    assert context.counted["watch missed changes", context.kind] == 1, context.counted
+    assert context.counted["watch renewed", context.kind] == count, context.counted
+
+
+@when("a watch that begins after that is lost")
+def lose_watch(context):
+    store = context.emulated
+
+    def begins():
+        calls = store.calls[context.returned_index :]
+        return any((call.wait_seconds or 0.0) > LONG_WATCH_SECONDS for call in calls)
+
+    wait_until(begins, 5.0, "the watch begins again")
+    store.lose_watch_responses(context.kind)
+
+
 @when("another document is written")
 def write_another(context):
     write(context, 1)
@@ -299,28 +367,62 @@
 @when("nothing happens for {seconds:d} seconds")
 def wait_idle(context, seconds):
     store = context.gateways.store
-    before = Counter(store.outdated_calls_by_kind)
+    first = len(store.calls)
     time.sleep(seconds)
-    context.outdated_calls_by_kind = store.outdated_calls_by_kind - before
+    context.calls = store.calls[first:]
 
 
 @then("the store received {least:d} to {most:d} probes or calls of guards")
 def check_probes(context, least, most):
-    counts = context.outdated_calls_by_kind
+    counts = Counter(call.kind for call in context.calls if call.is_outdated)
     count = sum(counts[kind] for kind in ("probes", "config", "servers"))
-    assert least <= count <= most, counts
+    assert least <= count <= most, describe_calls(context.calls)
 
 
 @when("the store answers nothing for {seconds:d} seconds")
 def silence_store(context, seconds):
-    store = context.gateways.store
-    before = store.calls_by_kind.total()
+    has_gateways = hasattr(context, "gateways")
+    store = context.gateways.store if has_gateways else context.emulated
+    first = len(store.calls)
     store.set_silent(True)
     time.sleep(seconds)
-    context.call_count = store.calls_by_kind.total() - before
+    context.calls = store.calls[first:]
+    context.returned_index = first + len(context.calls)
     store.set_silent(False)
 
 
 @then("it received at most {count:d} calls in that time")
 def check_calls(context, count):
-    assert context.call_count <= count, context.call_count
+    fleet = context.gateways
+    assert len(context.calls) <= count, (
+        describe_calls(context.calls),
+        [describe_counted_calls(fleet.metrics(n)) for n in range(len(fleet.nodes))],
+    )
+
+
+@then("it received at most {count:d} watches in that time")
+def check_watches(context, count):
+    watches = [call for call in context.calls if call.wait_seconds is not None]
+    assert len(watches) <= count, describe_calls(context.calls)
+
+
+def describe_calls(calls):
+    """Return how many calls there were of each form."""
+    return Counter(
+        (
+            "outdated" if call.is_outdated else "newest",
+            call.method if call.wait_seconds is None else "watch",
+            call.kind,
+            call.wait_seconds and math.ceil(call.wait_seconds),
+        )
+        for call in calls
+    )
+
+
+def describe_counted_calls(metrics):
+    """Return the lines of a gateway's metrics that count its ended calls."""
+    return [
+        line
+        for line in metrics.splitlines()
+        if line.startswith("sequoiaglade_gateway_store_calls_total{")
+    ]
