Scenario: a new gateway stores a job that it checked before the store answered

The second open end of jobs-over-limit.md, reproduced by simulation: the jobs of a lost gateway reach the limit, another one starts while the store is silent, no peer answers whether it stores a job, and the store answers again meanwhile. The job is accepted. Listed in KNOWN-RED.txt.

--- a/tests/features/gateway/waiting_tokens.feature
+++ b/tests/features/gateway/waiting_tokens.feature
@@ -127,6 +127,13 @@
     And "b" accepts 2 jobs, of which "a" has not heard
     Then a job of 100 tokens at "a" is answered with 503
 
+  Scenario: A gateway that has just started stores a job itself once the store answers
+    Given gateways "a, b, c" with a limit of waiting tokens
+    When "b" accepts 2 jobs
+    And "b" is lost, and "a" starts again while the store is silent
+    And the store answers "a" again while no peer answers whether it stores a job
+    Then the other job is not accepted
+
   # Submissions asked a silent store one after another, each until its time-out.
   Scenario: Submissions at a new gateway wait for one call to a silent store
     Given a gateway that has just started, and a store that fails each list after 0.8 s
--- a/tests/features/steps/waiting_token_steps.py
+++ b/tests/features/steps/waiting_token_steps.py
@@ -200,6 +200,39 @@
     assert _send(context, name, _new_id(context)) == 202
 
 
+@when('"{lost}" is lost, and "{name}" starts again while the store is silent')
+def restart_in_silence(context, lost, name):
+    simulation = context.simulation
+    set_store(context, "silent")
+    simulation.suspend(lost, is_frozen=True)
+    simulation.run(LOSS_SECONDS)
+    gateway = simulation.add(name)
+    gateway.store_cache.is_store_reachable = False
+    set_store(context, "silent")
+    simulation.run(1.0)
+
+
+@when('the store answers "{name}" again while no peer answers whether it stores a job')
+def answer_meanwhile(context, name):
+    simulation = context.simulation
+    gateway = simulation.gateway_by_name[name]
+    call = simulation.call
+
+    def call_but_store(source, target, call_name, request):
+        if call_name != "StoreJob":
+            return call(source, target, call_name, request)
+        gateway.store.is_reachable = gateway.store_cache.is_store_reachable = True
+        return None
+
+    simulation.call = call_but_store
+    context.other_status = _send(context, name, "other", ITEM_TOKENS)
+
+
+@then("the other job is not accepted")
+def check_other_refused(context):
+    assert context.other_status in (429, 503, 504), context.other_status
+
+
 @then("the other job is answered with {status:d}")
 def check_other(context, status):
     assert context.other_status == status, context.other_status
