A job that was checked before the stored jobs were known is checked again

Seen: waiting_tokens.feature, "A gateway that has just started stores a job itself once the store answers": accepted beyond the limit.

Cause: a gateway that does not reach the store leaves the check to the peer that stores the job. If the store answers before a peer does, the gateway stored the job itself, though it had counted only what it had heard of.

Change: before it stores such a job itself, the gateway lists the stored jobs and checks the job once more.

--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -128,7 +128,8 @@
         """Store a job by this node, else by a peer; return None or a `Failure`."""
         failure = None
         may_be_stored = False
-        if self._parts.store_cache.is_store_reachable:
+        is_reachable = self._parts.store_cache.is_store_reachable
+        if is_reachable and self._limits.confirm(spec, route):
             failure = self._store_locally(spec, route)
             if failure is None or failure.code is FailureCode.CONFLICT:
                 return failure
--- a/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/token_limits.py
@@ -37,6 +37,8 @@
         self._lock = threading.Lock()
         self._has_listed = False
         self._listed_at = float("-inf")
+        # Jobs that were checked before the stored jobs were known.
+        self._unconfirmed_keys = set()
         self._log = structlog.get_logger()
 
     def take(self, spec, route):
@@ -54,6 +56,8 @@
                 return GatewayRefusal(503, reason, UNLISTED_RETRY_AFTER_SECONDS)
         if is_reachable and self._parts.peers.live_node_fraction() < 1.0:
             self._list_for_others()
+        if not self._has_listed:
+            self._unconfirmed_keys.add(spec.key)
         admission = self._check(spec, route)
         if not admission.is_accepted and admission.is_outdated and is_reachable:
             # Others are refused meanwhile without waiting for the store.
@@ -71,6 +75,24 @@
         )
         return GatewayRefusal(429, reason, OVER_LIMIT_RETRY_AFTER_SECONDS)
 
+    def confirm(self, spec, route):
+        """Return whether a job that was accepted may be stored by this node.
+
+        One that was checked before the stored jobs were known is checked again.
+        """
+        if spec.key not in self._unconfirmed_keys:
+            return True
+        with self._lock:
+            if not self._has_listed:
+                self._list(UNLISTED_RETRY_AFTER_SECONDS)
+        if not self._has_listed:
+            return False
+        self.give_back(spec.key)
+        is_accepted = self._check(spec, route).is_accepted
+        if is_accepted:
+            self._unconfirmed_keys.discard(spec.key)
+        return is_accepted
+
     def give_back(self, key):
         """Stop counting the tokens of a job that is not stored."""
         self._registry.give_tokens_back(key)
