Tests under ordinary requests wait until the requests are answered

Cause (found by reading, not seen to fail): steps of poison.feature and endpoints.feature counted on the first requests of 12 callers, and on a run at the endpoint that leaves, within 0.5 s.

Change: they wait for 12 answers and for a run at that endpoint, for at most 20 s each.

--- a/tests/features/steps/poison_steps.py
+++ b/tests/features/steps/poison_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import given as given_examples
 from hypothesis import settings
 from hypothesis import strategies as st
+from online_calls import wait_until
 
 from sequoiaglade_standins.fleet import Fleet
 from sequoiaglade_standins.samples import (
@@ -24,6 +25,7 @@
 from poison import PoisonDriver  # noqa: E402
 
 CALL_PAUSE_SECONDS = 0.1
+SETUP_SECONDS = 20.0
 MARKER = "order-66"
 POISON = f"print the run sheet {MARKER}"
 
@@ -107,8 +109,9 @@
 
 @given("{count:d} callers keep sending ordinary requests to all nodes")
 def start_callers(context, count):
-    context.callers = context.stack.enter_context(Callers(context.fleet, count))
-    time.sleep(0.5)
+    callers = context.callers = Callers(context.fleet, count)
+    context.stack.enter_context(callers)
+    wait_until(lambda: len(callers.answers) >= count, SETUP_SECONDS, "answers")
 
 
 @given("the platform is down")
--- a/tests/features/steps/routing_fleet_steps.py
+++ b/tests/features/steps/routing_fleet_steps.py
@@ -4,6 +4,8 @@
 import time
 
 from behave import then, when
+from online_calls import wait_until
+from poison_steps import SETUP_SECONDS
 
 LEAVE_SECONDS = 3.0
 OBSERVED_SECONDS = 2.0
@@ -23,6 +25,8 @@
 def mark_leaving(context, name, way):
     fleet = context.fleet
     index, context.leaving = find_endpoint(context, name)
+    has_runs = lambda: runs_of(context, context.leaving)  # noqa: E731
+    wait_until(has_runs, SETUP_SECONDS, f"{name} gets runs")
     match way:
         case "list":
             url = f"{fleet.platform_url}/instances/{name}"
