Listener: the thread that reads connections does not wait for new threads to run

What was seen: beside 8 busy processes, at a load average of about 29, a row of endless.feature failed in its set-up: 2 of the first 32 requests to a gateway that had just started were refused with 503 after 3.3 and 3.9 s, 'all threads of the node are busy'.

Cause: a listener starts its threads on demand. Thread.start waits until the new thread runs; the thread that reads from all connections waited so for each of them in turn, with the lock that the threads which run need for their next task. The delays of a busy machine add up over the first burst, and nothing is read or handed out meanwhile. That this is the whole cause of the 3.3 s is not shown.

Change: threads are started without waiting until they run; the refusing thread as well.

Evidence: the new scenario, where threads begin 0.3 s late, failed before (2.7 s to add 8 tasks, bound 0.3 s) and passes; input.feature 9 of 9, three times.

--- a/packages/node/sequoiaglade_node/web/threads.py
+++ b/packages/node/sequoiaglade_node/web/threads.py
@@ -1,5 +1,6 @@
 """Threads of a listener, started on demand."""
 
+import _thread
 import threading
 import time
 from typing import Any, NamedTuple
@@ -53,6 +54,14 @@
             if len(self.queue) > self._idle_count():
                 self._watch_queue()
 
+    def start_new_thread(self, target, thread_no):
+        """Start a thread without waiting until it runs.
+
+        ``Thread.start`` waits for that. The caller is the thread that reads from all
+        connections, and holds the lock that each thread needs for its next task.
+        """
+        _thread.start_new_thread(target, (thread_no,))
+
     def shutdown(self, cancel_pending=True, timeout=5):
         """Stop starting threads and wait up to `timeout` seconds for all to end."""
         with self.lock:
@@ -78,7 +87,7 @@
             self._overdue.notify()
             return
         self._has_refuser = True
-        threading.Thread(target=self._refuse, name="refusals", daemon=True).start()
+        _thread.start_new_thread(self._refuse, ())
 
     def _refuse(self):
         while (waiting := self._next_overdue()) is not None:
--- a/tests/features/input/input.feature
+++ b/tests/features/input/input.feature
@@ -59,3 +59,9 @@
     Given a listener whose only thread is busy, and tasks may wait 60 s
     When a task that may wait long is added, then one that may wait 0.5 s
     Then the task is refused within 3 s
+
+  # A burst at a node that had just started waited for the start of each thread in turn.
+  Scenario: The starts of threads that are late do not add up
+    Given a listener whose threads begin 0.3 s after their start
+    When 8 tasks are added
+    Then they were added within 0.3 s, and all run within 2 s
