Test of a suspended gateway: a job with more items than two rounds of the runners

Found by reading, not seen failing: 'A suspended gateway resumes after another has taken over its job' waits for 8 more results than were listed at the suspension, of 24 items that run in rounds of up to 16. Where both rounds were listed by then, no 8 more can come. The job has 60 items now. Evidence: the scenario passes, 1 of 1.

--- a/tests/features/gateway/batch.feature
+++ b/tests/features/gateway/batch.feature
@@ -24,7 +24,7 @@
 
   Scenario: A suspended gateway resumes after another has taken over its job
     Given 2 gateways and 2 slow runners
-    When a job of 24 items is submitted at gateway 0
+    When a job of 60 items is submitted at gateway 0
     And gateway 0 is suspended until gateway 1 has listed 8 more results
     Then gateway 0 returns at least the results that gateway 1 returned
 
