--- a/tests/features/gateway/store_contact.feature
+++ b/tests/features/gateway/store_contact.feature
@@ -84,6 +84,13 @@
     And another document is written
     Then the watcher has told 1 documents within 3.0 seconds
 
+  Scenario: A standby's call is lost, and then one of the watch that it guards
+    Given a guarded watcher of "servers", and outdated reads of 4 seconds ago
+    When the store answers nothing from 2.1 to 2.4 seconds after a document was written
+    And the store answers nothing from 0.3 to 0.5 seconds after a document was written
+    And another document is written
+    Then the watcher has told 3 documents within 3.0 seconds
+
   Scenario: Calls that begin during a renewal are not interrupted
     Given a watcher of "batch-ends" whose connections can fall silent
     When 4 threads read 200 times while the connections are renewed at least 50 times
