Read, log and count the limits that endpoints name

Change: the adapter reads the limit of each response; the coordinator keeps what it says, by endpoint and start time, until a response to a later request names none. Changes are logged with the request that brought them and counted; lines of placed requests and items state the limit that their endpoint had, so that first attempts, items and resumed streams can be told apart for each gateway. Placement is unchanged. The text of a limit is decimal digits alone: 1e999, inf and digits of other scripts are logged as not readable and change nothing.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -24,6 +24,7 @@
 from .prompt_parts import LASTING_SECONDS, PromptParts
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
+from .request_limits import LimitNotice, RequestLimits
 from .response_bounds import (
     OWN_BYTES,
     SHARED_BYTES_MAX,
@@ -97,6 +98,7 @@
     "JobSummary",
     "LASTING_SECONDS",
     "LeavingEndpoints",
+    "LimitNotice",
     "NextStep",
     "NodeState",
     "NodeTable",
@@ -108,6 +110,7 @@
     "PromptParts",
     "Quarantine",
     "RecentVersions",
+    "RequestLimits",
     "ResponseBounds",
     "ResponsePart",
     "ResponseProgress",
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -16,7 +16,8 @@
     `born` is its start time in Unix milliseconds, 0 if unknown. An endpoint that
     restarts may keep its id, but its `born` changes. `version` is that of its software,
     empty if unknown. `is_draining` is what the platform's list says of its shutdown,
-    `is_leaving` what the endpoint itself announced to this node.
+    `is_leaving` what the endpoint itself announced to this node. `request_limit` is how
+    many requests a second it takes from all nodes together, None without a limit.
     """
 
     endpoint_id: str
@@ -28,6 +29,7 @@
     born: int = 0
     version: str = ""
     is_leaving: bool = False
+    request_limit: float | None = None
 
     @property
     def accepts_requests(self):
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -217,6 +217,7 @@
             job=job.key,
             endpoint_id=endpoint_id,
             endpoint_version=placed.endpoint.version,
+            request_limit=placed.endpoint.request_limit,
             in_flight=placed.in_flight,
             after_event=progress.last_event_id,
         )
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -15,6 +15,7 @@
     NodeState,
     NodeTable,
     Placed,
+    RequestLimits,
     Scheduled,
     batch_allowance,
     batch_targets,
@@ -56,6 +57,7 @@
     Published,
     QuotaExceeded,
     RequestEnded,
+    RequestLimitNamed,
     Schedule,
     StreamKeepers,
     UsableVersions,
@@ -89,6 +91,7 @@
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
+        self._request_limits = RequestLimits()
         self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
         self._share = 1.0
         self._share_expires_at = 0.0
@@ -141,6 +144,10 @@
                 return endpoint is not None and endpoint.accepts_requests
             case EndpointLeaving(endpoint_id, born):
                 return self._directory.note_leaving(endpoint_id, born, now)
+            case RequestLimitNamed(endpoint_id, born, limit, sent_at):
+                return self._request_limits.note_response(
+                    endpoint_id, born, limit, sent_at, now
+                )
             case EndpointSilent(endpoint_id):
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
@@ -298,6 +305,8 @@
         self._scheduling.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
         endpoint = self._directory.get(endpoint_id, now)
+        limit = self._request_limits.find(endpoint_id, endpoint.born)
+        endpoint = endpoint._replace(request_limit=limit)
         return InFlightRequest(endpoint, preempts, in_flight)
 
     def _end(self, message, now):
@@ -400,6 +409,9 @@
                 "age_seconds": None if version is None else round(now - set_at, 3),
             },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
+            "request_limit_by_endpoint": self._request_limits.limited(
+                self._directory.endpoints()
+            ),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
             "peers": [s.node_id for s in self._nodes.live(now)],
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 from typing import Any, NamedTuple
 
 import urllib3
@@ -14,6 +15,7 @@
 from .bounded_reads import BoundedResponse
 from .leaving import note_leaving
 from .patient_socket import PatientSocket
+from .request_limits import note_request_limit
 
 # An endpoint in the same region accepts a connection within a few milliseconds. The
 # latency objective of a request is about 300 ms; the rest is for another endpoint.
@@ -147,6 +149,7 @@
     for name, value in request.headers:
         headers.add(name, value)
     response = None
+    sent_at = time.monotonic()
     try:
         connection.request(
             request.method,
@@ -158,7 +161,9 @@
         )
         response = connection.getresponse()
         bounded.check_head()
-        return _read_head(connection, response, request, parts, attempt, bounded)
+        head = parts.dialect.read_head(response.headers)
+        note_request_limit(parts, request, head, sent_at)
+        return _read_head(connection, response, head, request, parts, attempt, bounded)
     except (TimeoutError, ReadTimeoutError):
         _close(connection, response, attempt)
         reason = f"{request.address} did not answer in time"
@@ -172,8 +177,7 @@
     return CallFault(Fault.BROKEN, reason)
 
 
-def _read_head(connection, response, request, parts, attempt, bounded):
-    head = parts.dialect.read_head(response.headers)
+def _read_head(connection, response, head, request, parts, attempt, bounded):
     if head.is_leaving:
         note_leaving(parts, request, head, response.status)
     if head.is_not_run:
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -38,6 +38,8 @@
     `is_signed` whether it has the endpoint's signature, `is_not_run` whether the
     endpoint states that it did not run the request, `is_leaving` whether it announces
     its shutdown. `endpoint_id` is the id that the endpoint gives itself, or None.
+    `names_limit` is whether it names the requests a second that it takes from all nodes
+    together, `request_limit` that number, None if it is missing or can't be read.
     """
 
     request_id: str | None
@@ -45,6 +47,8 @@
     is_not_run: bool
     is_leaving: bool = False
     endpoint_id: str | None = None
+    names_limit: bool = False
+    request_limit: float | None = None
 
 
 class ReadJob(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -220,6 +220,19 @@
     born: int
 
 
+class RequestLimitNamed(NamedTuple):
+    """A response names a limit in requests a second, None for no limit.
+
+    `born` is the start time of the endpoint, as in `Endpoint`, `sent_at` is when the
+    request was sent. The reply is whether that changes the limit.
+    """
+
+    endpoint_id: str
+    born: int
+    limit: float | None
+    sent_at: float
+
+
 class EndpointSilent(NamedTuple):
     """A request has waited for data from an endpoint for a while."""
 
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -290,6 +290,7 @@
             endpoint_id=endpoint.endpoint_id,
             endpoint_version=endpoint.version,
             endpoint_is_leaving=endpoint.is_leaving,
+            request_limit=endpoint.request_limit,
             after_event=self.last_event_id,
             resumes=request.call.resumes or None,
             in_flight=self._in_flight.in_flight,
