--- a/tests/features/steps/request_limit_steps.py
+++ b/tests/features/steps/request_limit_steps.py
@@ -1,12 +1,140 @@
 """Steps for endpoints that limit the requests a second that they take."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
-from behave import then, when
+from behave import given, then, when
+from emulator import RunnerPlan
+from emulator.fleet import wait_until
+from gateway_calls import start
 
 # Times over which the rule counts, and from when on after a limit is first named.
 WINDOW_SECONDS = 4.0
 LEARNING_SECONDS = 3.0
+# The rule allows one and a half times the limit, and this many requests more.
+ALLOWED_FACTOR = 1.5
+ALLOWED_REQUESTS = 5
+CALLERS = 24
+
+
+class Sent(NamedTuple):
+    """A request, by its times of sending and of its end, and its `Response`."""
+
+    sent_at: float
+    ended_at: float
+    answer: object
+
+
+@given("3 gateways and 3 runners of which the last breaks each stream")
+def given_last_breaks(context):
+    start(context, 3, [RunnerPlan(), RunnerPlan(), RunnerPlan(breaks_after=3)])
+
+
+def _wait_until_met(context):
+    fleet = context.gateways
+    others = len(fleet.nodes) - 1
+    have_met = lambda: all(  # noqa: E731
+        len(fleet.status(node)["peers"]) == others for node in range(others + 1)
+    )
+    wait_until(have_met, 10.0, "the gateways have met")
+
+
+@when("runners {first:d} and {second:d} name a limit of {limit:g} requests a second")
+def name_limits(context, first, second, limit):
+    _wait_until_met(context)
+    for number in (first, second):
+        name_limit(context, number, limit)
+
+
+@when("runners {first:d} and {second:d} name no limit any more")
+def end_limits(context, first, second):
+    for number in (first, second):
+        end_limit(context, number)
+
+
+@when("callers send {rate:d} requests a second for {seconds:d} seconds at all gateways")
+def send_requests(context, rate, seconds):
+    _send_evenly(context, "safe", rate, seconds)
+
+
+@when("callers send {rate:d} streams a second for {seconds:d} seconds at all gateways")
+def send_streams(context, rate, seconds):
+    _send_evenly(context, "resume", rate, seconds)
+
+
+def _send_evenly(context, route, rate, seconds):
+    fleet = context.gateways
+    began_at = time.monotonic()
+
+    def send(number):
+        time.sleep(max(0.0, began_at + number / rate - time.monotonic()))
+        sent_at = time.monotonic()
+        answer = fleet.send(f"/{route}/{number}", number % len(fleet.nodes))
+        return Sent(sent_at, time.monotonic(), answer)
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        context.sent = list(pool.map(send, range(rate * seconds)))
+
+
+@then("{count:d} of {total:d} streams are complete")
+def check_most_answered(context, count, total):
+    answered = sum(map(_is_answered, context.sent))
+    assert answered * total >= count * len(context.sent), answered
+
+
+@then("all requests are answered")
+def check_answered(context):
+    failed = [row for row in context.sent if not _is_answered(row)]
+    assert not failed, (len(failed), len(context.sent), failed[:3])
+
+
+@then("the last {count:d} requests are answered")
+def check_last_answered(context, count):
+    context.sent = context.sent[-count:]
+    check_answered(context)
+
+
+@then(
+    "from {after:g} seconds on all other requests are refused within {seconds:g} "
+    "seconds"
+)
+def check_refused(context, after, seconds):
+    began_at = context.sent[0].sent_at
+    late = [row for row in context.sent if row.sent_at - began_at >= after]
+    refused = [row for row in late if not _is_answered(row)]
+    assert refused, "no request was refused"
+    for row in refused:
+        assert row.answer is not None and row.answer.status == 503, row
+        assert row.ended_at - row.sent_at <= seconds, row
+        assert 0.0 < float(row.answer.headers["Retry-After"]) <= 2.0, row
+
+
+@then(
+    "runners {first:d} and {second:d} get at least {least:g} and at most {limit:g} "
+    "requests a second"
+)
+def check_rates(context, first, second, least, limit):
+    allowed = ALLOWED_FACTOR * limit * WINDOW_SECONDS + ALLOWED_REQUESTS
+    until = context.sent[-1].sent_at
+    for number in (first, second):
+        runner = context.gateways.runners[number]
+        began_at = runner.limited_at + LEARNING_SECONDS
+        arrived = [at for at in runner.received_at if began_at <= at <= until]
+        most = max(_count_from(arrived, at) for at in arrived)
+        assert most <= allowed, f"runner {number} got {most}, {allowed:g} allowed"
+        mean = len(arrived) / (until - began_at)
+        assert mean >= least, f"runner {number} got {mean:.2f} a second"
+
+
+def _count_from(arrived, began_at):
+    return sum(began_at <= at < began_at + WINDOW_SECONDS for at in arrived)
+
+
+def _is_answered(row):
+    return (
+        row.answer is not None and row.answer.status == 200 and row.answer.is_complete
+    )
 
 
 @when("runner {number:d} names a limit of {limit:g} requests a second")
