Endpoints with a limit get only requests that one node permitted

A class of fault: a resource that all nodes share is used by what each node knows by itself.

Change: for each limited endpoint one node of the fleet grants permits from a level that refills at the limit (permits.py): in a large fleet the first scheduler of its group, whose placement includes the permit, else the first of a rendezvous hash over the nodes. Every placement goes through Placer.place, so that first attempts, retries, resumed streams, reserved places and items all need a permit; an item needs a full level, which online requests leave. A denied request is placed elsewhere, or refused at once with the time until the next permit; a denial is kept until then. Changes of limits are gossiped by the node that saw them, and a granter also learns the limit from the request for a permit. While the first granter does not answer, the second gives a quarter. A lost node stays a candidate for the time in which all nodes hear of a loss, a node that started or was suspended waits as long, and in a partition each part has its share of the known nodes as its part of the limit.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -20,6 +20,16 @@
 from .pages import ResultPages
 from .part_evidence import Blame, PartCrash, SoundPart
 from .peer_acks import PeerAcks
+from .permits import (
+    SETTLING_SECONDS,
+    SETTLING_SECONDS_LARGE,
+    DeniedPermits,
+    Permit,
+    PermitLevels,
+    SettledShare,
+    granter_share,
+    permit_granters,
+)
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
 from .prompt_parts import LASTING_SECONDS, PromptParts
 from .quarantine import Quarantine
@@ -68,6 +78,8 @@
     "GUARD_SECONDS",
     "OWN_BYTES",
     "RESERVE_SLOTS",
+    "SETTLING_SECONDS",
+    "SETTLING_SECONDS_LARGE",
     "SHARED_BYTES_MAX",
     "SILENCE_CHECK_SECONDS",
     "SILENT_AFTER_SECONDS",
@@ -77,6 +89,7 @@
     "Blame",
     "ConfigurationSources",
     "ContactStep",
+    "DeniedPermits",
     "Endpoint",
     "EndpointDirectory",
     "EndpointHealth",
@@ -106,6 +119,8 @@
     "PageValidity",
     "PeerAcks",
     "PartCrash",
+    "Permit",
+    "PermitLevels",
     "Placed",
     "PromptParts",
     "Quarantine",
@@ -121,6 +136,7 @@
     "Scheduled",
     "Service",
     "SendDecision",
+    "SettledShare",
     "SharedBytes",
     "SilenceStep",
     "SoundPart",
@@ -138,6 +154,7 @@
     "eligible_nodes",
     "group_count",
     "group_of",
+    "granter_share",
     "guard_step",
     "job_holder",
     "job_key",
@@ -145,6 +162,7 @@
     "move_headroom",
     "missing_part",
     "next_step",
+    "permit_granters",
     "run_order",
     "schedulers",
     "silence_step",
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -40,7 +40,8 @@
     `batch_backlog` and `batch_running` count unfinished and running items. `crashes`
     are those of `Quarantine`, `part_crashes` and `sound_parts` those of `PromptParts`,
     `survived_breaks` those of `SurvivedBreaks`.
-    `cores` is the node's processor capacity.
+    `cores` is the node's processor capacity. `request_limits` are the notices of
+    `RequestLimits`.
     """
 
     node_id: str
@@ -64,6 +65,7 @@
     part_crashes: tuple = ()
     sound_parts: tuple = ()
     survived_breaks: tuple = ()
+    request_limits: tuple = ()
 
 
 class NodeTable:
@@ -152,6 +154,25 @@
             if now - at <= timeout and not state.is_gone
         ]
 
+    def possible_granters(self, now, settling_seconds):
+        """Return the states of the peers that grant permits, or may still do so.
+
+        Those are the live ones and those lost for less than `settling_seconds`.
+
+        >>> table = NodeTable("a")
+        >>> table.observe_state(NodeState("b", 1, 1), now=0.0)
+        True
+        >>> [len(table.possible_granters(at, 1.0)) for at in (2.0, 3.0)]
+        [1, 0]
+        """
+        timeout = PEER_TIMEOUT_SECONDS_LARGE if self.is_large else PEER_TIMEOUT_SECONDS
+        return [
+            state
+            for state, at in self._entry_by_id.values()
+            if now - at <= timeout + settling_seconds
+            and not (state.is_gone or state.is_leaving)
+        ]
+
     def known(self, now):
         """Return the states of retained peers that have not left."""
         return [
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -28,10 +28,14 @@
 
 
 class Placed(NamedTuple):
-    """The endpoint for a request; `preempts` if a batch item there must stop first."""
+    """The endpoint for a request; `preempts` if a batch item there must stop first.
+
+    `has_permit` is whether a permit for an endpoint with a limit was taken already.
+    """
 
     endpoint_id: str
     preempts: bool = False
+    has_permit: bool = False
 
 
 class Full(NamedTuple):
@@ -68,7 +72,7 @@
     >>> loads.begin("a", is_batch=False)
     >>> loads.begin("a", is_batch=False)
     >>> loads.choose(endpoints, now=0.0, spread="")
-    Placed(endpoint_id='b', preempts=False)
+    Placed(endpoint_id='b', preempts=False, has_permit=False)
     """
 
     def __init__(self, failure_domain=""):
--- a/packages/decisions/sequoiaglade_decisions/gateway/request_limits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/request_limits.py
@@ -115,6 +115,11 @@
             self._store(notice)
         return changed
 
+    def notice(self, endpoint_id, now):
+        """Return what is known of a limited endpoint, with its age in `at`."""
+        notice = self._notice_by_id[endpoint_id]
+        return notice._replace(at=now - notice.at)
+
     def limited(self, endpoints):
         """Return the limits of those of a sequence of `Endpoint` with one, by id."""
         limit_by_id = {
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -17,10 +17,14 @@
 
 
 class Scheduled(NamedTuple):
-    """The endpoint for a request, and the node that must stop a batch item there."""
+    """The endpoint for a request, and the node that must stop a batch item there.
+
+    `has_permit` is whether a permit for an endpoint with a limit was taken already.
+    """
 
     endpoint_id: str
     preempted_node: str | None = None
+    has_permit: bool = False
 
 
 class _Report(NamedTuple):
@@ -44,7 +48,7 @@
     >>> scheduler.report("n-1", (1, 1), {"a": (3, 0)}, now=0.0)
     >>> scheduler.report("n-2", (1, 1), {}, now=0.0)
     >>> scheduler.choose(endpoints, "n-2", now=0.0, spread="")
-    Scheduled(endpoint_id='b', preempted_node=None)
+    Scheduled(endpoint_id='b', preempted_node=None, has_permit=False)
     """
 
     def __init__(self):
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -15,7 +15,6 @@
     NodeState,
     NodeTable,
     Placed,
-    RequestLimits,
     Scheduled,
     batch_allowance,
     batch_targets,
@@ -39,6 +38,7 @@
     EndpointsListed,
     EventIntervalObserved,
     FindPartRefusal,
+    FindPermitGranters,
     FindSchedulers,
     FindStreamKeepers,
     GetStatus,
@@ -51,6 +51,7 @@
     LoadReportReceived,
     PartsAnswered,
     PeerStatesReceived,
+    PermitDenied,
     PlaceRequest,
     PossibleHolders,
     Publish,
@@ -60,8 +61,10 @@
     RequestLimitNamed,
     Schedule,
     StreamKeepers,
+    TakePermit,
     UsableVersions,
 )
+from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
 
 # States of peers that arrived within this time are relayed to others.
@@ -91,7 +94,6 @@
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
-        self._request_limits = RequestLimits()
         self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
         self._share = 1.0
         self._share_expires_at = 0.0
@@ -112,6 +114,14 @@
             self._loads,
             self._quotas,
         )
+        self._limits = FleetRequestLimits(
+            settings,
+            lambda: self._state,
+            self._directory,
+            self._nodes,
+            self._scheduling,
+            self._quota_share,
+        )
 
     def on_receive(self, message):
         """Handle one of the messages of `messages` and return its reply."""
@@ -144,10 +154,13 @@
                 return endpoint is not None and endpoint.accepts_requests
             case EndpointLeaving(endpoint_id, born):
                 return self._directory.note_leaving(endpoint_id, born, now)
-            case RequestLimitNamed(endpoint_id, born, limit, sent_at):
-                return self._request_limits.note_response(
-                    endpoint_id, born, limit, sent_at, now
-                )
+            case (
+                RequestLimitNamed()
+                | FindPermitGranters()
+                | TakePermit()
+                | PermitDenied()
+            ):
+                return self._limits.handle(message, now)
             case EndpointSilent(endpoint_id):
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
@@ -223,10 +236,14 @@
             endpoints = self._directory.serving_on(
                 message.service, now, message.version
             )
+        is_open = self._limits.open(endpoints, False, now)
         choice = self._loads.choose(
-            endpoints, now, message.spread, message.excluded, message.headroom
+            is_open, now, message.spread, message.excluded, message.headroom
         )
         match choice:
+            case Full(retry_after, False) if endpoints:
+                seconds = self._limits.seconds_until_open(endpoints, now)
+                return Full(max(seconds, retry_after), True)
             case Full():
                 return choice
             case Placed(endpoint_id, preempts):
@@ -235,6 +252,11 @@
 
     def _place_batch(self, message, now):
         endpoints = self._directory.usable(message.service, now, message.version)
+        endpoints = [
+            endpoint
+            for endpoint in self._limits.open(endpoints, True, now)
+            if endpoint.endpoint_id not in message.excluded
+        ]
         endpoint_id = self._loads.choose_for_batch(
             endpoints, now, RESERVE_SLOTS, message.spread
         )
@@ -249,7 +271,7 @@
         refusal = self._check_quota(message.place, now)
         if refusal is not None:
             return refusal, None
-        placement = self._scheduling.schedule(message, now)
+        placement = self._scheduling.schedule(message, now, self._limits)
         is_peer = report.node_id != self._settings.node_id
         if isinstance(placement, Scheduled) and workspace is not None and is_peer:
             share = self._quota_share(now)
@@ -269,7 +291,8 @@
             return None
         self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
-        return self._begin(message.endpoint_id, False, is_batch, now)
+        placed = self._begin(message.endpoint_id, False, is_batch, now)
+        return placed._replace(has_permit=message.has_permit)
 
     def _receive_report(self, report, now):
         self._scheduling.receive_report(report, now)
@@ -305,8 +328,7 @@
         self._scheduling.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
         endpoint = self._directory.get(endpoint_id, now)
-        limit = self._request_limits.find(endpoint_id, endpoint.born)
-        endpoint = endpoint._replace(request_limit=limit)
+        endpoint = endpoint._replace(request_limit=self._limits.find(endpoint))
         return InFlightRequest(endpoint, preempts, in_flight)
 
     def _end(self, message, now):
@@ -356,6 +378,7 @@
             batch_running=message.batch_running,
             jobs=message.jobs,
             is_store_reachable=message.is_store_reachable,
+            request_limits=self._limits.notices(now),
         )
         self._state = self._blame.add_to(state, now)
         others = []
@@ -384,6 +407,7 @@
                 state.is_admitted_complete,
             )
             self._blame.receive(state, now)
+            self._limits.receive(state, now)
         return new_states
 
     def _batch_share(self, message, now):
@@ -409,9 +433,7 @@
                 "age_seconds": None if version is None else round(now - set_at, 3),
             },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
-            "request_limit_by_endpoint": self._request_limits.limited(
-                self._directory.endpoints()
-            ),
+            "request_limit_by_endpoint": self._limits.limited(),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
             "peers": [s.node_id for s in self._nodes.live(now)],
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -158,6 +158,7 @@
 
     place: PlaceRequest
     endpoint_id: str
+    has_permit: bool = False
 
 
 class CollectLoadReports(NamedTuple):
@@ -174,16 +175,53 @@
     report: LoadReport
 
 
+class FindPermitGranters(NamedTuple):
+    """Asks which nodes grant the permits for an endpoint.
+
+    The reply is `PermitGranters`, or None if the endpoint has no limit.
+    """
+
+    endpoint_id: str
+
+
+class PermitGranters(NamedTuple):
+    """The nodes that grant the permits for an endpoint, in the order to ask them.
+
+    `candidates` are pairs of node id and peer address, which is None for the node
+    itself. `notice` is the `LimitNotice` of the endpoint with its age.
+    """
+
+    candidates: list
+    notice: Any
+
+
+class TakePermit(NamedTuple):
+    """Asks this node, as the granter, for a permit; the reply is a `Permit`."""
+
+    notice: Any
+    is_batch: bool
+
+
+class PermitDenied(NamedTuple):
+    """This node was denied a permit for an endpoint."""
+
+    endpoint_id: str
+    is_batch: bool
+    permit: Any
+
+
 class InFlightRequest(NamedTuple):
     """A request's endpoint; it counts as in flight until `RequestEnded` is sent.
 
     `preempts` asks the sender to stop a batch item of this node there. `in_flight` is
-    the number of requests at the endpoint.
+    the number of requests at the endpoint. `has_permit` is whether a permit for an
+    endpoint with a limit was taken already.
     """
 
     endpoint: Any
     preempts: bool
     in_flight: int
+    has_permit: bool = False
 
 
 class RequestEnded(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -11,9 +11,11 @@
 
 from ..messages import StreamAnswer
 from .codec import (
+    decode_permit,
     decode_placement,
     decode_results,
     encode_job,
+    encode_notice,
     encode_report,
     encode_schedule_request,
     encode_summary,
@@ -115,6 +117,14 @@
         reply = self._call(address, "Schedule", request, SCHEDULE_SECONDS, True)
         return reply and decode_placement(reply)
 
+    def take_permit(self, address, notice, is_batch):
+        """Ask a peer for a permit; return the `Permit`, None without an answer."""
+        request = fleet_pb2.PermitRequest(
+            notice=encode_notice(notice), is_batch=is_batch
+        )
+        reply = self._call(address, "TakePermit", request, SCHEDULE_SECONDS)
+        return None if reply is None else decode_permit(reply)
+
     def send_report(self, address, report):
         """Send a `LoadReport` to a scheduler without waiting for the reply."""
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -5,8 +5,10 @@
     Item,
     JobSpec,
     JobSummary,
+    LimitNotice,
     NodeState,
     PartCrash,
+    Permit,
     Placed,
     Result,
     Scheduled,
@@ -73,6 +75,7 @@
             fleet_pb2.SurvivedBreak(endpoint_key=key, fingerprint=fingerprint)
             for key, fingerprint in state.survived_breaks
         ],
+        request_limits=map(encode_notice, state.request_limits),
     )
 
 
@@ -85,6 +88,8 @@
     >>> begun = crash._replace(request="h", has_begun=True)
     >>> state = state._replace(part_crashes=(crash, begun))
     >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
+    >>> notices = (LimitNotice("e-1", 5, 2.5, 0.25), LimitNotice("e-2", 6, None, 1.5))
+    >>> state = state._replace(request_limits=notices)
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -133,9 +138,41 @@
         survived_breaks=tuple(
             (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
         ),
+        request_limits=tuple(map(decode_notice, message.request_limits)),
     )
 
 
+def encode_notice(notice):
+    """Return the message for a `LimitNotice` with an age."""
+    return fleet_pb2.LimitNotice(
+        endpoint_id=notice.endpoint_id,
+        born=notice.born,
+        is_limited=notice.limit is not None,
+        limit=notice.limit or 0.0,
+        age_ms=int(notice.at * MS_PER_SECOND),
+    )
+
+
+def decode_notice(message):
+    """Return the `LimitNotice` of a message."""
+    return LimitNotice(
+        message.endpoint_id,
+        message.born,
+        message.limit if message.is_limited else None,
+        message.age_ms / MS_PER_SECOND,
+    )
+
+
+def encode_permit(permit):
+    """Return the message for a `Permit`."""
+    return fleet_pb2.PermitReply(**permit._asdict())
+
+
+def decode_permit(message):
+    """Return the `Permit` of a message."""
+    return Permit(message.is_granted, message.retry_seconds)
+
+
 def _encode_part_crash(crash):
     return fleet_pb2.PartCrash(
         service=crash.service,
@@ -249,9 +286,9 @@
                 retry_after=retry_after,
                 has_endpoints=has_endpoints,
             )
-        case Scheduled(endpoint_id):
+        case Scheduled(endpoint_id, _, has_permit):
             return fleet_pb2.ScheduleReply(
-                is_quota_checked=True, endpoint_id=endpoint_id
+                is_quota_checked=True, endpoint_id=endpoint_id, has_permit=has_permit
             )
 
 
@@ -261,7 +298,7 @@
     Return None if the scheduler runs a release that does not check quotas.
 
     >>> decode_placement(encode_placement(Scheduled("e-1")))
-    Placed(endpoint_id='e-1', preempts=False)
+    Placed(endpoint_id='e-1', preempts=False, has_permit=False)
     >>> decode_placement(encode_placement(QuotaExceeded(0.5, share=1.0)))
     QuotaExceeded(retry_after=0.5, share=1.0)
     >>> decode_placement(fleet_pb2.ScheduleReply(endpoint_id="e-1"))
@@ -271,7 +308,7 @@
     if message.is_quota_exceeded:
         return QuotaExceeded(message.retry_after, message.quota_share)
     if message.endpoint_id:
-        return Placed(message.endpoint_id)
+        return Placed(message.endpoint_id, has_permit=message.has_permit)
     return Full(message.retry_after, message.has_endpoints)
 
 
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -6,9 +6,11 @@
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
 from .codec import (
+    decode_notice,
     decode_report,
     decode_schedule_request,
     decode_summary,
+    encode_permit,
     encode_placement,
     encode_results,
 )
@@ -96,6 +98,10 @@
         self._placer.receive_report(decode_report(request))
         return fleet_pb2.ReportReply()
 
+    def TakePermit(self, request, context):  # noqa: N802
+        notice = decode_notice(request.notice)
+        return encode_permit(self._placer.grant_permit(notice, request.is_batch))
+
     def NoteStream(self, request, context):  # noqa: N802
         self._streams.receive_note(request.request_id, request.version)
         return fleet_pb2.StreamNoteReply()
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -4,16 +4,22 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import Full, Placed, Scheduled
+from sequoiaglade_decisions.gateway import Full, Permit, Placed, Scheduled
 from sequoiaglade_node.threads import OwnedThread
 
 from .messages import (
+    STOPPED,
     BeginRequest,
     CollectLoadReports,
+    FindPermitGranters,
     FindSchedulers,
+    InFlightRequest,
     LoadReportReceived,
+    PermitDenied,
     QuotaExceeded,
+    RequestEnded,
     Schedule,
+    TakePermit,
     UsableVersions,
 )
 
@@ -23,6 +29,8 @@
 # Schedulers learn of ended requests within this time, a small fraction of the time that
 # a request holds its slot.
 REPORT_INTERVAL_SECONDS = 0.05
+# The answer of a granter that gives none: requests go elsewhere for a while.
+UNANSWERED_PERMIT = Permit(False, 0.5)
 # A placement at an endpoint that this node may not use costs another call.
 SCHEDULER_ASKS_MAX = 2
 # Interval of checks whether a small fleet has become large.
@@ -41,6 +49,67 @@
     def place(self, place):
         """Return the `InFlightRequest` for a `PlaceRequest`, `Full` or `QuotaExceeded`.
 
+        An endpoint with a limit of requests a second needs a permit; without one the
+        request is placed elsewhere. Return None if this node finds no slot for a batch
+        item.
+        """
+        while True:
+            placed = self._place(place)
+            if not isinstance(placed, InFlightRequest) or self._is_permitted(
+                placed, place
+            ):
+                return placed
+            endpoint_id = placed.endpoint.endpoint_id
+            ended = RequestEnded(endpoint_id, place.is_batch, STOPPED)
+            self._parts.coordinator.tell(ended)
+            # The request was counted for its workspace's quota when it was placed.
+            excluded = place.excluded | {endpoint_id}
+            place = place._replace(excluded=excluded, workspace=None)
+
+    def grant_permit(self, notice, is_batch):
+        """Return the `Permit` for a node's request, as the granter for an endpoint."""
+        return self._parts.coordinator.ask(TakePermit(notice, is_batch))
+
+    def _is_permitted(self, placed, place):
+        if placed.has_permit or placed.endpoint.request_limit is None:
+            return True
+        endpoint_id = placed.endpoint.endpoint_id
+        granters = self._parts.coordinator.ask(FindPermitGranters(endpoint_id))
+        if granters is None:
+            return True
+        permit = self._ask_granters(granters, place.is_batch)
+        self._parts.metrics.count(
+            "permit", "granted" if permit.is_granted else "denied"
+        )
+        if permit.is_granted:
+            return True
+        denied = PermitDenied(endpoint_id, place.is_batch, permit)
+        self._parts.coordinator.tell(denied)
+        self._log.info(
+            "permit denied",
+            request_id=place.spread,
+            endpoint_id=endpoint_id,
+            limit=placed.endpoint.request_limit,
+            granters=[node_id for node_id, _ in granters.candidates],
+            retry_seconds=round(permit.retry_seconds, 3),
+        )
+        return False
+
+    def _ask_granters(self, granters, is_batch):
+        for node_id, address in granters.candidates:
+            if address is None:
+                return self.grant_permit(granters.notice, is_batch)
+            if self._is_unresponsive(node_id):
+                continue
+            permit = self._client.take_permit(address, granters.notice, is_batch)
+            if permit is not None:
+                return permit
+            self._note_unresponsive(node_id)
+        return UNANSWERED_PERMIT
+
+    def _place(self, place):
+        """Place a request without regard to permits; return as `place` does.
+
         A request for one of several software versions is placed by this node, since the
         group that a scheduler places in may have no endpoint of that version.
         A scheduler that chooses an endpoint that is draining, leaving or removed
@@ -60,8 +129,9 @@
         for _ in range(SCHEDULER_ASKS_MAX):
             placement = self._ask_schedulers(query, place)
             match placement:
-                case Placed(endpoint_id):
-                    running = coordinator.ask(BeginRequest(place, endpoint_id))
+                case Placed(endpoint_id, _, has_permit):
+                    begin = BeginRequest(place, endpoint_id, has_permit)
+                    running = coordinator.ask(begin)
                     if running is not None:
                         return running
                     excluded = place.excluded | {endpoint_id}
@@ -87,26 +157,31 @@
 
     def _ask_schedulers(self, query, place):
         for node_id, address in query.candidates:
-            if time.monotonic() < self._unresponsive_until_by_id.get(node_id, 0.0):
+            if self._is_unresponsive(node_id):
                 continue
             placement = self._ask_scheduler(query, place, node_id, address)
             if placement is not None:
                 return placement
-            self._unresponsive_until_by_id[node_id] = (
-                time.monotonic() + UNRESPONSIVE_SECONDS
-            )
+            self._note_unresponsive(node_id)
             self._log.info(
                 "scheduler did not answer", node_id=node_id, request_id=place.spread
             )
         return None
 
+    def _is_unresponsive(self, node_id):
+        return time.monotonic() < self._unresponsive_until_by_id.get(node_id, 0.0)
+
+    def _note_unresponsive(self, node_id):
+        until = time.monotonic() + UNRESPONSIVE_SECONDS
+        self._unresponsive_until_by_id[node_id] = until
+
     def _ask_scheduler(self, query, place, node_id, address):
         if node_id != query.report.node_id:
             return self._client.schedule(address, query, place)
         request = Schedule(query.report, place, query.group, query.group_count)
         match self.schedule(request):
-            case Scheduled(endpoint_id):
-                return Placed(endpoint_id)
+            case Scheduled(endpoint_id, _, has_permit):
+                return Placed(endpoint_id, has_permit=has_permit)
             case refusal:
                 return refusal
 
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -1,8 +1,33 @@
-"""Limits of requests a second that endpoints name in their responses."""
+"""Limits of requests a second that endpoints name, and permits for requests to them."""
 
 import structlog
 
-from .messages import RequestLimitNamed
+from sequoiaglade_decisions.gateway import (
+    SETTLING_SECONDS,
+    SETTLING_SECONDS_LARGE,
+    DeniedPermits,
+    Permit,
+    PermitLevels,
+    RequestLimits,
+    SettledShare,
+    granter_share,
+    permit_granters,
+)
+
+from .clocks import boot_seconds
+from .messages import (
+    FindPermitGranters,
+    PermitDenied,
+    PermitGranters,
+    RequestLimitNamed,
+    TakePermit,
+)
+
+# A longer time between two gossip rounds shows that the process was suspended: other
+# nodes grant permits by then.
+SUSPENSION_SECONDS = 2.0
+# Permits that a node denies as it is not their granter; the asking node soon knows.
+NOT_GRANTER = Permit(False, 0.3)
 
 
 def note_request_limit(parts, request, head, sent_at):
@@ -33,3 +58,177 @@
         limit=limit,
         before=endpoint.request_limit,
     )
+
+
+class FleetRequestLimits:
+    """The coordinator's `RequestLimits`, and the permits that it grants or was denied.
+
+    One node grants the permits for an endpoint: in a large fleet the first scheduler of
+    its group, which needs no call for that, else the first of `permit_granters`.
+    `share` returns the fraction of the known nodes that are live. `boot_clock` also
+    advances while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        settings,
+        own_state,
+        directory,
+        nodes,
+        scheduling,
+        share,
+        boot_clock=boot_seconds,
+    ):
+        self._settings = settings
+        self._get_own_state = own_state
+        self._directory = directory
+        self._nodes = nodes
+        self._scheduling = scheduling
+        self._get_share = share
+        self._boot_clock = boot_clock
+        self._started_at = None
+        self._active_at = None
+        self._settled_share = SettledShare()
+        self._limits = RequestLimits()
+        self._levels = PermitLevels()
+        self._denied = DeniedPermits()
+        self._log = structlog.get_logger()
+
+    def handle(self, message, now):
+        """Handle one of the messages about limits and return its reply."""
+        match message:
+            case RequestLimitNamed():
+                return self._limits.note_response(*message, now)
+            case FindPermitGranters(endpoint_id):
+                return self._find_granters(endpoint_id, now)
+            case TakePermit(notice, is_batch):
+                return self._take(notice, is_batch, now)
+            case PermitDenied(endpoint_id, is_batch, permit):
+                return self._denied.note(endpoint_id, permit, is_batch, now)
+
+    def find(self, endpoint):
+        """Return the limit of an `Endpoint`, or None."""
+        return self._limits.find(endpoint.endpoint_id, endpoint.born)
+
+    def open(self, endpoints, is_batch, now):
+        """Return the endpoints without a limit, or for which a permit may be asked."""
+        return [
+            endpoint
+            for endpoint in endpoints
+            if self.find(endpoint) is None
+            or self._denied.until(endpoint.endpoint_id, is_batch, now) is None
+        ]
+
+    def seconds_until_open(self, endpoints, now):
+        """Return in how many seconds a permit for one of `endpoints` may be asked."""
+        times = [self._denied.until(e.endpoint_id, False, now) for e in endpoints]
+        return min((until - now for until in times if until is not None), default=0.0)
+
+    def grantable(self, endpoints, is_batch, now):
+        """Return the endpoints without a limit, and those with a permit left here."""
+        share_by_granters = {}
+        rows = []
+        for endpoint in endpoints:
+            limit = self.find(endpoint)
+            if limit is not None:
+                # All limited endpoints of a group have the same granters.
+                if not share_by_granters:
+                    share_by_granters[endpoint.service] = self._share_of(endpoint, now)
+                share = share_by_granters[endpoint.service]
+                seconds = share and self._levels.seconds_until(
+                    endpoint.endpoint_id, limit, share, now, is_batch
+                )
+                if not share or seconds:
+                    continue
+            rows.append(endpoint)
+        return rows
+
+    def take_own(self, endpoint_id, now):
+        """Take a permit that `grantable` has found; return whether one was needed."""
+        endpoint = self._directory.get(endpoint_id, now)
+        limit = self.find(endpoint)
+        if limit is None:
+            return False
+        self._levels.grant(endpoint_id, limit, self._share_of(endpoint, now), now)
+        return True
+
+    def limited(self):
+        """Return the limits of the known endpoints by id."""
+        return self._limits.limited(self._directory.endpoints())
+
+    def notices(self, now):
+        """Return the notices to gossip."""
+        self._levels.keep_only(self.limited())
+        self._update_share(now)
+        return self._limits.notices(now)
+
+    def receive(self, state, now):
+        """Merge the notices of a peer's state, and log those that change a limit."""
+        for notice in self._limits.receive(state.request_limits, now):
+            self._log.info(
+                "request limit told by peer",
+                peer=state.node_id,
+                endpoint_id=notice.endpoint_id,
+                limit=notice.limit,
+            )
+
+    def _find_granters(self, endpoint_id, now):
+        endpoint = self._directory.get(endpoint_id, now)
+        if endpoint is None or self.find(endpoint) is None:
+            return None
+        candidates = []
+        for node_id in self._granter_ids(endpoint, now):
+            state = self._nodes.state(node_id)
+            candidates.append((node_id, state and state.peer_address))
+        return PermitGranters(candidates, self._limits.notice(endpoint_id, now))
+
+    def _take(self, notice, is_batch, now):
+        self._limits.receive([notice], now)
+        endpoint_id = notice.endpoint_id
+        endpoint = self._directory.get(endpoint_id, now)
+        if endpoint is None:
+            return NOT_GRANTER
+        limit = self.find(endpoint)
+        if limit is None:
+            return Permit(True)
+        share = self._share_of(endpoint, now)
+        if not share:
+            return NOT_GRANTER
+        return self._levels.grant(endpoint_id, limit, share, now, is_batch)
+
+    def _share_of(self, endpoint, now):
+        """Return the part of an endpoint's limit that this node may grant."""
+        share = self._update_share(now)
+        if not self._is_settled(now):
+            return 0.0
+        granters = self._granter_ids(endpoint, now)
+        return share * granter_share(self._settings.node_id, granters)
+
+    def _granter_ids(self, endpoint, now):
+        states = self._nodes.possible_granters(now, self._settling_seconds)
+        own = self._get_own_state()
+        if not (own.is_leaving and states):
+            states.append(own)
+        if self._nodes.is_large:
+            return self._scheduling.granters_of(endpoint, states, now)
+        return permit_granters(endpoint.endpoint_id, [s.node_id for s in states])
+
+    def _update_share(self, now):
+        share = self._get_share(now)
+        boot_at = self._boot_clock()
+        if self._active_at is None or boot_at - self._active_at > SUSPENSION_SECONDS:
+            self._started_at = now
+        self._active_at = boot_at
+        return self._settled_share.update(share, now, self._settling_seconds)
+
+    @property
+    def _settling_seconds(self):
+        return SETTLING_SECONDS_LARGE if self._nodes.is_large else SETTLING_SECONDS
+
+    def _is_settled(self, now):
+        """Return whether the nodes that granted permits meanwhile know this one."""
+        is_alone = not self._nodes.known(now) and not self._has_other_seeds()
+        return is_alone or now - self._started_at >= self._settling_seconds
+
+    def _has_other_seeds(self):
+        return any(s != self._settings.listen.peer for s in self._settings.seeds)
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -67,10 +67,22 @@
         report = self._report(now)
         return SchedulerQuery(candidates, group, count, report, leaving_ids)
 
-    def schedule(self, request, now):
+    def granters_of(self, endpoint, states, now):
+        """Return the ids of the nodes that grant permits for an endpoint of a group.
+
+        `states` are those of the nodes that may.
+        """
+        state_by_id = {state.node_id: state for state in states}
+        eligible = eligible_nodes({i: s.cores for i, s in state_by_id.items()})
+        count = self._group_count(endpoint.service, state_by_id, eligible, now)
+        group = group_of(endpoint.endpoint_id, count)
+        return schedulers(endpoint.service, group, eligible)
+
+    def schedule(self, request, now, limits):
         """Place a request of another node or this one; return `Scheduled` or `Full`.
 
-        The report in the request was received before.
+        The report in the request was received before. `limits` are those of the
+        endpoints, for which the permits are taken here.
         """
         place = request.place
         endpoints = [
@@ -79,11 +91,12 @@
             if group_of(endpoint.endpoint_id, request.group_count) == request.group
             and endpoint.endpoint_id not in place.excluded
         ]
+        endpoints = limits.grantable(endpoints, place.is_batch, now)
         node_id = request.report.node_id
         requester = self._nodes.state(node_id) or self._get_own_state()
         domain = requester.failure_domain
         if not place.is_batch:
-            return self._scheduler.choose(
+            placement = self._scheduler.choose(
                 endpoints,
                 node_id,
                 now,
@@ -92,6 +105,10 @@
                 place.headroom,
                 domain,
             )
+            if isinstance(placement, Full):
+                return placement
+            has_permit = limits.take_own(placement.endpoint_id, now)
+            return placement._replace(has_permit=has_permit)
         endpoint_id = self._scheduler.choose_for_batch(
             endpoints,
             node_id,
@@ -103,7 +120,8 @@
         )
         if endpoint_id is None:
             return Full(BATCH_RETRY_SECONDS, bool(endpoints))
-        return Scheduled(endpoint_id)
+        has_permit = limits.take_own(endpoint_id, now)
+        return Scheduled(endpoint_id, has_permit=has_permit)
 
     def receive_report(self, report, now):
         """Update loads and health from a node's `LoadReport`."""
--- a/tests/features/steps/quota_fleet.py
+++ b/tests/features/steps/quota_fleet.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections import defaultdict
 from types import SimpleNamespace
 
 from sequoiaglade_gateway.coordinator import Coordinator
@@ -17,12 +18,15 @@
     PlaceRequest,
     Publish,
     RequestEnded,
+    RequestLimitNamed,
 )
 from sequoiaglade_gateway.peers.codec import (
+    decode_notice,
     decode_placement,
     decode_report,
     decode_schedule_request,
     decode_state,
+    encode_notice,
     encode_placement,
     encode_report,
     encode_schedule_request,
@@ -57,7 +61,10 @@
         clock = lambda: fleet.now  # noqa: E731
         self.coordinator = Coordinator(self.settings, incarnation, clock)
         parts = SimpleNamespace(
-            settings=self.settings, coordinator=self, batch=SimpleNamespace()
+            settings=self.settings,
+            coordinator=self,
+            batch=SimpleNamespace(),
+            metrics=SimpleNamespace(count=lambda event, outcome: None),
         )
         self.placer = Placer(parts, fleet)
         self.round_at = fleet.now + fleet.random.random() * LARGE_ROUND_SECONDS
@@ -92,13 +99,16 @@
     """Nodes that gossip and schedule as a large fleet does; also their peer client.
 
     Messages between nodes take no time. `admitted_at` has the times of the requests of
-    workspace "w" that were sent to an endpoint.
+    workspace "w" that were sent to an endpoint, `sent_at_by_id` has them by endpoint.
+    `limits` are those that endpoints name, in requests a second by id.
     """
 
-    def __init__(self, node_count, rate, burst, seed=7):
+    def __init__(self, node_count, rate, burst, seed=7, endpoint_count=60, limits=()):
         self.random = random.Random(seed)
         self.now = 0.0
         self.admitted_at = []
+        self.sent_at_by_id = defaultdict(list)
+        self.limit_by_id = dict(limits)
         self.asked_count = 0
         self._ends = []
         self._lost_addresses = set()
@@ -108,7 +118,7 @@
         )
         self.endpoints = [
             Endpoint(f"e{number}", SERVICE, "", f"d{number % 4}", 8)
-            for number in range(60)
+            for number in range(endpoint_count)
         ]
         self.nodes = [_Node(self, number) for number in range(node_count)]
         self.node_by_address = {node.address: node for node in self.nodes}
@@ -163,6 +173,13 @@
         placement = self.node_by_address[address].placer.schedule(request)
         return decode_placement(encode_placement(placement))
 
+    def take_permit(self, address, notice, is_batch):
+        """Ask the node at an address, as `PeerClient.take_permit` does."""
+        if self.is_lost(address):
+            return None
+        told = decode_notice(encode_notice(notice))
+        return self.node_by_address[address].placer.grant_permit(told, is_batch)
+
     def _schedulers(self):
         ids = self.nodes[0].ask(GetStatus())["scheduler_by_group"].values()
         return [node for node in self.nodes if node.settings.node_id in ids]
@@ -174,6 +191,11 @@
         placed = node.placer.place(place)
         if isinstance(placed, InFlightRequest):
             self.admitted_at.append(self.now)
+            endpoint_id = placed.endpoint.endpoint_id
+            self.sent_at_by_id[endpoint_id].append(self.now)
+            limit = self.limit_by_id.get(endpoint_id)
+            if limit is not None:
+                node.tell(RequestLimitNamed(endpoint_id, 0, limit, self.now))
             end = self.now + REQUEST_SECONDS
-            row = (end, self.asked_count, node, placed.endpoint.endpoint_id)
+            row = (end, self.asked_count, node, endpoint_id)
             heapq.heappush(self._ends, row)
