Log, count and gossip when a gateway reaches no endpoint by itself

Change: the coordinator takes failed connections to two endpoints, with none that succeeds in between, for a cut; the first one that succeeds ends it. Both are logged and counted, stand in /status and in the gossiped state.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -6,6 +6,7 @@
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
 from .configuration_sources import ConfigurationSources
+from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
 from .groups import eligible_nodes, group_count, group_of, schedulers
@@ -94,6 +95,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoads",
+    "EndpointReach",
     "EndsKnowledge",
     "Event",
     "EventSplitter",
@@ -152,6 +154,7 @@
     "batch_allowance",
     "batch_targets",
     "eligible_nodes",
+    "forwarding_nodes",
     "group_count",
     "group_of",
     "granter_share",
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -41,7 +41,7 @@
     are those of `Quarantine`, `part_crashes` and `sound_parts` those of `PromptParts`,
     `survived_breaks` those of `SurvivedBreaks`.
     `cores` is the node's processor capacity. `request_limits` are the notices of
-    `RequestLimits`.
+    `RequestLimits`. `is_cut_off` is whether the node reaches no endpoint itself.
     """
 
     node_id: str
@@ -66,6 +66,7 @@
     sound_parts: tuple = ()
     survived_breaks: tuple = ()
     request_limits: tuple = ()
+    is_cut_off: bool = False
 
 
 class NodeTable:
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -10,6 +10,7 @@
     RESERVE_SLOTS,
     EndpointDirectory,
     EndpointLoads,
+    EndpointReach,
     FleetQuotas,
     Full,
     NodeState,
@@ -30,6 +31,7 @@
     BeginRequest,
     CollectLoadReports,
     ConfigurationChanged,
+    ConnectionTried,
     EndpointAnswered,
     EndpointChanged,
     EndpointLeaving,
@@ -57,6 +59,7 @@
     Publish,
     Published,
     QuotaExceeded,
+    ReachChange,
     RequestEnded,
     RequestLimitNamed,
     Schedule,
@@ -94,6 +97,7 @@
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
+        self._reach = EndpointReach()
         self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
         self._share = 1.0
         self._share_expires_at = 0.0
@@ -161,6 +165,8 @@
                 | PermitDenied()
             ):
                 return self._limits.handle(message, now)
+            case ConnectionTried():
+                return self._note_connection(message, now)
             case EndpointSilent(endpoint_id):
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
@@ -346,6 +352,17 @@
                 self._note_failure(endpoint_id, now)
                 self._blame.note_crash(message, now)
 
+    def _note_connection(self, message, now):
+        if message.is_connected:
+            is_changed = self._reach.note_connected()
+        else:
+            count = len(self._directory.endpoints())
+            is_changed = self._reach.note_failure(message.endpoint_id, count, now)
+        if not is_changed:
+            return None
+        self._state = self._state._replace(is_cut_off=self._reach.is_cut)
+        return ReachChange(self._reach.is_cut)
+
     def _note_failure(self, endpoint_id, now):
         self._loads.health.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
@@ -436,6 +453,7 @@
             "request_limit_by_endpoint": self._limits.limited(),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
+            "is_cut_off": self._reach.is_cut,
             "peers": [s.node_id for s in self._nodes.live(now)],
             "quota_share": self._quota_share(now),
             "rate_burst_level_by_workspace": self._quotas.levels(),
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -13,6 +13,7 @@
 
 from .body_buffer import BodyBuffer
 from .bounded_reads import BoundedResponse
+from .endpoint_reach import note_connection
 from .leaving import note_leaving
 from .patient_socket import PatientSocket
 from .request_limits import note_request_limit
@@ -131,7 +132,10 @@
             connection.connect()
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
+        if not attempt.is_aborted:
+            note_connection(parts, request.endpoint.endpoint_id, False)
         return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
+    note_connection(parts, request.endpoint.endpoint_id, True)
     if not attempt.may_send():
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, "the request is not to be sent any more")
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -271,6 +271,22 @@
     sent_at: float
 
 
+class ConnectionTried(NamedTuple):
+    """This node tried to connect to an endpoint.
+
+    The reply is a `ReachChange`, or None if nothing changed.
+    """
+
+    endpoint_id: str
+    is_connected: bool
+
+
+class ReachChange(NamedTuple):
+    """Whether this node is now cut off from all endpoints, or reaches some again."""
+
+    is_cut_off: bool
+
+
 class EndpointSilent(NamedTuple):
     """A request has waited for data from an endpoint for a while."""
 
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -76,6 +76,7 @@
             for key, fingerprint in state.survived_breaks
         ],
         request_limits=map(encode_notice, state.request_limits),
+        is_cut_off=state.is_cut_off,
     )
 
 
@@ -89,7 +90,7 @@
     >>> state = state._replace(part_crashes=(crash, begun))
     >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> notices = (LimitNotice("e-1", 5, 2.5, 0.25), LimitNotice("e-2", 6, None, 1.5))
-    >>> state = state._replace(request_limits=notices)
+    >>> state = state._replace(request_limits=notices, is_cut_off=True)
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -139,6 +140,7 @@
             (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
         ),
         request_limits=tuple(map(decode_notice, message.request_limits)),
+        is_cut_off=message.is_cut_off,
     )
 
 
