--- a/tests/features/steps/request_limit_steps.py
+++ b/tests/features/steps/request_limit_steps.py
@@ -1,13 +1,11 @@
 """Steps for endpoints that limit the requests a second that they take."""
 
 import time
-from concurrent.futures import ThreadPoolExecutor
-from typing import NamedTuple
 
 from behave import given, then, when
 from emulator import RunnerPlan
-from emulator.fleet import wait_until
 from gateway_calls import start
+from paced_calls import send_evenly, wait_until_met
 
 # Times over which the rule counts, and from when on after a limit is first named.
 WINDOW_SECONDS = 4.0
@@ -15,15 +13,6 @@
 # The rule allows one and a half times the limit, and this many requests more.
 ALLOWED_FACTOR = 1.5
 ALLOWED_REQUESTS = 5
-CALLERS = 24
-
-
-class Sent(NamedTuple):
-    """A request, by its times of sending and of its end, and its `Response`."""
-
-    sent_at: float
-    ended_at: float
-    answer: object
 
 
 @given("3 gateways and 3 runners of which the last breaks each stream")
@@ -31,18 +20,9 @@
     start(context, 3, [RunnerPlan(), RunnerPlan(), RunnerPlan(breaks_after=3)])
 
 
-def _wait_until_met(context):
-    fleet = context.gateways
-    others = len(fleet.nodes) - 1
-    have_met = lambda: all(  # noqa: E731
-        len(fleet.status(node)["peers"]) == others for node in range(others + 1)
-    )
-    wait_until(have_met, 10.0, "the gateways have met")
-
-
 @when("runners {first:d} and {second:d} name a limit of {limit:g} requests a second")
 def name_limits(context, first, second, limit):
-    _wait_until_met(context)
+    wait_until_met(context)
     for number in (first, second):
         name_limit(context, number, limit)
 
@@ -55,37 +35,23 @@
 
 @when("callers send {rate:d} requests a second for {seconds:d} seconds at all gateways")
 def send_requests(context, rate, seconds):
-    _send_evenly(context, "safe", rate, seconds)
+    send_evenly(context, "safe", rate, seconds)
 
 
 @when("callers send {rate:d} streams a second for {seconds:d} seconds at all gateways")
 def send_streams(context, rate, seconds):
-    _send_evenly(context, "resume", rate, seconds)
-
-
-def _send_evenly(context, route, rate, seconds):
-    fleet = context.gateways
-    began_at = time.monotonic()
-
-    def send(number):
-        time.sleep(max(0.0, began_at + number / rate - time.monotonic()))
-        sent_at = time.monotonic()
-        answer = fleet.send(f"/{route}/{number}", number % len(fleet.nodes))
-        return Sent(sent_at, time.monotonic(), answer)
-
-    with ThreadPoolExecutor(CALLERS) as pool:
-        context.sent = list(pool.map(send, range(rate * seconds)))
+    send_evenly(context, "resume", rate, seconds)
 
 
 @then("{count:d} of {total:d} streams are complete")
 def check_most_answered(context, count, total):
-    answered = sum(map(_is_answered, context.sent))
+    answered = sum(row.is_answered for row in context.sent)
     assert answered * total >= count * len(context.sent), answered
 
 
 @then("all requests are answered")
 def check_answered(context):
-    failed = [row for row in context.sent if not _is_answered(row)]
+    failed = [row for row in context.sent if not row.is_answered]
     assert not failed, (len(failed), len(context.sent), failed[:3])
 
 
@@ -102,7 +68,7 @@
 def check_refused(context, after, seconds):
     began_at = context.sent[0].sent_at
     late = [row for row in context.sent if row.sent_at - began_at >= after]
-    refused = [row for row in late if not _is_answered(row)]
+    refused = [row for row in late if not row.is_answered]
     assert refused, "no request was refused"
     for row in refused:
         assert row.answer is not None and row.answer.status == 503, row
@@ -131,12 +97,6 @@
     return sum(began_at <= at < began_at + WINDOW_SECONDS for at in arrived)
 
 
-def _is_answered(row):
-    return (
-        row.answer is not None and row.answer.status == 200 and row.answer.is_complete
-    )
-
-
 @when("runner {number:d} names a limit of {limit:g} requests a second")
 def name_limit(context, number, limit):
     context.gateways.runners[number].limit_requests(limit)
