Gateways without a link to endpoints send requests through peers

A class of fault: each node depends on its own path to a resource that its peers reach.

Change: once connections to two endpoints have failed and none succeeded meanwhile, each call to an endpoint takes its connection over a peer, by one call of the new kind Forward: the peer opens the connection, sends the bytes of the request and returns those of the response. All decisions stay where they were: attempts, places, quotas, permits, resumption and silence are the asking node's, so that limits count once; the peer refuses what it may not send itself (endpoints that leave or are unknown there, a limit without a permit), reads what an endpoint says of itself in the head, and uses its own connections only, so that there is one hop. Items go the same way. A probe of a connection each half second ends the mode. Failures on the way are faults of their own (no path, path broken), which say nothing of the endpoint's health or of crashes. Streams of responses are allowed on the replaced channels of the node. A gateway that stops waits for the requests of its peers.

--- a/packages/decisions/sequoiaglade_decisions/gateway/attempts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/attempts.py
@@ -9,8 +9,14 @@
 
 
 class Fault(Enum):
-    """How an attempt at an endpoint failed."""
+    """How an attempt at an endpoint failed.
 
+    `NO_PATH` and `PATH_BROKEN` are failures on the way to the endpoint, not its own:
+    with the former it did not get the request, with the latter it may have run it.
+    """
+
+    NO_PATH = "no path"
+    PATH_BROKEN = "path broken"
     NOT_SENT = "not sent"
     NOT_RUN = "not run"
     BROKEN = "broken"
@@ -56,11 +62,11 @@
     if seconds_left <= 0:
         return final_step
     match fault:
-        case Fault.NOT_SENT | Fault.NOT_RUN:
+        case Fault.NO_PATH | Fault.NOT_SENT | Fault.NOT_RUN:
             if counts.refusal_count >= REFUSALS_MAX:
                 return final_step
             return NextStep.RETRY
-        case Fault.BROKEN | Fault.SILENT | Fault.FAILED:
+        case Fault.PATH_BROKEN | Fault.BROKEN | Fault.SILENT | Fault.FAILED:
             if route.is_repeatable and counts.run_count < route.attempts:
                 return NextStep.RETRY
             return final_step
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -17,7 +17,8 @@
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.threads import OwnedThread
 
-from ..endpoint_calls import CallFault, CompleteResponse, EndpointRequest, open_call
+from ..endpoint_calls import CallFault, CompleteResponse, open_call
+from ..endpoint_requests import EndpointRequest
 from ..interface import IncomingCall
 from ..messages import (
     BROKEN,
@@ -303,6 +304,8 @@
                 answer.close()
             return ItemOutcome.STOPPED, STOPPED, "stopped"
         match answer:
+            case CallFault(Fault.NO_PATH | Fault.PATH_BROKEN, reason):
+                return ItemOutcome.STOPPED, STOPPED, reason
             case CallFault(Fault.NOT_SENT, reason):
                 return ItemOutcome.STOPPED, NOT_SENT, reason
             case CallFault(Fault.NOT_RUN, reason):
@@ -347,6 +350,8 @@
                     return ItemOutcome.EXCESSIVE, BROKEN, "the output has no end"
         if run.attempt.is_aborted:
             return ItemOutcome.STOPPED, STOPPED, "stopped"
+        if answer.fault is not None and answer.fault.fault is Fault.PATH_BROKEN:
+            return ItemOutcome.STOPPED, STOPPED, answer.fault.reason
         if answer.fault is not None:
             return ItemOutcome.BROKEN, BROKEN, answer.fault.reason
         missing = missing_part(
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -1,5 +1,6 @@
 """The actor that owns a node's state of endpoints, peers, quotas and loads."""
 
+import random
 import time
 
 import pykka
@@ -19,6 +20,7 @@
     Scheduled,
     batch_allowance,
     batch_targets,
+    forwarding_nodes,
     stream_keepers,
 )
 
@@ -39,6 +41,9 @@
     EndpointSilent,
     EndpointsListed,
     EventIntervalObserved,
+    FindAnyEndpoint,
+    FindEndpoint,
+    FindForwarders,
     FindPartRefusal,
     FindPermitGranters,
     FindSchedulers,
@@ -165,6 +170,13 @@
                 | PermitDenied()
             ):
                 return self._limits.handle(message, now)
+            case FindForwarders(spread):
+                return self._find_forwarders(spread, now)
+            case FindEndpoint(endpoint_id):
+                return self._find_endpoint(endpoint_id, now)
+            case FindAnyEndpoint():
+                endpoints = self._directory.endpoints()
+                return random.choice(endpoints) if endpoints else None
             case ConnectionTried():
                 return self._note_connection(message, now)
             case EndpointSilent(endpoint_id):
@@ -333,8 +345,7 @@
         self._loads.begin(endpoint_id, is_batch)
         self._scheduling.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
-        endpoint = self._directory.get(endpoint_id, now)
-        endpoint = endpoint._replace(request_limit=self._limits.find(endpoint))
+        endpoint = self._find_endpoint(endpoint_id, now)
         return InFlightRequest(endpoint, preempts, in_flight)
 
     def _end(self, message, now):
@@ -352,6 +363,18 @@
                 self._note_failure(endpoint_id, now)
                 self._blame.note_crash(message, now)
 
+    def _find_endpoint(self, endpoint_id, now):
+        endpoint = self._directory.get(endpoint_id, now)
+        if endpoint is None:
+            return None
+        return endpoint._replace(request_limit=self._limits.find(endpoint))
+
+    def _find_forwarders(self, spread, now):
+        return [
+            (node_id, self._nodes.state(node_id).peer_address)
+            for node_id in forwarding_nodes(spread, self._nodes.live(now))
+        ]
+
     def _note_connection(self, message, now):
         if message.is_connected:
             is_changed = self._reach.note_connected()
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -1,9 +1,8 @@
 """HTTP calls to endpoints, each on its own connection."""
 
 import http.client
-import socket
 import time
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import urllib3
 from urllib3.exceptions import HTTPError, ReadTimeoutError
@@ -13,24 +12,13 @@
 
 from .body_buffer import BodyBuffer
 from .bounded_reads import BoundedResponse
-from .endpoint_reach import note_connection
+from .endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS
+from .forwarding import ForwardError
 from .leaving import note_leaving
 from .patient_socket import PatientSocket
 from .request_limits import note_request_limit
 
-# An endpoint in the same region accepts a connection within a few milliseconds. The
-# latency objective of a request is about 300 ms; the rest is for another endpoint.
-CONNECT_SECONDS = 0.25
 READ_BYTES = 16_384
-# Keep-alive probes detect an unresponsive peer within three seconds.
-KEEPALIVE_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
-)
-SOCKET_OPTIONS = [*TrackedConnection.default_socket_options, *KEEPALIVE_OPTIONS]
 
 
 class CallFault(NamedTuple):
@@ -93,23 +81,8 @@
         except (TimeoutError, ReadTimeoutError):
             self.fault = CallFault(Fault.SILENT, "the stream stalled")
         except (HTTPError, OSError, ValueError) as error:
-            self.fault = CallFault(Fault.BROKEN, f"the stream was interrupted: {error}")
-
-
-class EndpointRequest(NamedTuple):
-    """An `Endpoint` and the request as it is sent there."""
-
-    endpoint: Any
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    request_id: str
-
-    @property
-    def address(self):
-        """The endpoint's host and port."""
-        return self.endpoint.address
+            reason = f"the stream was interrupted: {error}"
+            self.fault = CallFault(fault_of(error), reason)
 
 
 def open_call(request, parts, attempt, patience, remaining_seconds, bounds):
@@ -120,22 +93,28 @@
     that no byte was sent. The response is read within its `ResponseBounds` and the
     node's `ResponseMemory`.
     """
-    host, _, port = request.address.rpartition(":")
-    connection = TrackedConnection(
-        host,
-        int(port),
-        timeout=min(CONNECT_SECONDS, max(remaining_seconds, 0.01)),
-        socket_options=SOCKET_OPTIONS,
-    )
+    connection = parts.paths.forwarded_connection(request, bounds)
+    is_direct = connection is None
+    if is_direct:
+        host, _, port = request.address.rpartition(":")
+        connection = TrackedConnection(
+            host,
+            int(port),
+            timeout=min(CONNECT_SECONDS, max(remaining_seconds, 0.01)),
+            socket_options=SOCKET_OPTIONS,
+        )
     try:
         with attempt:
             connection.connect()
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
         if not attempt.is_aborted:
-            note_connection(parts, request.endpoint.endpoint_id, False)
-        return CallFault(Fault.NOT_SENT, f"no connection to {request.address}: {error}")
-    note_connection(parts, request.endpoint.endpoint_id, True)
+            parts.paths.note_failed(request.endpoint.endpoint_id)
+        # A cut of this node's links says nothing of the endpoint.
+        fault = Fault.NO_PATH if parts.paths.is_cut_off else Fault.NOT_SENT
+        return CallFault(fault, f"no connection to {request.address}: {error}")
+    if is_direct:
+        parts.paths.note_connected(request.endpoint.endpoint_id)
     if not attempt.may_send():
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, "the request is not to be sent any more")
@@ -168,6 +147,9 @@
         head = parts.dialect.read_head(response.headers)
         note_request_limit(parts, request, head, sent_at)
         return _read_head(connection, response, head, request, parts, attempt, bounded)
+    except ForwardError as error:
+        _close(connection, response, attempt)
+        return CallFault(error.fault, str(error))
     except (TimeoutError, ReadTimeoutError):
         _close(connection, response, attempt)
         reason = f"{request.address} did not answer in time"
@@ -177,10 +159,22 @@
         reason = f"{request.address} sent an invalid head: {error!r}"
     except (HTTPError, OSError, ValueError) as error:
         reason = f"the call to {request.address} was interrupted: {error}"
+        fault = fault_of(error)
+        _close(connection, response, attempt)
+        return CallFault(fault, reason)
     _close(connection, response, attempt)
     return CallFault(Fault.BROKEN, reason)
 
 
+def fault_of(error):
+    """Return the `Fault` of an error while a response is read.
+
+    urllib3 wraps the error of a connection in one of its own.
+    """
+    cause = error.args[1] if len(error.args) > 1 else None
+    return cause.fault if isinstance(cause, ForwardError) else Fault.BROKEN
+
+
 def _read_head(connection, response, head, request, parts, attempt, bounded):
     if head.is_leaving:
         note_leaving(parts, request, head, response.status)
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -271,6 +271,26 @@
     sent_at: float
 
 
+class FindForwarders(NamedTuple):
+    """Asks which peers may forward a request to an endpoint.
+
+    The reply has pairs of node id and peer address, in the order to ask them.
+    `spread` is a text by which requests are spread over them.
+    """
+
+    spread: str
+
+
+class FindEndpoint(NamedTuple):
+    """Asks for an `Endpoint` with its limit; the reply is None if it is unknown."""
+
+    endpoint_id: str
+
+
+class FindAnyEndpoint(NamedTuple):
+    """Asks for an `Endpoint` to probe; the reply is None if there is none."""
+
+
 class ConnectionTried(NamedTuple):
     """This node tried to connect to an endpoint.
 
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -30,6 +30,7 @@
 from .batch.storage import ENDS_KIND
 from .bounded_reads import ResponseMemory
 from .coordinator import Coordinator
+from .forwarding import EndpointPaths, Forwarder
 from .messages import GetStatus, Leave, LiveNodes
 from .metrics import GatewayMetrics
 from .online import BatchPreemptor, OnlineService, StreamDirectory
@@ -68,6 +69,7 @@
     response_memory: Any
     metrics: Any
     online: Any
+    paths: Any
     batch: Any
     job_ends: Any
     peers: Any
@@ -146,6 +148,7 @@
         data.stop_accepting()
         self._finish_items(kill_at)
         data.wait_until_idle(kill_at)
+        self._forwarder.wait_until_idle(kill_at)
         self._writer.write_waiting()
         self._parts.coordinator.tell(Leave(is_gone=True))
         self._gossip.run_round(len(self._live_nodes()))
@@ -204,6 +207,8 @@
         )
         client = stack.enter_context(PeerClient())
         parts.placer = Placer(parts, client)
+        parts.paths = EndpointPaths(parts, client)
+        self._forwarder = Forwarder(parts)
         parts.streams = StreamDirectory(parts, client)
         self._gossip = Gossip(
             parts, client, registry, self._runner, self._job_adopter.wake
@@ -217,10 +222,12 @@
             parts.job_ends,
             parts.placer,
             parts.streams,
+            self._forwarder,
         )
         start_peer_server(stack, parts.settings.listen.peer, servicer)
         parts.preemptor = BatchPreemptor(parts, client.request_preemption)
         for thread in (
+            parts.paths,
             parts.preemptor,
             self._gossip,
             self._runner,
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -22,10 +22,10 @@
 from ..endpoint_calls import (
     CallFault,
     CompleteResponse,
-    EndpointRequest,
     EventStreamResponse,
     open_call,
 )
+from ..endpoint_requests import EndpointRequest
 from ..messages import (
     BROKEN,
     DONE,
@@ -321,7 +321,7 @@
     def _classify(self, answer):
         counts = self._counts
         match answer:
-            case CallFault(Fault.NOT_SENT | Fault.NOT_RUN):
+            case CallFault(Fault.NO_PATH | Fault.NOT_SENT | Fault.NOT_RUN):
                 self._counts = counts._replace(refusal_count=counts.refusal_count + 1)
                 return answer
             case CallFault():
@@ -443,6 +443,8 @@
     match fault:
         case None:
             return DONE
+        case CallFault(Fault.NO_PATH | Fault.PATH_BROKEN):
+            return STOPPED
         case CallFault(Fault.NOT_SENT):
             return NOT_SENT
         case CallFault(Fault.NOT_RUN):
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -32,6 +32,7 @@
 NOTE_TRIES = 3
 # Includes the peer's write to the store.
 STORE_SECONDS = 1.5
+MS_PER_SECOND = 1000
 
 
 class PeerClient:
@@ -125,6 +126,22 @@
         reply = self._call(address, "TakePermit", request, SCHEDULE_SECONDS)
         return None if reply is None else decode_permit(reply)
 
+    def forward(self, address, own_id, request, data, seconds):
+        """Let a peer send an `EndpointRequest`, as `data`, to its endpoint.
+
+        Return the call, an iterator over `ForwardReply`.
+        """
+        message = fleet_pb2.ForwardRequest(
+            node_id=own_id,
+            endpoint_id=request.endpoint.endpoint_id,
+            request_id=request.request_id,
+            data=data,
+            timeout_ms=int(seconds * MS_PER_SECOND),
+            has_permit=request.endpoint.request_limit is not None,
+        )
+        stub = fleet_pb2_grpc.FleetStub(self._channel(address))
+        return stub.Forward(message, timeout=seconds)
+
     def send_report(self, address, report):
         """Send a `LoadReport` to a scheduler without waiting for the reply."""
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -5,6 +5,7 @@
 from sequoiaglade_node.peers.server import PeerServer
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
+from ..forwarding import FORWARDS_MAX
 from .codec import (
     decode_notice,
     decode_report,
@@ -16,15 +17,24 @@
 )
 
 # Calls that wait for the store must not delay those that place requests: each read or
-# write of a job may take a second while the store is slow.
-PEER_THREADS = 32
+# write of a job may take a second while the store is slow. Each request that is
+# forwarded takes a thread until its response ends.
+PEER_THREADS = 32 + FORWARDS_MAX
 
 
 class FleetServicer(fleet_pb2_grpc.FleetServicer):
     """Implements the gRPC service `Fleet`."""
 
     def __init__(
-        self, gossip, store_cache, job_registry, batch, job_ends, placer, streams
+        self,
+        gossip,
+        store_cache,
+        job_registry,
+        batch,
+        job_ends,
+        placer,
+        streams,
+        forwarder,
     ):
         self._gossip = gossip
         self._store_cache = store_cache
@@ -33,6 +43,7 @@
         self._job_ends = job_ends
         self._placer = placer
         self._streams = streams
+        self._forwarder = forwarder
 
     def Gossip(self, request, context):  # noqa: N802
         # The reply names the jobs that this node releases on receiving the request, so
@@ -102,6 +113,9 @@
         notice = decode_notice(request.notice)
         return encode_permit(self._placer.grant_permit(notice, request.is_batch))
 
+    def Forward(self, request, context):  # noqa: N802
+        return self._forwarder.forward(request, context)
+
     def NoteStream(self, request, context):  # noqa: N802
         self._streams.receive_note(request.request_id, request.version)
         return fleet_pb2.StreamNoteReply()
--- a/packages/node/sequoiaglade_node/peers/channels.py
+++ b/packages/node/sequoiaglade_node/peers/channels.py
@@ -28,11 +28,12 @@
 
 
 class RenewedChannel(grpc.Channel):
-    """A channel for unary calls whose connection is replaced after a timeout.
+    """A channel whose connection is replaced after a timeout.
 
     Connections may fall silent without a reset, and then every call on them times out.
-    The connection is replaced once a call timed out while no other call on it received
-    a response.
+    The connection is replaced once a unary call timed out while no other one on it
+    received a response. Calls with a stream of responses do not count for that, since
+    they may be silent for long; one on a replaced connection is cancelled.
     """
 
     def __init__(self, address, options):
@@ -49,12 +50,15 @@
         """Return a callable for the method; see `grpc.Channel`."""
         return _RenewedCall(self, method, args, kwargs)
 
-    def unary_stream(self, *args, **kwargs):
-        """Not supported: a stream would not notice a replaced connection."""
-        raise NotImplementedError("only unary calls are supported")
+    def unary_stream(self, method, *args, **kwargs):
+        """Return a callable for the method; see `grpc.Channel`."""
+        return _RenewedStreamCall(self, method, args, kwargs)
+
+    def stream_unary(self, *args, **kwargs):
+        """Not supported: requests of a stream would be lost with its connection."""
+        raise NotImplementedError("streams of requests are not supported")
 
-    stream_unary = unary_stream
-    stream_stream = unary_stream
+    stream_stream = stream_unary
 
     def subscribe(self, callback, try_to_connect=False):
         """Subscribe to the state of the current connection."""
@@ -114,6 +118,19 @@
         return grpc.insecure_channel(self._address, self._options)
 
 
+class _RenewedStreamCall(grpc.UnaryStreamMultiCallable):
+    def __init__(self, channel, method, args, kwargs):
+        self._channel = channel
+        self._method = method
+        self._args = args
+        self._kwargs = kwargs
+
+    def __call__(self, request, **options):
+        channel = self._channel.current().channel
+        call = channel.unary_stream(self._method, *self._args, **self._kwargs)
+        return call(request, **options)
+
+
 class _RenewedCall(grpc.UnaryUnaryMultiCallable):
     def __init__(self, channel, method, args, kwargs):
         self._channel = channel
--- a/packages/node/sequoiaglade_node/peers/tracing.py
+++ b/packages/node/sequoiaglade_node/peers/tracing.py
@@ -86,7 +86,8 @@
     def intercept_service(self, continuation, handler_call_details):
         handler = continuation(handler_call_details)
         name = call_name(handler_call_details.method)
-        if handler is None or name in UNTRACED_CALLS:
+        is_unary = handler is not None and handler.unary_unary is not None
+        if not is_unary or name in UNTRACED_CALLS:
             return handler
         context = propagate.extract(dict(handler_call_details.invocation_metadata))
 
--- a/tests/features/steps/gateway_endless_steps.py
+++ b/tests/features/steps/gateway_endless_steps.py
@@ -15,11 +15,13 @@
 from fleet_adapter.dialect import PlatformDialect
 from gateway_calls import ask_together, runs, start
 from sequoiaglade_gateway.bounded_reads import ResponseMemory
-from sequoiaglade_gateway.endpoint_calls import EndpointRequest, open_call
+from sequoiaglade_gateway.endpoint_calls import open_call
+from sequoiaglade_gateway.endpoint_requests import EndpointRequest
+from sequoiaglade_gateway.forwarding import EndpointPaths
 from sequoiaglade_gateway.interface import IncomingCall
 from sequoiaglade_gateway.patient_socket import FixedPatience
 
-from sequoiaglade_decisions.gateway import ResponseBounds
+from sequoiaglade_decisions.gateway import Endpoint, ResponseBounds
 from sequoiaglade_endpoints import Attempt
 
 EVENTS = [1, 2, 3, 4, 5, 6]
@@ -202,14 +204,14 @@
     dialect = PlatformDialect()
     call = IncomingCall("r-1", "localhost", "POST", "/safe/1", (), None, seconds, 0)
     headers = dialect.endpoint_headers(call, "runner-0", seconds, None, 0)
-    endpoint = SimpleNamespace(
-        endpoint_id="runner-0", address=context.runner.address, born=0
-    )
+    endpoint = Endpoint("runner-0", "", context.runner.address, "", 8)
+    parts = SimpleNamespace(dialect=dialect, response_memory=ResponseMemory())
+    parts.paths = EndpointPaths(parts, client=None)
     bounds = ResponseBounds(None, None, time.monotonic() + seconds)
     context.attempt = Attempt()
     answer = open_call(
         EndpointRequest(endpoint, "POST", "/safe/1", headers, b"", "r-1"),
-        SimpleNamespace(dialect=dialect, response_memory=ResponseMemory()),
+        parts,
         context.attempt,
         FixedPatience(DEADLINE_SECONDS),
         seconds,
