Permits saved in troughs serve the peaks that follow

Change: permits of one second are kept, half a second before; an item needs those of half a second left, as before. Four seconds get at most 5 times the limit and one request, the rule allows 6 times and five.

--- a/packages/decisions/sequoiaglade_decisions/gateway/permits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/permits.py
@@ -10,9 +10,12 @@
 
 from .hashing import stable_hash
 
-# Unused permits are kept for this time, and one more. In four seconds an endpoint then
-# gets at most one request more than 4.5 times its limit.
-BURST_SECONDS = 0.5
+# Unused permits are kept for this time, and one more, for the load peaks that follow
+# troughs. In four seconds an endpoint then gets at most one request more than five
+# times its limit.
+BURST_SECONDS = 1.0
+# A batch item needs the permits of this time, and one more.
+ITEM_RESERVE_SECONDS = 0.5
 # Permits for an endpoint with a lower limit, or one of 0: without any request no
 # response could tell that the limit has ended.
 RATE_MIN = 0.2
@@ -112,7 +115,7 @@
     >>> levels.grant("e-1", limit=2.0, share=1.0, now=0.5).is_granted
     True
 
-    A batch item gets what online requests leave: it needs a full level.
+    A batch item gets what online requests leave: it needs a higher level.
 
     >>> levels.grant("e-1", limit=2.0, share=1.0, now=1.0, is_batch=True).is_granted
     False
@@ -142,7 +145,8 @@
         level = self._level_by_id.get(endpoint_id, _Level(1.0, now))
         permits = min(capacity, level.permits + rate * (now - level.at))
         self._level_by_id[endpoint_id] = _Level(permits, now)
-        missing = (capacity if is_batch else 1.0) - permits
+        reserve = limit * ITEM_RESERVE_SECONDS if is_batch else 0.0
+        missing = 1.0 + reserve - permits
         return missing / rate if missing > ROUNDING else 0.0
 
     def keep_only(self, endpoint_ids):
@@ -156,7 +160,7 @@
     """Return how many permits for an endpoint are kept at most.
 
     >>> permit_capacity(0.5), permit_capacity(10.0)
-    (1.25, 6.0)
+    (1.5, 11.0)
     """
     return 1.0 + limit * BURST_SECONDS
 
