Streams are not joined from two versions after all gateways were killed

Cause: who had begun a stream, and which versions a service had until lately, was in the memory of gateways alone. One that has just started took the only listed version for the only one there had been. The same holds for a gateway out of step with the list while no peer answers it: the list counted as readable until its watch failed.

Change: the gateway with the lowest id records in the store the versions of each service that has several or had until lately; each gateway reads these records at its start. The only version of a service is concluded if the versions of the list, of the record and of the peers that answered are one, and the gateway or a peer knows the time before its start; without such a peer, the list and the record are read from the store for that request. Nothing is written while a service has one version.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -63,7 +63,12 @@
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .stream_ends import missing_part
-from .stream_versions import RecentVersions, StreamVersions, stream_keepers
+from .stream_versions import (
+    RecentVersions,
+    StreamVersions,
+    only_version,
+    stream_keepers,
+)
 from .survived_breaks import SurvivedBreaks
 from .waiting_tokens import Admission, StoredJob, TokenSource, WaitingTokens
 from .watch_guard import (
@@ -165,6 +170,7 @@
     "move_headroom",
     "missing_part",
     "next_step",
+    "only_version",
     "permit_granters",
     "run_order",
     "schedulers",
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -184,6 +184,11 @@
         listed = {e.version for e in endpoints if e.service == service}
         return listed | self._recent_versions.get(service, now)
 
+    def recall_versions(self, service, versions, now):
+        """Add versions that a service had before this node knew its endpoints."""
+        for version in versions:
+            self._recent_versions.note(service, version, now)
+
     def services(self):
         """Return the names of the services that have endpoints, sorted."""
         return sorted({e.service for e in self._endpoint_by_id.values()})
--- a/packages/decisions/sequoiaglade_decisions/gateway/stream_versions.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/stream_versions.py
@@ -55,6 +55,21 @@
         return now - self._entry_by_id[request_id][1] > STREAM_RETENTION_SECONDS
 
 
+def only_version(versions, is_history_known):
+    """Return the version of a stream that nobody knows, None if it may be several.
+
+    `versions` are all those that the service had until lately, as far as known, and
+    `is_history_known` is whether that reaches back beyond the begin of the stream.
+
+    >>> only_version({"v1"}, True), only_version({"v1", "v2"}, True)
+    ('v1', None)
+    >>> only_version({"v1"}, False)
+    """
+    if not is_history_known or len(versions) != 1:
+        return None
+    return next(iter(versions))
+
+
 class RecentVersions:
     """Versions that each service had until lately.
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -46,6 +46,7 @@
     FindForwarders,
     FindPartRefusal,
     FindPermitGranters,
+    FindRecentVersions,
     FindSchedulers,
     FindStreamKeepers,
     GetStatus,
@@ -65,12 +66,14 @@
     Published,
     QuotaExceeded,
     ReachChange,
+    RecentServiceVersions,
     RequestEnded,
     RequestLimitNamed,
     Schedule,
     StreamKeepers,
     TakePermit,
     UsableVersions,
+    VersionsRecalled,
 )
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
@@ -103,6 +106,7 @@
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
         self._reach = EndpointReach()
+        self._is_version_history_known = False
         self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
         self._share = 1.0
         self._share_expires_at = 0.0
@@ -189,6 +193,13 @@
                 return {e.version for e in self._directory.usable(service, now)}
             case FindStreamKeepers():
                 return self._find_stream_keepers(message, now)
+            case FindRecentVersions():
+                return self._find_recent_versions(now)
+            case VersionsRecalled(versions_by_service):
+                for service, versions in versions_by_service.items():
+                    self._directory.recall_versions(service, versions, now)
+                self._is_version_history_known = True
+                return None
             case Publish():
                 return self._publish(message, now)
             case PeerStatesReceived(states):
@@ -339,7 +350,18 @@
         addresses = [live[n].peer_address for n in keepers if n in live]
         versions = self._directory.recent_versions(message.service, now)
         is_list_readable = self._directory.is_list_readable
-        return StreamKeepers(addresses, versions, is_list_readable)
+        return StreamKeepers(
+            addresses, versions, is_list_readable, self._is_version_history_known
+        )
+
+    def _find_recent_versions(self, now):
+        versions_by_service = {
+            service: frozenset(self._directory.recent_versions(service, now))
+            for service in self._directory.services()
+        }
+        ids = [s.node_id for s in self._nodes.live(now) if not s.is_leaving]
+        is_recorder = self._state.node_id <= min(ids, default=self._state.node_id)
+        return RecentServiceVersions(versions_by_service, is_recorder)
 
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -33,7 +33,12 @@
 from .forwarding import EndpointPaths, Forwarder
 from .messages import GetStatus, Leave, LiveNodes
 from .metrics import GatewayMetrics
-from .online import BatchPreemptor, OnlineService, StreamDirectory
+from .online import (
+    BatchPreemptor,
+    OnlineService,
+    StreamDirectory,
+    VersionHistory,
+)
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
 from .store_cache import (
@@ -209,7 +214,8 @@
         parts.placer = Placer(parts, client)
         parts.paths = EndpointPaths(parts, client)
         self._forwarder = Forwarder(parts)
-        parts.streams = StreamDirectory(parts, client)
+        history = VersionHistory(parts)
+        parts.streams = StreamDirectory(parts, client, history.read)
         self._gossip = Gossip(
             parts, client, registry, self._runner, self._job_adopter.wake
         )
@@ -227,6 +233,7 @@
         start_peer_server(stack, parts.settings.listen.peer, servicer)
         parts.preemptor = BatchPreemptor(parts, client.request_preemption)
         for thread in (
+            history,
             parts.paths,
             parts.preemptor,
             self._gossip,
--- a/packages/gateway/sequoiaglade_gateway/online/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/online/__init__.py
@@ -3,5 +3,6 @@
 from .preemption import BatchPreemptor
 from .service import OnlineService
 from .streams import StreamDirectory
+from .version_history import VersionHistory
 
-__all__ = ["BatchPreemptor", "OnlineService", "StreamDirectory"]
+__all__ = ["BatchPreemptor", "OnlineService", "StreamDirectory", "VersionHistory"]
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -184,14 +184,19 @@
             reason=reason,
         )
 
-    def find_stream(self, addresses, request_id):
+    def find_stream(self, addresses, request_id, service):
         """Return the `StreamAnswer` of the peers, or None if none answered."""
-        request = fleet_pb2.FindStreamRequest(request_id=request_id)
+        request = fleet_pb2.FindStreamRequest(request_id=request_id, service=service)
         answer = None
         for reply in self._call_all(addresses, "FindStream", request, SCHEDULE_SECONDS):
             if reply.is_known:
                 return StreamAnswer(reply.version)
-            answer = StreamAnswer(None)
+            answer = answer or StreamAnswer(None)
+            answer = StreamAnswer(
+                None,
+                answer.versions | frozenset(reply.versions),
+                answer.is_history_known or reply.is_history_known,
+            )
         return answer
 
     def request_preemption(self, address, endpoint_id):
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -122,9 +122,12 @@
 
     def FindStream(self, request, context):  # noqa: N802
         version = self._streams.known_version(request.request_id)
-        if version is None:
-            return fleet_pb2.FindStreamReply()
-        return fleet_pb2.FindStreamReply(is_known=True, version=version)
+        if version is not None:
+            return fleet_pb2.FindStreamReply(is_known=True, version=version)
+        answer = self._streams.describe_versions(request.request_id, request.service)
+        return fleet_pb2.FindStreamReply(
+            versions=answer.versions, is_history_known=answer.is_history_known
+        )
 
     def MakeRoom(self, request, context):  # noqa: N802
         self._batch.preempt(request.endpoint_id)
--- a/tests/features/gateway/versions.feature
+++ b/tests/features/gateway/versions.feature
@@ -55,3 +55,31 @@
     Given a gateway that listed versions "v1" and lists "v1" now
     When it can't read the list and no peer answers for 30 seconds
     Then it does not take an unknown stream up at "v1" 30 seconds later
+
+  # Nobody knows any more at which version a stream began.
+  Scenario: Streams are joined from two versions after all gateways were killed
+    Given 3 gateways and slow runners of "v1, v1, v2, v2"
+    And both versions have served for longer than a stream takes
+    When 8 callers request streams that may be resumed from gateway 0
+    And all gateways are killed while they run, and runners of "v1" leave meanwhile
+    And each caller takes its stream up at gateway 1 or 2
+    Then no stream has the events of two versions
+    And 4 new streams at gateway 1 are complete
+
+  Scenario: A stream of the only version is refused after all gateways were killed
+    Given 3 gateways and slow runners of "v2, v2"
+    When 8 callers request streams that may be resumed from gateway 0
+    And all gateways are killed while they run
+    And each caller takes its stream up at gateway 1 or 2
+    Then every stream is complete
+
+  Scenario Outline: A gateway out of step joins a stream to the only version it knows
+    Given a gateway that listed versions "v1" and lists "v1" now
+    When the store lists "v1, v2", and <answer>
+    Then it does not take an unknown stream up at "v1"
+
+    Examples:
+      | answer                                        |
+      | no peer answers                               |
+      | a peer answers that knows versions "v1, v2"   |
+      | a peer answers that has just started          |
--- a/tests/features/steps/gateway_version_steps.py
+++ b/tests/features/steps/gateway_version_steps.py
@@ -100,10 +100,14 @@
 
 @when("gateway 0 is killed while they run")
 def kill_while_running(context):
+    _await_first_events(context)
+    context.gateways.nodes[0].kill()
+
+
+def _await_first_events(context):
     count = len(context.pending)
     wait_until(lambda: _begun_count(context) >= count, 10.0, "each stream has begun")
     time.sleep(FORWARD_SECONDS)
-    context.gateways.nodes[0].kill()
 
 
 def _begun_count(context):
@@ -119,12 +123,53 @@
     time.sleep(1.0)
 
 
+@when(
+    'all gateways are killed while they run, and runners of "{version}" leave meanwhile'
+)
+def kill_all(context, version):
+    fleet = context.gateways
+    _await_first_events(context)
+    for node in fleet.nodes:
+        node.kill()
+    for runner in fleet.runners:
+        if runner.plan.version == version:
+            runner.deregister()
+    for node in fleet.nodes:
+        node.start()
+    for number in range(len(fleet.nodes)):
+        fleet.wait_ready(number)
+
+
+@when("all gateways are killed while they run")
+def kill_all_alone(context):
+    kill_all(context, None)
+
+
+@then("no stream has the events of two versions")
+def check_not_joined(context):
+    joined = [s for s in context.streams if len(s.versions) > 1]
+    assert not joined, joined
+
+
+@then("every stream is complete")
+def check_all_complete(context):
+    assert all(s.is_complete for s in context.streams), context.streams
+
+
+@then("{count:d} new streams at gateway {node:d} are complete")
+def check_new_streams(context, count, node):
+    for number in range(count):
+        answer = context.gateways.send(f"/resume/new-{number}", node)
+        assert answer.status == 200 and answer.is_complete, answer
+
+
 @when("each caller takes its stream up at gateway {first:d} or {second:d}")
 def take_up(context, first, second):
     nodes = (first, second)
     broken = [pending.result() for pending in context.pending]
     assert all(s.events and not s.is_complete for s in broken), broken
-    assert {v for s in broken for v in s.versions} == {"v1", "v2"}, broken
+    served = {runner.plan.version for runner in context.gateways.runners}
+    assert {v for s in broken for v in s.versions} == served, broken
     with ThreadPoolExecutor(len(broken)) as pool:
         context.streams = list(
             pool.map(
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -126,7 +126,14 @@
         )
         parts.peers = PeerCalls(client, self.gossip)
         self.servicer = FleetServicer(
-            self.gossip, parts.store_cache, self.registry, self.batch, None, None, None
+            self.gossip,
+            parts.store_cache,
+            self.registry,
+            self.batch,
+            None,
+            None,
+            None,
+            forwarder=None,
         )
         self._parts = parts
         self._is_adoption_due = True
@@ -168,7 +175,14 @@
         """Use the cache that a function makes with the coordinator."""
         self._parts.store_cache = make_cache(self._parts.coordinator)
         self.servicer = FleetServicer(
-            self.gossip, self.store_cache, self.registry, self.batch, None, None, None
+            self.gossip,
+            self.store_cache,
+            self.registry,
+            self.batch,
+            None,
+            None,
+            None,
+            forwarder=None,
         )
 
     def _steady_seconds(self):
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 from emulator.fleet import wait_until
-from sequoiaglade_gateway.messages import StreamKeepers
+from sequoiaglade_gateway.messages import StreamAnswer, StreamKeepers
 from sequoiaglade_gateway.online import StreamDirectory
 from sequoiaglade_gateway.peers import FleetServicer, PeerClient, start_peer_server
 
@@ -39,7 +39,7 @@
         self._address = f"127.0.0.1:{port}"
         self._stack = stack
         self._server_stack = None
-        self.streams = StreamDirectory(SimpleNamespace(), None)
+        self.streams = StreamDirectory(SimpleNamespace(), None, None)
         self.start()
         relay = stack.enter_context(Relay())
         self.link = relay.link()
@@ -47,7 +47,8 @@
 
     def start(self):
         self._server_stack = self._stack.enter_context(contextlib.ExitStack())
-        servicer = FleetServicer(_Gossip(), None, None, None, None, None, self.streams)
+        parts = [None] * 5
+        servicer = FleetServicer(_Gossip(), *parts, self.streams, None)
         start_peer_server(self._server_stack, self._address, servicer)
 
     def stop(self):
@@ -117,8 +118,9 @@
     directory.replace(endpoints, context.now)
     directory.replace([e for e in endpoints if e.version == now], context.now)
     context.noted_ids = []
+    context.answer = None
     client = SimpleNamespace(
-        find_stream=lambda addresses, request_id: None,
+        find_stream=lambda addresses, request_id, service: context.answer,
         note_stream=lambda address, request_id, _: context.noted_ids.append(request_id),
     )
 
@@ -127,15 +129,39 @@
         return StreamKeepers(["peer:1"], versions, directory.is_list_readable)
 
     parts = SimpleNamespace(coordinator=SimpleNamespace(ask=find_keepers))
-    context.streams = StreamDirectory(parts, client, lambda: context.now)
+    read_versions = lambda service: context.store_versions  # noqa: E731
+    context.store_versions = {now}
+    context.streams = StreamDirectory(parts, client, read_versions, lambda: context.now)
 
 
 @when("it can't read the list and no peer answers for {seconds:d} seconds")
 def cut_off(context, seconds):
     context.directory.note_outage()
+    context.store_versions = None
     context.now += seconds
 
 
+@when('the store lists "{versions}", and no peer answers')
+def list_others(context, versions):
+    context.store_versions = set(versions.split(", "))
+
+
+@when('the store lists "{versions}", and a peer answers that knows versions "{known}"')
+def answer_with_versions(context, versions, known):
+    context.answer = StreamAnswer(None, frozenset(known.split(", ")), True)
+
+
+@when('the store lists "{versions}", and a peer answers that has just started')
+def answer_from_start(context, versions):
+    list_others(context, versions)
+    context.answer = StreamAnswer(None, frozenset(["v1"]), False)
+
+
+@then('it does not take an unknown stream up at "{version}"')
+def check_not_joined(context, version):
+    assert context.streams.find_version("unknown", "service") is None
+
+
 @then('it does not take an unknown stream up at "{version}" {seconds:d} seconds later')
 def check_not_taken_up_later(context, version, seconds):
     assert context.now == seconds
