Odd entries and numbers of other writers disturb nobody

Cause: bytes of others were parsed by json.loads and int() with their own bounds (recursion, digits, infinity), and fields were taken without a range. A class of fault: an exception that no reader expects, raised by one value among many.

Ids of events are at most 15 ASCII digits. The readers of endpoints' JSON in the node take a RecursionError for what it is.

--- a/packages/decisions/sequoiaglade_decisions/gateway/events.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/events.py
@@ -5,6 +5,7 @@
 
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 _EVENT_END_BYTES_MAX = 4
+_EVENT_ID = re.compile(r"[0-9]{1,15}")
 
 
 class Event(NamedTuple):
@@ -28,6 +29,12 @@
     True
     >>> [event.data for event in splitter.feed(b"ta: b\n\n")]
     [('b',)]
+
+    An id that is no number, or one that no endpoint counts to, is none.
+
+    >>> ids = ("\u00b2", "9" * 5000)
+    >>> [splitter.feed(f"id: {i}\n\n".encode())[0].event_id for i in ids]
+    [None, None]
     """
 
     def __init__(self):
@@ -69,7 +76,7 @@
     for line in raw.decode("utf-8", "replace").splitlines():
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.isdigit():
+        if name == "id" and _EVENT_ID.fullmatch(value):
             event_id = int(value)
         elif name == "data":
             data.append(value)
--- a/packages/endpoints/sequoiaglade_endpoints/client.py
+++ b/packages/endpoints/sequoiaglade_endpoints/client.py
@@ -97,7 +97,7 @@
             return response
         try:
             return LoadReport(**json.loads(response.data))
-        except (TypeError, ValueError) as error:
+        except (RecursionError, TypeError, ValueError) as error:
             return Failure(FailureCode.INVALID, f"load report: {error}")
 
     def _dedicated_pool(self, url):
--- a/packages/node/sequoiaglade_node/batch/attempts.py
+++ b/packages/node/sequoiaglade_node/batch/attempts.py
@@ -256,7 +256,7 @@
             return self._decide_broken(data.reason)
         try:
             body = json.loads(data)
-        except ValueError as error:
+        except (RecursionError, ValueError) as error:
             reason = f"the response is not valid JSON: {error}"
             return self._decide_broken(reason, RunOutcome.FAILED)
         if not isinstance(body, dict):
--- a/packages/node/sequoiaglade_node/batch/responses.py
+++ b/packages/node/sequoiaglade_node/batch/responses.py
@@ -106,7 +106,13 @@
         try:
             value = json.loads(data)
             self._apply_value(value)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            AttributeError,
+            RecursionError,
+        ) as error:
             self.error = f"an event of the stream is malformed: {error!r}"
 
     def _apply_value(self, value):
--- a/packages/node/sequoiaglade_node/online/events.py
+++ b/packages/node/sequoiaglade_node/online/events.py
@@ -179,7 +179,7 @@
         if line.startswith(b"data:"):
             try:
                 value = json.loads(line[5:])
-            except ValueError:
+            except (RecursionError, ValueError):
                 continue
             if isinstance(value, dict):
                 parsed.append(value)
