--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -153,3 +153,26 @@
       | FAULT    | a gateway ends by itself                                       |
       | CRASHES  | the crashes of the day did not all happen                      |
       | EMULATOR | a fault could not be injected                                  |
+
+  Scenario Outline: The checks of limits and cuts find a day that breaks a rule
+    Given the records of a day that kept the rules
+    When <change>
+    Then the rule "<rule>" is broken, and no other
+
+    Examples:
+      | rule    | change                                                          |
+      | LIMIT   | a runner with a limit of 2.5 gets 21 requests in 4 s from 6 s on |
+      | RECOVER | 12 of 16 first attempts fail at a gateway without runners       |
+
+  Scenario Outline: The checks of limits and cuts find no rule broken where none is
+    Given the records of a day that kept the rules
+    When <change>
+    Then no rule is broken
+
+    Examples:
+      | change                                                          |
+      | a runner with a limit of 2.5 gets 20 requests in 4 s from 6 s on |
+      | a runner with a limit of 2.5 gets 21 requests in 4 s from 1 s on |
+      | a runner with a limit of 2.5 gets 21 requests in 4 s from 6 s on while a gateway is cut off |
+      | 10 of 16 first attempts fail at a gateway without runners       |
+      | 12 of 16 first attempts fail at a gateway without runners that was suspended |
