--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/access_messages.py
@@ -0,0 +1,87 @@
+"""Messages to the coordinator about endpoints' limits, permits and ways to them."""
+
+from typing import Any, NamedTuple
+
+
+class RequestLimitNamed(NamedTuple):
+    """A response names a limit in requests a second, None for no limit.
+
+    `born` is the start time of the endpoint, as in `Endpoint`, `sent_at` is when the
+    request was sent. The reply is whether that changes the limit.
+    """
+
+    endpoint_id: str
+    born: int
+    limit: float | None
+    sent_at: float
+
+
+class FindPermitGranters(NamedTuple):
+    """Asks which nodes grant the permits for an endpoint.
+
+    The reply is `PermitGranters`, or None if the endpoint has no limit.
+    """
+
+    endpoint_id: str
+
+
+class PermitGranters(NamedTuple):
+    """The nodes that grant the permits for an endpoint, in the order to ask them.
+
+    `candidates` are pairs of node id and peer address, which is None for the node
+    itself. `notice` is the `LimitNotice` of the endpoint with its age.
+    """
+
+    candidates: list
+    notice: Any
+
+
+class TakePermit(NamedTuple):
+    """Asks this node, as the granter, for a permit; the reply is a `Permit`."""
+
+    notice: Any
+    is_batch: bool
+
+
+class PermitDenied(NamedTuple):
+    """This node was denied a permit for an endpoint."""
+
+    endpoint_id: str
+    is_batch: bool
+    permit: Any
+
+
+class FindForwarders(NamedTuple):
+    """Asks which peers may forward a request to an endpoint.
+
+    The reply has pairs of node id and peer address, in the order to ask them.
+    `spread` is a text by which requests are spread over them.
+    """
+
+    spread: str
+
+
+class FindEndpoint(NamedTuple):
+    """Asks for an `Endpoint` with its limit; the reply is None if it is unknown."""
+
+    endpoint_id: str
+
+
+class FindAnyEndpoint(NamedTuple):
+    """Asks for an `Endpoint` to probe; the reply is None if there is none."""
+
+
+class ConnectionTried(NamedTuple):
+    """This node tried to connect to an endpoint.
+
+    The reply is a `ReachChange`, or None if nothing changed.
+    """
+
+    endpoint_id: str
+    is_connected: bool
+
+
+class ReachChange(NamedTuple):
+    """Whether this node is now cut off from all endpoints, or reaches some again."""
+
+    is_cut_off: bool
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -31,9 +31,9 @@
     PartsAnswered,
     PlaceRequest,
     RequestEnded,
-    UsableVersions,
 )
 from ..patient_socket import FixedPatience
+from ..version_messages import UsableVersions
 from .item_attempt import ItemAttempt
 
 TICK_SECONDS = 0.1
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -1,6 +1,5 @@
 """The actor that owns a node's state of endpoints, peers, quotas and loads."""
 
-import random
 import time
 
 import pykka
@@ -11,7 +10,6 @@
     RESERVE_SLOTS,
     EndpointDirectory,
     EndpointLoads,
-    EndpointReach,
     FleetQuotas,
     Full,
     NodeState,
@@ -20,11 +18,19 @@
     Scheduled,
     batch_allowance,
     batch_targets,
-    forwarding_nodes,
-    stream_keepers,
 )
 
 from . import messages
+from .access_messages import (
+    ConnectionTried,
+    FindAnyEndpoint,
+    FindEndpoint,
+    FindForwarders,
+    FindPermitGranters,
+    PermitDenied,
+    RequestLimitNamed,
+    TakePermit,
+)
 from .crash_blame import CrashBlame
 from .messages import (
     AcceptsRequests,
@@ -33,7 +39,6 @@
     BeginRequest,
     CollectLoadReports,
     ConfigurationChanged,
-    ConnectionTried,
     EndpointAnswered,
     EndpointChanged,
     EndpointLeaving,
@@ -41,14 +46,8 @@
     EndpointSilent,
     EndpointsListed,
     EventIntervalObserved,
-    FindAnyEndpoint,
-    FindEndpoint,
-    FindForwarders,
     FindPartRefusal,
-    FindPermitGranters,
-    FindRecentVersions,
     FindSchedulers,
-    FindStreamKeepers,
     GetStatus,
     HolderPeers,
     InFlightRequest,
@@ -59,24 +58,24 @@
     LoadReportReceived,
     PartsAnswered,
     PeerStatesReceived,
-    PermitDenied,
     PlaceRequest,
     PossibleHolders,
     Publish,
     Published,
     QuotaExceeded,
-    ReachChange,
-    RecentServiceVersions,
     RequestEnded,
-    RequestLimitNamed,
     Schedule,
-    StreamKeepers,
-    TakePermit,
-    UsableVersions,
-    VersionsRecalled,
 )
+from .reach import FleetReach
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
+from .version_messages import (
+    FindRecentVersions,
+    FindStreamKeepers,
+    UsableVersions,
+    VersionsRecalled,
+)
+from .versions import FleetVersions
 
 # States of peers that arrived within this time are relayed to others.
 RELAY_MAX_AGE_SECONDS = 1.0
@@ -105,8 +104,10 @@
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
-        self._reach = EndpointReach()
-        self._is_version_history_known = False
+        self._reach = FleetReach(self._directory, self._nodes)
+        self._versions = FleetVersions(
+            lambda: self._state, self._directory, self._nodes
+        )
         self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
         self._share = 1.0
         self._share_expires_at = 0.0
@@ -174,32 +175,23 @@
                 | PermitDenied()
             ):
                 return self._limits.handle(message, now)
-            case FindForwarders(spread):
-                return self._find_forwarders(spread, now)
             case FindEndpoint(endpoint_id):
                 return self._find_endpoint(endpoint_id, now)
-            case FindAnyEndpoint():
-                endpoints = self._directory.endpoints()
-                return random.choice(endpoints) if endpoints else None
-            case ConnectionTried():
-                return self._note_connection(message, now)
+            case FindForwarders() | FindAnyEndpoint() | ConnectionTried():
+                return self._reach.handle(message, now)
             case EndpointSilent(endpoint_id):
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
             case EventIntervalObserved(endpoint_id, seconds):
                 self._scheduling.note_end(endpoint_id, "", seconds)
                 return self._loads.health.note_pace(endpoint_id, seconds)
-            case UsableVersions(service):
-                return {e.version for e in self._directory.usable(service, now)}
-            case FindStreamKeepers():
-                return self._find_stream_keepers(message, now)
-            case FindRecentVersions():
-                return self._find_recent_versions(now)
-            case VersionsRecalled(versions_by_service):
-                for service, versions in versions_by_service.items():
-                    self._directory.recall_versions(service, versions, now)
-                self._is_version_history_known = True
-                return None
+            case (
+                UsableVersions()
+                | FindStreamKeepers()
+                | FindRecentVersions()
+                | VersionsRecalled()
+            ):
+                return self._versions.handle(message, now)
             case Publish():
                 return self._publish(message, now)
             case PeerStatesReceived(states):
@@ -343,26 +335,6 @@
         states = map(self._nodes.state, self._loads.batch_nodes(endpoint_id, now))
         return [state.peer_address for state in states if state is not None]
 
-    def _find_stream_keepers(self, message, now):
-        live = {state.node_id: state for state in self._nodes.live(now)}
-        ids = [self._state.node_id, *sorted(live)]
-        keepers = stream_keepers(message.request_id, ids, self._nodes.is_large)
-        addresses = [live[n].peer_address for n in keepers if n in live]
-        versions = self._directory.recent_versions(message.service, now)
-        is_list_readable = self._directory.is_list_readable
-        return StreamKeepers(
-            addresses, versions, is_list_readable, self._is_version_history_known
-        )
-
-    def _find_recent_versions(self, now):
-        versions_by_service = {
-            service: frozenset(self._directory.recent_versions(service, now))
-            for service in self._directory.services()
-        }
-        ids = [s.node_id for s in self._nodes.live(now) if not s.is_leaving]
-        is_recorder = self._state.node_id <= min(ids, default=self._state.node_id)
-        return RecentServiceVersions(versions_by_service, is_recorder)
-
     def _begin(self, endpoint_id, preempts, is_batch, now):
         self._loads.begin(endpoint_id, is_batch)
         self._scheduling.note_begin()
@@ -391,23 +363,6 @@
             return None
         return endpoint._replace(request_limit=self._limits.find(endpoint))
 
-    def _find_forwarders(self, spread, now):
-        return [
-            (node_id, self._nodes.state(node_id).peer_address)
-            for node_id in forwarding_nodes(spread, self._nodes.live(now))
-        ]
-
-    def _note_connection(self, message, now):
-        if message.is_connected:
-            is_changed = self._reach.note_connected()
-        else:
-            count = len(self._directory.endpoints())
-            is_changed = self._reach.note_failure(message.endpoint_id, count, now)
-        if not is_changed:
-            return None
-        self._state = self._state._replace(is_cut_off=self._reach.is_cut)
-        return ReachChange(self._reach.is_cut)
-
     def _note_failure(self, endpoint_id, now):
         self._loads.health.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
@@ -441,6 +396,7 @@
             jobs=message.jobs,
             is_store_reachable=message.is_store_reachable,
             request_limits=self._limits.notices(now),
+            is_cut_off=self._reach.is_cut_off,
         )
         self._state = self._blame.add_to(state, now)
         others = []
@@ -498,7 +454,7 @@
             "request_limit_by_endpoint": self._limits.limited(),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
-            "is_cut_off": self._reach.is_cut,
+            "is_cut_off": self._reach.is_cut_off,
             "peers": [s.node_id for s in self._nodes.live(now)],
             "quota_share": self._quota_share(now),
             "rate_burst_level_by_workspace": self._quotas.levels(),
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -12,9 +12,9 @@
 
 from sequoiaglade_protocol import fleet_pb2
 
+from ..access_messages import FindEndpoint
 from ..endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS, EndpointRequest
 from ..leaving import note_leaving
-from ..messages import FindEndpoint
 from ..request_limits import note_request_limit
 
 # Requests of peers that run at the same time. A node with this many has no processor
--- a/packages/gateway/sequoiaglade_gateway/forwarding/paths.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/paths.py
@@ -8,7 +8,7 @@
 
 from sequoiaglade_node.threads import OwnedThread
 
-from ..messages import ConnectionTried, FindAnyEndpoint, FindForwarders
+from ..access_messages import ConnectionTried, FindAnyEndpoint, FindForwarders
 from .sockets import ForwardedConnection
 
 # Interval of connections that find out whether a cut has ended, and their time-out.
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -175,41 +175,6 @@
     report: LoadReport
 
 
-class FindPermitGranters(NamedTuple):
-    """Asks which nodes grant the permits for an endpoint.
-
-    The reply is `PermitGranters`, or None if the endpoint has no limit.
-    """
-
-    endpoint_id: str
-
-
-class PermitGranters(NamedTuple):
-    """The nodes that grant the permits for an endpoint, in the order to ask them.
-
-    `candidates` are pairs of node id and peer address, which is None for the node
-    itself. `notice` is the `LimitNotice` of the endpoint with its age.
-    """
-
-    candidates: list
-    notice: Any
-
-
-class TakePermit(NamedTuple):
-    """Asks this node, as the granter, for a permit; the reply is a `Permit`."""
-
-    notice: Any
-    is_batch: bool
-
-
-class PermitDenied(NamedTuple):
-    """This node was denied a permit for an endpoint."""
-
-    endpoint_id: str
-    is_batch: bool
-    permit: Any
-
-
 class InFlightRequest(NamedTuple):
     """A request's endpoint; it counts as in flight until `RequestEnded` is sent.
 
@@ -258,55 +223,6 @@
     born: int
 
 
-class RequestLimitNamed(NamedTuple):
-    """A response names a limit in requests a second, None for no limit.
-
-    `born` is the start time of the endpoint, as in `Endpoint`, `sent_at` is when the
-    request was sent. The reply is whether that changes the limit.
-    """
-
-    endpoint_id: str
-    born: int
-    limit: float | None
-    sent_at: float
-
-
-class FindForwarders(NamedTuple):
-    """Asks which peers may forward a request to an endpoint.
-
-    The reply has pairs of node id and peer address, in the order to ask them.
-    `spread` is a text by which requests are spread over them.
-    """
-
-    spread: str
-
-
-class FindEndpoint(NamedTuple):
-    """Asks for an `Endpoint` with its limit; the reply is None if it is unknown."""
-
-    endpoint_id: str
-
-
-class FindAnyEndpoint(NamedTuple):
-    """Asks for an `Endpoint` to probe; the reply is None if there is none."""
-
-
-class ConnectionTried(NamedTuple):
-    """This node tried to connect to an endpoint.
-
-    The reply is a `ReachChange`, or None if nothing changed.
-    """
-
-    endpoint_id: str
-    is_connected: bool
-
-
-class ReachChange(NamedTuple):
-    """Whether this node is now cut off from all endpoints, or reaches some again."""
-
-    is_cut_off: bool
-
-
 class EndpointSilent(NamedTuple):
     """A request has waited for data from an endpoint for a while."""
 
@@ -409,67 +325,6 @@
     lost_seconds_by_id: dict
 
 
-class UsableVersions(NamedTuple):
-    """Asks for the software versions whose endpoints take requests of a service.
-
-    The reply is a set.
-    """
-
-    service: str
-
-
-class FindStreamKeepers(NamedTuple):
-    """Asks which peers keep the version of a stream; the reply is a `StreamKeepers`."""
-
-    request_id: str
-    service: str
-
-
-class StreamKeepers(NamedTuple):
-    """Peer addresses of a stream's keepers, and its service's versions until lately.
-
-    `is_list_readable` is whether these versions are those of the store's list now,
-    `is_history_known` whether they have those from before the start of this node.
-    """
-
-    addresses: list
-    versions: set
-    is_list_readable: bool = True
-    is_history_known: bool = True
-
-
-class StreamAnswer(NamedTuple):
-    """What peers answered about a stream; `version` is None if none knows it.
-
-    `versions` are those of the service until lately, as far as these peers know, and
-    `is_history_known` is whether one of them knows those from before its start.
-    """
-
-    version: str | None
-    versions: frozenset = frozenset()
-    is_history_known: bool = False
-
-
-class FindRecentVersions(NamedTuple):
-    """Asks for the versions that services have or had until lately.
-
-    The reply is `RecentServiceVersions`.
-    """
-
-
-class RecentServiceVersions(NamedTuple):
-    """Sets of versions by service, and whether this node is the one to record them."""
-
-    versions_by_service: dict
-    is_recorder: bool
-
-
-class VersionsRecalled(NamedTuple):
-    """The versions by service that were recorded before this node started."""
-
-    versions_by_service: dict
-
-
 class LiveNodeFraction(NamedTuple):
     """Asks for the fraction of the known nodes that are live; the reply is a number."""
 
--- a/packages/gateway/sequoiaglade_gateway/online/streams.py
+++ b/packages/gateway/sequoiaglade_gateway/online/streams.py
@@ -7,7 +7,7 @@
 
 from sequoiaglade_decisions.gateway import StreamVersions, only_version
 
-from ..messages import FindStreamKeepers, StreamAnswer
+from ..version_messages import FindStreamKeepers, StreamAnswer
 
 
 class StreamDirectory:
--- a/packages/gateway/sequoiaglade_gateway/online/version_history.py
+++ b/packages/gateway/sequoiaglade_gateway/online/version_history.py
@@ -9,7 +9,7 @@
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.threads import OwnedThread
 
-from ..messages import FindRecentVersions, VersionsRecalled
+from ..version_messages import FindRecentVersions, VersionsRecalled
 
 VERSIONS_KIND = "versions"
 # A new version's first streams and the kill of all gateways are further apart.
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -9,7 +9,7 @@
 from sequoiaglade_node.peers.tracing import open_channel
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
 
-from ..messages import StreamAnswer
+from ..version_messages import StreamAnswer
 from .codec import (
     decode_permit,
     decode_placement,
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -7,21 +7,19 @@
 from sequoiaglade_decisions.gateway import Full, Permit, Placed, Scheduled
 from sequoiaglade_node.threads import OwnedThread
 
+from .access_messages import FindPermitGranters, PermitDenied, TakePermit
 from .messages import (
     STOPPED,
     BeginRequest,
     CollectLoadReports,
-    FindPermitGranters,
     FindSchedulers,
     InFlightRequest,
     LoadReportReceived,
-    PermitDenied,
     QuotaExceeded,
     RequestEnded,
     Schedule,
-    TakePermit,
-    UsableVersions,
 )
+from .version_messages import UsableVersions
 
 # A scheduler that did not answer is skipped for this time; by then the other nodes have
 # detected the failure, or it answers again.
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -14,14 +14,14 @@
     permit_granters,
 )
 
-from .clocks import boot_seconds
-from .messages import (
+from .access_messages import (
     FindPermitGranters,
     PermitDenied,
     PermitGranters,
     RequestLimitNamed,
     TakePermit,
 )
+from .clocks import boot_seconds
 
 # A longer time between two gossip rounds shows that the process was suspended: other
 # nodes grant permits by then.
--- a/tests/features/steps/quota_fleet.py
+++ b/tests/features/steps/quota_fleet.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from types import SimpleNamespace
 
+from sequoiaglade_gateway.access_messages import RequestLimitNamed
 from sequoiaglade_gateway.coordinator import Coordinator
 from sequoiaglade_gateway.messages import (
     DONE,
@@ -18,7 +19,6 @@
     PlaceRequest,
     Publish,
     RequestEnded,
-    RequestLimitNamed,
 )
 from sequoiaglade_gateway.peers.codec import (
     decode_notice,
--- a/tests/features/steps/review_steps.py
+++ b/tests/features/steps/review_steps.py
@@ -15,8 +15,8 @@
 from sequoiaglade_gateway.batch import JobStorage, service
 from sequoiaglade_gateway.batch.storage import ENDS_KIND
 from sequoiaglade_gateway.interface import EndJob
-from sequoiaglade_gateway.messages import StreamAnswer, StreamKeepers
 from sequoiaglade_gateway.online.streams import StreamDirectory
+from sequoiaglade_gateway.version_messages import StreamAnswer, StreamKeepers
 
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.peers import channels
@@ -162,8 +162,12 @@
 def given_noted(context, listed, noted):
     keepers = StreamKeepers(["peer:1"], {listed})
     coordinator = SimpleNamespace(ask=lambda message: keepers)
-    client = SimpleNamespace(find_stream=lambda addresses, _: StreamAnswer(noted))
-    context.streams = StreamDirectory(SimpleNamespace(coordinator=coordinator), client)
+    client = SimpleNamespace(
+        find_stream=lambda addresses, request_id, service: StreamAnswer(noted)
+    )
+    context.streams = StreamDirectory(
+        SimpleNamespace(coordinator=coordinator), client, lambda service: {listed}
+    )
 
 
 @then('the gateway does not take the stream up at "{version}"')
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -7,9 +7,9 @@
 
 from behave import given, then, when
 from emulator.fleet import wait_until
-from sequoiaglade_gateway.messages import StreamAnswer, StreamKeepers
 from sequoiaglade_gateway.online import StreamDirectory
 from sequoiaglade_gateway.peers import FleetServicer, PeerClient, start_peer_server
+from sequoiaglade_gateway.version_messages import StreamAnswer, StreamKeepers
 
 from sequoiaglade_decisions.gateway import Endpoint, EndpointDirectory
 from sequoiaglade_protocol import fleet_pb2
