A connection that got little time does not count as a cut

Cause (by reading): near a request's deadline a connection gets less than its 0.25 s, and counted as failed for the decision whether the gateway is cut off.

Change: only connections that got the whole time count, also at the peer. Evidence: cut_off_gateways.feature passes; the fault itself was not reproduced.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -108,7 +108,8 @@
             connection.connect()
     except (HTTPError, OSError) as error:
         _close(connection, None, attempt)
-        if not attempt.is_aborted:
+        # A connection that got less time shows nothing.
+        if remaining_seconds >= CONNECT_SECONDS and not attempt.is_aborted:
             parts.paths.note_failed(request.endpoint.endpoint_id)
         # A cut of this node's links says nothing of the endpoint.
         fault = Fault.NO_PATH if parts.paths.is_cut_off else Fault.NOT_SENT
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -82,16 +82,18 @@
 
     def _run(self, endpoint, request, context):
         """Yield the pieces of the response; return the `ForwardEnd`."""
-        end_at = time.monotonic() + request.timeout_ms / MS_PER_SECOND
+        seconds = request.timeout_ms / MS_PER_SECOND
+        end_at = time.monotonic() + seconds
         host, _, port = endpoint.address.rpartition(":")
         try:
             sock = create_connection(
                 (host, int(port)),
-                timeout=min(CONNECT_SECONDS, request.timeout_ms / MS_PER_SECOND),
+                timeout=min(CONNECT_SECONDS, seconds),
                 socket_options=SOCKET_OPTIONS,
             )
         except OSError as error:
-            self._parts.paths.note_failed(endpoint.endpoint_id)
+            if seconds >= CONNECT_SECONDS:
+                self._parts.paths.note_failed(endpoint.endpoint_id)
             return _end(fleet_pb2.ForwardEnd.NOT_SENT, f"no connection: {error}")
         with sock:
             self._parts.paths.note_connected(endpoint.endpoint_id)
