--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -15,6 +15,7 @@
 from sequoiaglade_gateway.batch.storage import JobHeader
 from sequoiaglade_gateway.bounded_reads import ResponseMemory
 from sequoiaglade_gateway.coordinator import Coordinator
+from sequoiaglade_gateway.forwarding import EndpointPaths
 from sequoiaglade_gateway.messages import EndpointsListed, GetStatus
 from sequoiaglade_gateway.settings import GatewaySettings, Listeners
 
@@ -96,6 +97,7 @@
     stack.callback(parts.coordinator.stop)
     endpoint = Endpoint("runner-0", SERVICE, address, "d", plan.slots)
     parts.coordinator.tell(EndpointsListed([endpoint]))
+    parts.paths = EndpointPaths(parts, client=None)
     parts.placer = _Placer(parts.coordinator, fault, placement_seconds)
     context.store_cache = parts.store_cache
     context.coordinator = parts.coordinator
