A step on leaving runners waits for the runner's note of the end

Cause: the runner notes a completed request after it has sent the end, so that the caller may ask first; by then the gateway knows that the runner leaves, and no later request could satisfy the step.

Change: after the announcement the step waits up to 2 s for that note, and fails without it as before.

--- a/tests/features/steps/gateway_leaving_steps.py
+++ b/tests/features/steps/gateway_leaving_steps.py
@@ -20,6 +20,7 @@
 
 # The head of a response reaches the gateway within this time.
 HEAD_SECONDS = 0.3
+COMPLETED_SECONDS = 2.0
 REJECTED_PATH = "/safe/rejected"
 
 
@@ -292,8 +293,15 @@
     for _ in range(40):
         answer = context.gateways.send(path)
         assert answer.status == 200, answer
-        if answer.announces_shutdown and answer.request_id in runner.completed:
-            return
+        if not answer.announces_shutdown:
+            continue
+        # The runner notes the end after the caller has got it.
+        wait_until(
+            lambda: answer.request_id in runner.completed,
+            COMPLETED_SECONDS,
+            "the runner has completed the request",
+        )
+        return
     raise AssertionError("no response of the runner reached a caller")
 
 
