The view of the fleet has the share of the nodes that it shows

Cause: the share is kept for 0.1 s. Since permits need it at each gossip round, it may have been computed just before the peer was met, where it used to be computed for the question itself.

Change: the view computes it anew.

--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -444,6 +444,8 @@
         return targets[self._settings.node_id]
 
     def _status(self, now):
+        # Operators see the share of the nodes that are shown beside it.
+        self._share_expires_at = now
         version, set_at = self._active_configuration
         return {
             "configuration": {
