--- a/packages/gateway/sequoiaglade_gateway/forwarding/paths.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/paths.py
@@ -35,12 +35,11 @@
 
     def __next__(self):
         try:
-            reply = next(self._call)
+            return next(self._call)
         except grpc.RpcError as error:
             if error.code() is not grpc.StatusCode.CANCELLED:
                 self._on_failure()
             raise
-        return reply
 
 
 class EndpointPaths(OwnedThread):
--- a/packages/gateway/sequoiaglade_gateway/online/version_history.py
+++ b/packages/gateway/sequoiaglade_gateway/online/version_history.py
@@ -1,7 +1,7 @@
 """The record of the software versions that services have or had until lately.
 
 It is kept in the store, so that gateways that were killed together, and start when the
-servers of a version have just left, know that a stream may have begun at that version.
+endpoints of a version have just left, know that a stream may have begun there.
 """
 
 import structlog
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -126,15 +126,14 @@
 
     def grantable(self, endpoints, is_batch, now):
         """Return the endpoints without a limit, and those with a permit left here."""
-        share_by_granters = {}
+        share = None
         rows = []
         for endpoint in endpoints:
             limit = self.find(endpoint)
             if limit is not None:
                 # All limited endpoints of a group have the same granters.
-                if not share_by_granters:
-                    share_by_granters[endpoint.service] = self._share_of(endpoint, now)
-                share = share_by_granters[endpoint.service]
+                if share is None:
+                    share = self._share_of(endpoint, now)
                 seconds = share and self._levels.seconds_until(
                     endpoint.endpoint_id, limit, share, now, is_batch
                 )
