A step fills a workspace's limit only once the gateways know each other

Traced by its log: gateway 0 had not heard of its peer and so used half of what was available (share 0.5); it refused at 75,000 of 100,000 tokens. Gateway 1 knew its peer and all five jobs (share 1.0, peer_tokens 75000), and accepted one of 15,000, which fits. The step now waits until gateway 0 uses the whole limit; the check is the same.

--- a/tests/features/steps/waiting_token_steps.py
+++ b/tests/features/steps/waiting_token_steps.py
@@ -4,6 +4,7 @@
 import statistics
 
 from behave import given, then, when
+from emulator.fleet import wait_until
 from ended_job_steps import end, run_before
 from holder_simulation import PATH, HolderSimulation
 from holders_steps import names_in, print_trace
@@ -176,6 +177,9 @@
 @when("gateway 0 accepts jobs until it refuses one for its workspace's tokens")
 def accept_until_refused(context):
     fleet = context.gateways
+    # A gateway that has not heard of its peer uses half of what is available.
+    has_met = lambda: fleet.status(0)["quota_share"] == 1.0  # noqa: E731
+    wait_until(has_met, LOSS_SECONDS, "gateway 0 has met its peer")
     for number in range(JOBS_MAX):
         items = [(f"item-{number}", f"/batch/x/{number}")]
         _, answer = fleet.submit(items, 0, tokens=JOB_TOKENS)
