Three gateways of a failure domain follow the store for the others

Cause: each gateway watched the configuration and the endpoints by itself, with two guards a kind, and read each change.

Change: in a fleet of more than 13 nodes three nodes of each failure domain, chosen by hash, follow the store. The others ask these in turn, twice a second, for what changed since the revision that they know (`PollStore`), and make no calls of their own for these kinds. A follower answers from memory, and only while its own watches are sound, so that two nodes that are told of changes never confirm each other. A node follows the store itself as soon as no follower answers a round, two answers in a row tell of an outage, or none was sound for 1.5 s; it returns after 3 s. Ends of jobs, whose watch costs a tenth, are followed as before.

Two builds: `FleetNode.protocol_revision` takes the place of `keeps_tokens`, which no release had. Nodes of an older build are not asked, and follow the store themselves.

Shown with 15 real gateways (store_relay.feature): changes known everywhere within 2 s, also when one or three followers are killed, one is suspended, two are cut off from the store or one is stopped; 2.5 s with three suspended; an outage noticed within 4 s. Not covered: all three followers of a domain cut off from the store by silence at the same moment, while its other nodes are not; they notice after up to about 4 s.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -15,8 +15,9 @@
 from .health import EndpointHealth
 from .job_ends import EndsKnowledge, SendDecision, may_know_ends
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
+from .kind_history import KindHistory, KindUpdate
 from .leaving import LeavingEndpoints
-from .nodes import JobSummary, NodeState, NodeTable, job_holder
+from .nodes import PROTOCOL_REVISION, JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
 from .pages import ResultPages
@@ -63,6 +64,7 @@
     silence_step,
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
+from .store_followers import POLL_SECONDS, FollowerContact, store_followers
 from .stream_ends import missing_part
 from .stream_versions import (
     RecentVersions,
@@ -95,6 +97,8 @@
     "GUARD_SECONDS",
     "KEEPERS",
     "OWN_BYTES",
+    "POLL_SECONDS",
+    "PROTOCOL_REVISION",
     "RESERVE_SLOTS",
     "SETTLING_SECONDS",
     "SETTLING_SECONDS_LARGE",
@@ -120,6 +124,7 @@
     "Fault",
     "FleetConfiguration",
     "FleetQuotas",
+    "FollowerContact",
     "Full",
     "GroupScheduler",
     "GuardStep",
@@ -131,6 +136,8 @@
     "KeeperAnswer",
     "KeeperAsk",
     "KeeperSearch",
+    "KindHistory",
+    "KindUpdate",
     "LASTING_SECONDS",
     "LeavingEndpoints",
     "LimitNotice",
@@ -194,6 +201,7 @@
     "silence_step",
     "stable_hash",
     "standby_delay",
+    "store_followers",
     "stream_keepers",
     "token_keepers",
 ]
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -4,6 +4,8 @@
 
 from .hashing import stable_hash
 
+# The calls between nodes that this release answers; see `FleetNode` of the protocol.
+PROTOCOL_REVISION = 1
 # A node whose state was not renewed for this long gets no requests and holds no jobs:
 # several gossip rounds have failed by then.
 PEER_TIMEOUT_SECONDS = 1.5
@@ -45,7 +47,7 @@
     `survived_breaks` those of `SurvivedBreaks`.
     `cores` is the node's processor capacity. `request_limits` are the notices of
     `RequestLimits`. `is_cut_off` is whether the node reaches no endpoint itself.
-    `keeps_tokens` is whether its release can keep the waiting tokens of workspaces.
+    `protocol_revision` is that of its release, 0 for those that do not tell it.
     """
 
     node_id: str
@@ -71,7 +73,7 @@
     survived_breaks: tuple = ()
     request_limits: tuple = ()
     is_cut_off: bool = False
-    keeps_tokens: bool = False
+    protocol_revision: int = 0
 
 
 class NodeTable:
@@ -99,8 +101,8 @@
             return False
         if entry is not None and entry[0].incarnation == state.incarnation:
             # A node of an older release relays states without the fields of later ones.
-            keeps_tokens = state.keeps_tokens or entry[0].keeps_tokens
-            state = state._replace(keeps_tokens=keeps_tokens)
+            revision = max(state.protocol_revision, entry[0].protocol_revision)
+            state = state._replace(protocol_revision=revision)
         self._entry_by_id[state.node_id] = (state, now)
         return True
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -7,6 +7,7 @@
 
 from sequoiaglade_decisions.gateway import (
     DEFAULT_SLOTS,
+    PROTOCOL_REVISION,
     RESERVE_SLOTS,
     EndpointDirectory,
     EndpointLoads,
@@ -48,6 +49,7 @@
     EventIntervalObserved,
     FindPartRefusal,
     FindSchedulers,
+    FindStoreFollowers,
     FindTokenKeepers,
     GetStatus,
     HolderPeers,
@@ -70,6 +72,7 @@
 from .reach import FleetReach
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
+from .store_followers import FleetStoreFollowers
 from .token_keepers import FleetTokenKeepers
 from .version_messages import (
     FindRecentVersions,
@@ -126,7 +129,7 @@
             peer_address=settings.listen.peer,
             failure_domain=settings.failure_domain,
             cores=settings.processor.share * settings.processor.cores,
-            keeps_tokens=True,
+            protocol_revision=PROTOCOL_REVISION,
         )
         self._scheduling = FleetScheduling(
             lambda: self._state,
@@ -143,6 +146,7 @@
             self._scheduling,
             self._quota_share,
         )
+        self._followers = FleetStoreFollowers(lambda: self._state, self._nodes)
         self._keepers = FleetTokenKeepers(
             lambda: self._state, self._nodes, self._limits.is_settled, self._quota_share
         )
@@ -167,6 +171,8 @@
                 return self._schedule(message, now)
             case BeginRequest():
                 return self._begin_scheduled(message, now)
+            case FindStoreFollowers():
+                return self._followers.find(now)
             case FindTokenKeepers(workspace):
                 return self._keepers.find(workspace, now)
             case CollectLoadReports():
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -111,6 +111,14 @@
     admitted_by_workspace: dict = {}
 
 
+class FindStoreFollowers(NamedTuple):
+    """Asks which peers of the failure domain tell this node of changes in the store.
+
+    The reply has their peer addresses. It is None if this node follows the store
+    itself: in a small fleet or domain, and as one of these nodes.
+    """
+
+
 class FindTokenKeepers(NamedTuple):
     """Asks which nodes keep a workspace's waiting tokens.
 
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -45,6 +45,8 @@
     KindWatcher,
     StoreCache,
     StoreContactKeeper,
+    StoreRelay,
+    StoreUpdates,
     guards_of,
 )
 from .store_calls import CountedStore
@@ -96,6 +98,7 @@
         self.note_job = client.note_job
         self.reserve_tokens = client.reserve_tokens
         self.release_tokens = client.release_tokens
+        self.poll_store = client.poll_store
         self.live_node_fraction = gossip.live_node_fraction
         self.contact_since = gossip.contact_since
         self.seconds_since_resume = gossip.seconds_since_resume
@@ -216,6 +219,7 @@
         parts.paths = EndpointPaths(parts, client)
         self._forwarder = Forwarder(parts)
         history = VersionHistory(parts)
+        self._updates = StoreUpdates()
         parts.streams = StreamDirectory(parts, client, history.read)
         self._gossip = Gossip(
             parts, client, registry, self._runner, self._job_adopter.wake
@@ -230,6 +234,7 @@
             parts.placer,
             parts.streams,
             self._forwarder,
+            self._updates,
         )
         start_peer_server(stack, parts.settings.listen.peer, servicer)
         parts.preemptor = BatchPreemptor(parts, client.request_preemption)
@@ -256,6 +261,7 @@
             cache.on_configurations_listed,
             cache.on_configuration_changed,
             is_store_silent=contact.is_store_silent,
+            keeps_history=True,
         )
         endpoint_watcher = KindWatcher(
             parts.store,
@@ -264,6 +270,13 @@
             cache.on_endpoint_changed,
             cache.on_endpoints_reachable,
             is_store_silent=contact.is_store_silent,
+            keeps_history=True,
+        )
+        watchers = [configuration_watcher, endpoint_watcher]
+        for watcher in watchers:
+            self._updates.add(watcher)
+        self._relay = StoreRelay(
+            parts.coordinator, watchers, parts.peers.poll_store, parts.metrics
         )
         for thread in (
             configuration_watcher,
@@ -273,6 +286,7 @@
             *guards_of(parts.store, configuration_watcher, contact, parts.metrics),
             *guards_of(parts.store, endpoint_watcher, contact, parts.metrics),
             contact,
+            self._relay,
         ):
             stack.enter_context(thread)
 
@@ -319,6 +333,7 @@
             **status,
             "is_ready": self._is_ready(),
             "is_store_reachable": cache.is_store_reachable,
+            "is_store_relayed": self._relay.is_relied_on,
             "jobs": [job._asdict() for job in self._job_registry.summaries()],
         }
 
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -20,6 +20,7 @@
     encode_schedule_request,
     encode_summary,
 )
+from .store_codec import decode_updates, encode_poll
 from .token_codec import decode_keeper_answer, encode_reservation
 
 # A peer answers within a few milliseconds; a caller waits for the answer.
@@ -31,6 +32,8 @@
 KEEPER_SECONDS = 0.2
 # The same where the keeper has to read the stored jobs first.
 LAST_RESORT_SECONDS = 0.6
+# A follower of the store answers from memory; another one is asked half a second later.
+POLL_TIMEOUT_SECONDS = 0.4
 # A lost connection to a peer is restored within about a second, a silent one is
 # replaced after a call that timed out.
 NOTE_SECONDS = 0.6
@@ -117,6 +120,16 @@
         reply = self._call(ask.address, "ReserveTokens", request, seconds)
         return None if reply is None else decode_keeper_answer(reply)
 
+    def poll_store(self, address, revision_by_kind):
+        """Ask a follower of the store for changes since the revisions known.
+
+        Return whether it follows the store now, and a dict of `KindUpdate` by kind;
+        None without an answer.
+        """
+        request = encode_poll(revision_by_kind)
+        reply = self._call(address, "PollStore", request, POLL_TIMEOUT_SECONDS, True)
+        return None if reply is None else decode_updates(reply)
+
     def release_tokens(self, address, key):
         """Give the tokens of a job back at a keeper, without waiting for the reply."""
         self._send(address, "ReleaseTokens", fleet_pb2.TokensRelease(job_key=key))
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -77,7 +77,7 @@
         ],
         request_limits=map(encode_notice, state.request_limits),
         is_cut_off=state.is_cut_off,
-        keeps_tokens=state.keeps_tokens,
+        protocol_revision=state.protocol_revision,
     )
 
 
@@ -92,7 +92,7 @@
     >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> notices = (LimitNotice("e-1", 5, 2.5, 0.25), LimitNotice("e-2", 6, None, 1.5))
     >>> state = state._replace(request_limits=notices, is_cut_off=True)
-    >>> state = state._replace(keeps_tokens=True)
+    >>> state = state._replace(protocol_revision=1)
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -143,7 +143,7 @@
         ),
         request_limits=tuple(map(decode_notice, message.request_limits)),
         is_cut_off=message.is_cut_off,
-        keeps_tokens=message.keeps_tokens,
+        protocol_revision=message.protocol_revision,
     )
 
 
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -15,6 +15,7 @@
     encode_placement,
     encode_results,
 )
+from .store_codec import decode_poll, encode_updates
 from .token_codec import decode_reservation, encode_keeper_answer
 
 # Calls that wait for the store must not delay those that place requests: each read or
@@ -36,6 +37,7 @@
         placer,
         streams,
         forwarder,
+        updates,
     ):
         self._gossip = gossip
         self._store_cache = store_cache
@@ -45,6 +47,7 @@
         self._placer = placer
         self._streams = streams
         self._forwarder = forwarder
+        self._updates = updates
 
     def Gossip(self, request, context):  # noqa: N802
         # The reply names the jobs that this node releases on receiving the request, so
@@ -111,6 +114,10 @@
         self._job_registry.give_tokens_back(request.job_key)
         return fleet_pb2.TokensReleaseReply()
 
+    def PollStore(self, request, context):  # noqa: N802
+        is_following, update_by_kind = self._updates.after(decode_poll(request))
+        return encode_updates(is_following, update_by_kind)
+
     def Schedule(self, request, context):  # noqa: N802
         return encode_placement(self._placer.schedule(decode_schedule_request(request)))
 
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/peers/store_codec.py
@@ -0,0 +1,68 @@
+"""Encoding of changes in the store as messages of the protocol between nodes."""
+
+import json
+
+from sequoiaglade_decisions.gateway import KindUpdate
+from sequoiaglade_platform import Document
+from sequoiaglade_protocol import fleet_pb2
+
+
+def encode_poll(revision_by_kind):
+    """Return the message that asks for changes since revisions, None for all."""
+    return fleet_pb2.StorePoll(
+        kinds=[
+            fleet_pb2.KindPoll(kind=kind, revision=revision or 0)
+            for kind, revision in revision_by_kind.items()
+        ]
+    )
+
+
+def decode_poll(message):
+    """Return the revisions by kind of a message."""
+    return {row.kind: row.revision or None for row in message.kinds}
+
+
+def encode_updates(is_following, update_by_kind):
+    """Return the message for `KindUpdate` by kind."""
+    return fleet_pb2.StoreUpdate(
+        is_following=is_following,
+        kinds=[
+            fleet_pb2.KindChanges(
+                kind=kind,
+                revision=update.revision,
+                is_list=update.is_list,
+                changes=[_encode_change(*change) for change in update.changes],
+            )
+            for kind, update in update_by_kind.items()
+        ],
+    )
+
+
+def decode_updates(message):
+    """Return whether the called node follows the store, and `KindUpdate` by kind.
+
+    >>> changes = [("a", Document("a", 7, {"Port": 1})), ("b", None)]
+    >>> update_by_kind = {"endpoints": KindUpdate(9, False, changes)}
+    >>> message = encode_updates(True, update_by_kind)
+    >>> decode_updates(message) == (True, update_by_kind)
+    True
+    """
+    return message.is_following, {
+        row.kind: KindUpdate(
+            row.revision, row.is_list, [_decode_change(c) for c in row.changes]
+        )
+        for row in message.kinds
+    }
+
+
+def _encode_change(name, document):
+    if document is None:
+        return fleet_pb2.ChangedDocument(name=name)
+    value = json.dumps(document.value).encode()
+    return fleet_pb2.ChangedDocument(name=name, revision=document.revision, value=value)
+
+
+def _decode_change(row):
+    if not row.value:
+        return row.name, None
+    return row.name, Document(row.name, row.revision, json.loads(row.value))
--- a/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
@@ -4,6 +4,8 @@
 from .contact import StoreContactKeeper
 from .guard import StandbyWatch, WatchGuard, guards_of
 from .reader import ConfigurationReader
+from .relay import StoreRelay
+from .updates import StoreUpdates
 from .watcher import KindWatcher
 
 __all__ = [
@@ -12,6 +14,8 @@
     "StandbyWatch",
     "StoreCache",
     "StoreContactKeeper",
+    "StoreRelay",
+    "StoreUpdates",
     "WatchGuard",
     "guards_of",
 ]
--- a/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/guard.py
@@ -21,6 +21,8 @@
 # Interval of looks for a call that the standby is due for. It is shorter than the delay
 # of the standby.
 STANDBY_LOOK_SECONDS = 0.5
+# The same while peers tell of changes in place of the guarded watch.
+RELAYED_LOOK_SECONDS = 1.0
 # Pause after a change or a failed call. The guarded watch begins its next call earlier,
 # so that a short silence of the store takes one of the two calls only.
 PAUSE_SECONDS = 1.2
@@ -90,6 +92,9 @@
 
     def _run(self):
         while not self._stopped.is_set():
+            if self._watcher.is_relayed:
+                self._stopped.wait(RELAYED_LOOK_SECONDS)
+                continue
             position = self._watcher.position
             is_waiting = position is not None and position.waiting_since is not None
             if not is_waiting or self._contact.is_store_silent():
@@ -127,6 +132,9 @@
 
     def _run(self):
         while not self._stopped.is_set():
+            if self._watcher.is_relayed:
+                self._stopped.wait(RELAYED_LOOK_SECONDS)
+                continue
             position = self._watcher.position
             delay = standby_delay(position, self._covered_since, time.monotonic())
             if delay != 0.0:
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
@@ -0,0 +1,77 @@
+"""Changes in the store as peers that follow it tell them, in a large fleet."""
+
+import random
+import time
+
+import structlog
+
+from sequoiaglade_decisions.gateway import POLL_SECONDS, FollowerContact
+from sequoiaglade_node.threads import OwnedThread
+
+from ..messages import FindStoreFollowers
+
+
+class StoreRelay(OwnedThread):
+    """One thread that asks followers of the store in turn; a context manager.
+
+    While their answers suffice the `KindWatcher` of each kind makes no calls, and
+    `is_relied_on` is true. `poll` is `PeerClient.poll_store`.
+    """
+
+    def __init__(self, coordinator, watchers, poll, metrics, clock=time.monotonic):
+        super().__init__("store relay")
+        self._coordinator = coordinator
+        self._watchers = watchers
+        self._poll = poll
+        self._metrics = metrics
+        self._clock = clock
+        self._contact = FollowerContact()
+        self.is_relied_on = False
+        self._log = structlog.get_logger()
+
+    def _run(self):
+        while not self._stopped.wait(POLL_SECONDS * (0.9 + 0.2 * random.random())):
+            self.run_round()
+
+    def run_round(self):
+        """Ask the next follower, and decide whether this node watches by itself."""
+        followers = self._coordinator.ask(FindStoreFollowers())
+        if followers is None:
+            self._contact = FollowerContact()
+            self._rely_on_followers(False, "this node follows the store")
+            return
+        for _ in followers:
+            if self._ask(self._contact.choose(followers, self._clock())):
+                break
+        else:
+            self._contact.note_lost()
+        is_sufficient = self._contact.is_sufficient(self._clock())
+        is_listed = all(watcher.revision is not None for watcher in self._watchers)
+        reason = "followers answer" if is_sufficient else "no follower is in contact"
+        self._rely_on_followers(is_sufficient and is_listed, reason)
+
+    def _ask(self, address):
+        """Ask a follower and apply its answer; return whether there was one."""
+        answer = self._poll(address, {w.kind: w.revision for w in self._watchers})
+        is_following = None
+        if answer is not None:
+            is_following, update_by_kind = answer
+            for watcher in self._watchers if is_following else ():
+                watcher.apply_update(update_by_kind[watcher.kind])
+        self._contact.note_answer(address, is_following, self._clock())
+        outcome = {None: "unanswered", False: "not following", True: "answered"}
+        self._metrics.count("store relayed", outcome[is_following])
+        return answer is not None
+
+    def _rely_on_followers(self, is_relied_on, reason):
+        if is_relied_on == self.is_relied_on:
+            return
+        self.is_relied_on = is_relied_on
+        self._log.info(
+            "store relayed" if is_relied_on else "store watched", reason=reason
+        )
+        for watcher in self._watchers:
+            if is_relied_on:
+                watcher.rely_on_peers()
+            else:
+                watcher.follow_store(self._contact.has_outage)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -1,13 +1,15 @@
 """Watches one kind of documents: a list first, then a watch from its revision."""
 
 import random
+import threading
 import time
 
 import structlog
 
-from sequoiaglade_decisions.gateway import WatchPosition
+from sequoiaglade_decisions.gateway import KindHistory, WatchPosition
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.threads import OwnedThread
+from sequoiaglade_platform import DocumentChange
 
 # Timeout of one watch call. Keep-alive probes detect a dead connection, so that a long
 # timeout delays no change and takes fewer calls. With `COALESCE_SECONDS` it is shorter
@@ -44,6 +46,10 @@
     changes. With `may_be_outdated` this may be told seconds late; `read_now` never is.
     If the history of an outdated list is gone, the next list is not outdated.
     `is_store_silent` tells whether unanswered calls show that the store is silent.
+
+    With `keeps_history` peers may be told of changes (`update_after`), and the other
+    way round: after `rely_on_peers` it makes no calls and `apply_update` tells of what
+    peers know, until `follow_store`.
     """
 
     def __init__(
@@ -55,6 +61,7 @@
         on_reachable=None,
         may_be_outdated=False,
         is_store_silent=lambda: False,
+        keeps_history=False,
     ):
         super().__init__(f"watch {kind}", join_seconds=0.2)
         self._store = store
@@ -65,6 +72,10 @@
         self._may_be_outdated = may_be_outdated
         self._is_store_silent = is_store_silent
         self._revision = None
+        self._history = KindHistory() if keeps_history else None
+        self._lock = threading.Lock()
+        self._is_relayed = False
+        self._is_wanted = threading.Event()
         # Watches that expired one after another.
         self._expired_count = 0
         self._is_reachable = True
@@ -73,6 +84,52 @@
         self._is_quiet = False
         self._log = structlog.get_logger()
 
+    @property
+    def revision(self):
+        """Up to which revision changes are known, None before the first list."""
+        return self._revision
+
+    @property
+    def is_relayed(self):
+        """Whether peers tell of changes in place of the store."""
+        return self._is_relayed
+
+    def rely_on_peers(self):
+        """Make no calls until `follow_store`, and end the watch that waits."""
+        self._is_wanted.clear()
+        self._is_relayed = True
+        self._store.end_watches(self.kind)
+
+    def follow_store(self, has_outage=False):
+        """Watch the store, from the revision that is known.
+
+        `has_outage` is whether it answers none of those that followed it.
+        """
+        if has_outage:
+            reason = "it does not answer the nodes that follow it"
+            self._update_reachability(Failure(FailureCode.UNAVAILABLE, reason))
+        self._is_relayed = False
+        self._is_wanted.set()
+
+    def update_after(self, revision):
+        """Return the `KindUpdate` for a peer; None unless the store answers."""
+        if self._is_relayed or not self._is_reachable or self._is_store_silent():
+            return None
+        with self._lock:
+            return self._history.update_after(revision)
+
+    def apply_update(self, update):
+        """Tell of a peer's `KindUpdate`, unless the revision is known."""
+        with self._lock:
+            if self._revision is not None and update.revision <= self._revision:
+                return
+            if update.is_list:
+                documents = [document for _, document in update.changes]
+                self._apply_list(documents, update.revision)
+            else:
+                changes = [DocumentChange(*change) for change in update.changes]
+                self._apply_changes(changes, update.revision)
+
     @property
     def position(self):
         """The `WatchPosition`, None before the first list."""
@@ -111,8 +168,14 @@
         self._on_list(listing.documents)
         return None
 
+    def _interrupt(self):
+        self._is_wanted.set()
+
     def _run(self):
         while not self._stopped.is_set():
+            if self._is_relayed:
+                self._is_wanted.wait()
+                continue
             failure = self._list() if self._revision is None else self._watch()
             self._is_interrupted = (
                 failure is not None and failure.code is FailureCode.INTERRUPTED
@@ -144,10 +207,23 @@
         if isinstance(listing, Failure):
             return listing
         self._update_reachability(None)
-        self._on_list(listing.documents)
-        self._revision = listing.revision
+        with self._lock:
+            self._apply_list(listing.documents, listing.revision)
         return None
 
+    def _apply_list(self, documents, revision):
+        self._on_list(documents)
+        if self._history is not None:
+            self._history.note_list({d.name: d for d in documents}, revision)
+        self._revision = revision
+
+    def _apply_changes(self, changes, revision):
+        for change in changes:
+            self._on_change(change)
+        self._revision = max(revision, self._revision)
+        if self._history is not None:
+            self._history.note_changes(map(tuple, changes), self._revision)
+
     def _watch(self):
         is_sound = self._is_reachable and not self._is_interrupted
         seconds = PROBE_TIMEOUT_SECONDS
@@ -166,9 +242,8 @@
         self._is_quiet = is_sound and not result.changes
         self._expired_count = 0
         self._update_reachability(None)
-        for change in result.changes:
-            self._on_change(change)
-        self._revision = max(result.revision, self._revision)
+        with self._lock:
+            self._apply_changes(result.changes, result.revision)
         if result.changes:
             self._stopped.wait(COALESCE_SECONDS)
         return None
--- a/packages/gateway/sequoiaglade_gateway/store_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/store_calls.py
@@ -58,6 +58,10 @@
         self._metrics.count_store_call("probe", "", "sent")
         self._store.probe()
 
+    def end_watches(self, kind):
+        """End the watches of a kind that wait; see `DocumentStore`."""
+        self._store.end_watches(kind)
+
     def renew_connections(self):
         """Use new connections from now on; return the kinds of the ended watches."""
         return self._store.renew_connections()
--- a/packages/gateway/sequoiaglade_gateway/token_keepers.py
+++ b/packages/gateway/sequoiaglade_gateway/token_keepers.py
@@ -1,6 +1,10 @@
 """The nodes that keep workspaces' waiting tokens, by the coordinator's view."""
 
-from sequoiaglade_decisions.gateway import eligible_nodes, token_keepers
+from sequoiaglade_decisions.gateway import (
+    PROTOCOL_REVISION,
+    eligible_nodes,
+    token_keepers,
+)
 
 from .messages import TokenKeepers
 
@@ -22,7 +26,7 @@
         if not self._nodes.is_large:
             return None
         states = [*self._nodes.live(now), self._get_own_state()]
-        if not all(state.keeps_tokens for state in states):
+        if not all(state.protocol_revision >= PROTOCOL_REVISION for state in states):
             return None
         state_by_id = {s.node_id: s for s in states if not s.is_leaving}
         eligible = eligible_nodes({i: s.cores for i, s in state_by_id.items()})
--- a/packages/platform/sequoiaglade_platform/documents.py
+++ b/packages/platform/sequoiaglade_platform/documents.py
@@ -62,5 +62,8 @@
     def probe(self):
         """Make a cheap call on a connection that is kept for probes."""
 
+    def end_watches(self, kind):
+        """End the watches of a kind that wait, as `renew_connections` does."""
+
     def renew_connections(self):
         """Use new connections from now on; return the kinds of the ended watches."""
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -89,7 +89,7 @@
     def use_older_release(self):
         """Publish states without the fields of later releases."""
         actor = self._actor
-        actor._state = actor._state._replace(keeps_tokens=False)
+        actor._state = actor._state._replace(protocol_revision=0)
 
 
 class SimulatedGateway:
@@ -137,6 +137,7 @@
             None,
             None,
             forwarder=None,
+            updates=None,
         )
         self._parts = parts
         self._is_adoption_due = True
@@ -186,6 +187,7 @@
             None,
             None,
             forwarder=None,
+            updates=None,
         )
 
     def leave(self):
--- /dev/null
+++ b/tests/features/steps/store_relay_steps.py
@@ -0,0 +1,138 @@
+"""Steps for gateways of a large fleet that few of them tell of changes in the store."""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from emulator import RunnerPlan
+from emulator.fleet import wait_until
+from gateway_calls import start
+
+FOLLOWERS = 3
+SETTLE_SECONDS = 30.0
+KINDS = ("config", "servers")
+# Answers of suspended processes are not waited for.
+LOOK_SECONDS = 0.05
+
+
+@given("15 gateways and 1 runner, with an entrance of the store for each gateway")
+def given_fleet(context):
+    start(context, 15, [RunnerPlan()], has_entrances=True)
+    context.lost = set()
+
+
+def _statuses(context):
+    """Return the status of each gateway that runs and reaches the store, by number."""
+    fleet = context.gateways
+    numbers = [n for n in range(len(fleet.nodes)) if n not in context.lost]
+    with ThreadPoolExecutor(len(numbers)) as pool:
+        return dict(zip(numbers, pool.map(fleet.status, numbers)))
+
+
+def _followers(context):
+    rows = _statuses(context).items()
+    return [number for number, status in rows if not status["is_store_relayed"]]
+
+
+@when("three gateways follow the store and all others rely on them")
+@then("three gateways follow the store and all others rely on them")
+def wait_until_relayed(context):
+    wait_until(
+        lambda: len(_followers(context)) == FOLLOWERS,
+        SETTLE_SECONDS,
+        "three gateways follow the store",
+    )
+
+
+@when("nothing changes for {seconds:d} seconds")
+def wait(context, seconds):
+    store = context.gateways.store
+    before = sum(map(store.price, KINDS))
+    time.sleep(seconds)
+    context.paid = sum(map(store.price, KINDS)) - before
+
+
+@then("the calls for configuration and endpoints cost at most {price:g} full prices")
+def check_price(context, price):
+    assert context.paid <= price, context.paid
+
+
+@when("the configuration changes")
+def change_configuration(context):
+    fleet = context.gateways
+    fleet.configure()
+    version = fleet.configuration_version
+    _expect(context, lambda status: status["configuration"]["version"] == version)
+
+
+@when("the runner is removed from the store")
+def remove_runner(context):
+    store = context.gateways.store
+    (name,) = store.names("servers")
+    store.remove("servers", name)
+    _expect(context, lambda status: not status["endpoints"])
+
+
+def _expect(context, is_known):
+    context.is_known = is_known
+    context.changed_at = time.monotonic()
+
+
+@then("all gateways know it within {seconds:g} seconds")
+@then("all gateways that run and reach the store know it within {seconds:g} seconds")
+def check_known(context, seconds):
+    left = seconds - (time.monotonic() - context.changed_at)
+    wait_until(
+        lambda: all(map(context.is_known, _statuses(context).values())),
+        left,
+        "all gateways know the change",
+    )
+
+
+@when(
+    "{count:d} of them are {change}, and the configuration changes {delay:g} seconds "
+    "later"
+)
+def change_followers(context, count, change, delay):
+    fleet = context.gateways
+    numbers = _followers(context)[:count]
+    context.lost.update(numbers)
+    with ThreadPoolExecutor(count) as pool:
+        list(pool.map(lambda number: _change(context, number, change), numbers))
+    time.sleep(delay)
+    change_configuration(context)
+    if change == "suspended":
+        for number in numbers:
+            context.stack.callback(fleet.nodes[number].send, signal.SIGCONT)
+
+
+def _change(context, number, change):
+    fleet = context.gateways
+    match change:
+        case "killed":
+            fleet.nodes[number].kill()
+        case "suspended":
+            fleet.nodes[number].send(signal.SIGSTOP)
+        case "stopped regularly":
+            fleet.nodes[number].terminate()
+        case "cut off from the store":
+            fleet.entrances[number].set_silent(True)
+        case "refused by the store":
+            fleet.entrances[number].set_refusal(503)
+
+
+@when("the store refuses all calls")
+def refuse(context):
+    context.gateways.store.set_down(True)
+    _expect(context, lambda status: not status["is_store_reachable"])
+
+
+@then("all gateways know that the store is not reached within {seconds:g} seconds")
+def check_outage(context, seconds):
+    check_known(context, seconds)
+
+
+@when("the outage of the store ends")
+def answer_again(context):
+    context.gateways.store.set_down(False)
