A node that starts relies on the followers of the store from their first answer

Nodes began to rely on others 4.5 to 6 s after their start, 3 s of which they waited for sound answers; that wait is meant for nodes that have lost them before.

--- a/packages/decisions/sequoiaglade_decisions/gateway/store_followers.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/store_followers.py
@@ -14,7 +14,9 @@
 POLL_SECONDS = 0.5
 # A node follows the store itself once no follower that does has answered for this long.
 FALLBACK_SECONDS = 1.5
-# It ends that once followers have answered all the while.
+# It ends that once followers have answered all the while. A node that has just started
+# relies on the first answer: each of many endpoints that register at a fleet's start
+# would take a call of each node.
 RETURN_SECONDS = 3.0
 # Answers in a row after which the followers have most likely lost the store.
 UNSOUND_MAX = 2
@@ -47,12 +49,15 @@
     not, and a round in which no follower answers, end the reliance at once.
 
     >>> contact = FollowerContact()
-    >>> for at in (10.0, 11.5, 13.0):
-    ...     contact.note_answer(contact.choose(["a", "b"], at), True, at)
-    >>> contact.is_sufficient(13.0), contact.is_sufficient(14.6)
+    >>> contact.note_answer(contact.choose(["a", "b"], 10.0), True, 10.0)
+    >>> contact.is_sufficient(10.0), contact.is_sufficient(11.6)
     (True, False)
-    >>> contact.choose(["a", "b"], 14.6)
-    'b'
+    >>> for at in (12.0, 13.5, 15.0):
+    ...     contact.note_answer(contact.choose(["a", "b"], at), True, at)
+    ...     print(contact.is_sufficient(at))
+    False
+    False
+    True
     """
 
     def __init__(self):
@@ -62,6 +67,7 @@
         self._sound_at = None
         self._unsound_count = 0
         self._is_relied_on = False
+        self._was_relied_on = False
 
     @property
     def has_outage(self):
@@ -107,6 +113,6 @@
         if not is_recent:
             self._is_relied_on = False
             self._sound_at = None
-        elif now - self._sound_since >= RETURN_SECONDS:
-            self._is_relied_on = True
+        elif not self._was_relied_on or now - self._sound_since >= RETURN_SECONDS:
+            self._is_relied_on = self._was_relied_on = True
         return self._is_relied_on
--- a/tests/features/gateway/store_relay.feature
+++ b/tests/features/gateway/store_relay.feature
@@ -12,6 +12,13 @@
     When the runner is removed from the store
     Then all gateways know it within 2 seconds
 
+  # Each of the endpoints that register as a fleet starts took a call of each gateway.
+  Scenario: A gateway that starts relies on others soon
+    Given 15 gateways and 1 runner, with an entrance of the store for each gateway
+    When three gateways follow the store and all others rely on them
+    And a gateway that relies on others is killed and started again
+    Then it relies on others within 2.5 seconds of being ready
+
   Scenario Outline: Changes are known in time when <followers> followers are <change>
     Given 15 gateways and 1 runner, with an entrance of the store for each gateway
     When three gateways follow the store and all others rely on them
--- a/tests/features/steps/store_relay_steps.py
+++ b/tests/features/steps/store_relay_steps.py
@@ -136,3 +136,24 @@
 @when("the outage of the store ends")
 def answer_again(context):
     context.gateways.store.set_down(False)
+
+
+@when("a gateway that relies on others is killed and started again")
+def restart(context):
+    fleet = context.gateways
+    followers = _followers(context)
+    number = next(n for n in range(len(fleet.nodes)) if n not in followers)
+    fleet.nodes[number].kill()
+    fleet.nodes[number].start()
+    fleet.wait_ready(number)
+    context.restarted = number
+
+
+@then("it relies on others within {seconds:g} seconds of being ready")
+def check_restarted(context, seconds):
+    fleet = context.gateways
+    wait_until(
+        lambda: fleet.status(context.restarted)["is_store_relayed"],
+        seconds,
+        "the gateway relies on others",
+    )
