A follower that no longer is one is no outage of the store

By reading: a node that others have replaced as follower answered as one that the store does not answer. Two such answers in a row, as while the nodes' views of the fleet differ after a start, would have let a node take the store for lost and refuse jobs. The answer now tells the two apart; a node that is no follower counts as not asked.

--- a/packages/decisions/sequoiaglade_decisions/gateway/store_followers.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/store_followers.py
@@ -87,7 +87,7 @@
         return candidates[(self._number - 1) % len(candidates)]
 
     def note_answer(self, address, is_sound, now):
-        """Record an answer, or with None that there was none."""
+        """Record an answer; with None there was none, or not of a follower."""
         if is_sound is None:
             self._unanswered_at[address] = now
             return
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -123,8 +123,7 @@
     def poll_store(self, address, revision_by_kind):
         """Ask a follower of the store for changes since the revisions known.
 
-        Return whether it follows the store now, and a dict of `KindUpdate` by kind;
-        None without an answer.
+        Return the result of `StoreUpdates.after` there, None without an answer.
         """
         request = encode_poll(revision_by_kind)
         reply = self._call(address, "PollStore", request, POLL_TIMEOUT_SECONDS, True)
--- a/packages/gateway/sequoiaglade_gateway/peers/store_codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/store_codec.py
@@ -23,9 +23,10 @@
 
 
 def encode_updates(is_following, update_by_kind):
-    """Return the message for `KindUpdate` by kind."""
+    """Return the message for the result of `StoreUpdates.after`."""
     return fleet_pb2.StoreUpdate(
-        is_following=is_following,
+        is_following=bool(is_following),
+        has_outage=is_following is False,
         kinds=[
             fleet_pb2.KindChanges(
                 kind=kind,
@@ -39,15 +40,20 @@
 
 
 def decode_updates(message):
-    """Return whether the called node follows the store, and `KindUpdate` by kind.
+    """Return the result of `StoreUpdates.after` at the called node.
 
     >>> changes = [("a", Document("a", 7, {"Port": 1})), ("b", None)]
     >>> update_by_kind = {"endpoints": KindUpdate(9, False, changes)}
     >>> message = encode_updates(True, update_by_kind)
     >>> decode_updates(message) == (True, update_by_kind)
     True
+    >>> [decode_updates(encode_updates(answer, {}))[0] for answer in (False, None)]
+    [False, None]
     """
-    return message.is_following, {
+    is_following = True if message.is_following else None
+    if message.has_outage:
+        is_following = False
+    return is_following, {
         row.kind: KindUpdate(
             row.revision, row.is_list, [_decode_change(c) for c in row.changes]
         )
--- a/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
@@ -51,17 +51,15 @@
         self._rely_on_followers(is_sufficient and is_listed, reason)
 
     def _ask(self, address):
-        """Ask a follower and apply its answer; return whether there was one."""
+        """Ask a node and apply its answer; return whether it follows the store."""
         answer = self._poll(address, {w.kind: w.revision for w in self._watchers})
-        is_following = None
-        if answer is not None:
-            is_following, update_by_kind = answer
-            for watcher in self._watchers if is_following else ():
-                watcher.apply_update(update_by_kind[watcher.kind])
+        is_following, update_by_kind = answer or (None, {})
+        for watcher in self._watchers if is_following else ():
+            watcher.apply_update(update_by_kind[watcher.kind])
         self._contact.note_answer(address, is_following, self._clock())
-        outcome = {None: "unanswered", False: "not following", True: "answered"}
+        outcome = {None: "unanswered", False: "outage", True: "answered"}
         self._metrics.count("store relayed", outcome[is_following])
-        return answer is not None
+        return is_following is not None
 
     def _rely_on_followers(self, is_relied_on, reason):
         if is_relied_on == self.is_relied_on:
--- a/packages/gateway/sequoiaglade_gateway/store_cache/updates.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/updates.py
@@ -14,13 +14,19 @@
     def after(self, revision_by_kind):
         """Return whether this node follows the store, and `KindUpdate` by kind.
 
-        `revision_by_kind` has what the peer knows. A node that is told of changes by
-        others does not follow the store: two of these would confirm each other.
+        The first is False if the store does not answer it, and None if it has not
+        listed all kinds yet or is told of changes by others: two of these would confirm
+        each other. `revision_by_kind` has what the peer knows.
         """
         update_by_kind = {}
+        is_following = True
         for kind, revision in revision_by_kind.items():
             watcher = self._watcher_by_kind.get(kind)
-            update = watcher and watcher.update_after(revision)
-            if update is not None:
+            if watcher is None or watcher.is_relayed or watcher.revision is None:
+                return None, {}
+            update = watcher.update_after(revision)
+            if update is None:
+                is_following = False
+            else:
                 update_by_kind[kind] = update
-        return len(update_by_kind) == len(revision_by_kind), update_by_kind
+        return is_following, update_by_kind
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -113,7 +113,7 @@
 
     def update_after(self, revision):
         """Return the `KindUpdate` for a peer; None unless the store answers."""
-        if self._is_relayed or not self._is_reachable or self._is_store_silent():
+        if not self._is_reachable or self._is_store_silent():
             return None
         with self._lock:
             return self._history.update_after(revision)
