--- a/tests/features/steps/cut_off_gateway_steps.py
+++ b/tests/features/steps/cut_off_gateway_steps.py
@@ -146,7 +146,7 @@
     for future in context.pending:
         answer = future.result()
         assert answer is not None and answer.is_complete, answer
-        assert answer.events == list(range(1, SLOW.event_count + 1)), answer.events
+        assert answer.events == list(range(1, SLOW.event_count + 1)), answer
 
 
 @then("no request ran twice, and none that ran was refused")
