A gateway that the store refuses alone keeps watching; rounds of questions to followers

Such a gateway now goes on with its own watches, and asks followers too.

Two answers in a row that told of an outage let a node take the store for lost, also where the third follower reached it, as when the store turns a third of the machines away. Now each round asks until one answer is sound, and only a round without one counts.

--- a/packages/decisions/sequoiaglade_decisions/gateway/store_followers.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/store_followers.py
@@ -18,10 +18,8 @@
 # relies on the first answer: each of many endpoints that register at a fleet's start
 # would take a call of each node.
 RETURN_SECONDS = 3.0
-# Answers in a row after which the followers have most likely lost the store.
-UNSOUND_MAX = 2
-# A follower that did not answer is left out for this time while others do.
-UNANSWERED_SECONDS = 2.0
+# A follower without a sound answer is left out for this time while others have some.
+LEFT_OUT_SECONDS = 2.0
 
 
 def store_followers(domain, states):
@@ -45,8 +43,8 @@
 class FollowerContact:
     """Whether followers' answers replace this node's own watches.
 
-    An answer is sound if the follower's own watches are. Two answers in a row that are
-    not, and a round in which no follower answers, end the reliance at once.
+    An answer is sound if the follower's own watches are. In each round followers are
+    asked until one answer is sound; a round without one ends the reliance at once.
 
     >>> contact = FollowerContact()
     >>> contact.note_answer(contact.choose(["a", "b"], 10.0), True, 10.0)
@@ -62,57 +60,44 @@
 
     def __init__(self):
         self._number = 0
-        self._unanswered_at = {}
+        self._left_out_at = {}
         self._sound_since = None
         self._sound_at = None
-        self._unsound_count = 0
         self._is_relied_on = False
         self._was_relied_on = False
 
-    @property
-    def has_outage(self):
-        """Whether followers answer that the store does not answer them."""
-        return self._unsound_count >= UNSOUND_MAX
-
     def choose(self, addresses, now):
         """Return the address to ask next."""
-        self._unanswered_at = {
+        self._left_out_at = {
             address: at
-            for address, at in self._unanswered_at.items()
-            if now - at < UNANSWERED_SECONDS
+            for address, at in self._left_out_at.items()
+            if now - at < LEFT_OUT_SECONDS
         }
-        candidates = [a for a in addresses if a not in self._unanswered_at]
+        candidates = [a for a in addresses if a not in self._left_out_at]
         candidates = candidates or list(addresses)
         self._number += 1
         return candidates[(self._number - 1) % len(candidates)]
 
     def note_answer(self, address, is_sound, now):
-        """Record an answer; with None there was none, or not of a follower."""
-        if is_sound is None:
-            self._unanswered_at[address] = now
-            return
+        """Record whether a follower's answer is sound; one that is lost is not."""
         if not is_sound:
-            self._unsound_count += 1
+            self._left_out_at[address] = now
             return
-        self._unsound_count = 0
         if self._sound_at is None or now - self._sound_at > FALLBACK_SECONDS:
             self._sound_since = now
         self._sound_at = now
 
     def note_lost(self):
-        """Record that no follower answered."""
+        """Record that a round had no sound answer."""
         self._sound_at = None
 
     def is_sufficient(self, now):
         """Return whether this node needs no watches of its own."""
         is_recent = (
-            self._sound_at is not None
-            and now - self._sound_at <= FALLBACK_SECONDS
-            and not self.has_outage
+            self._sound_at is not None and now - self._sound_at <= FALLBACK_SECONDS
         )
         if not is_recent:
             self._is_relied_on = False
-            self._sound_at = None
         elif not self._was_relied_on or now - self._sound_since >= RETURN_SECONDS:
             self._is_relied_on = self._was_relied_on = True
         return self._is_relied_on
--- a/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
@@ -34,34 +34,42 @@
             self.run_round()
 
     def run_round(self):
-        """Ask the next follower, and decide whether this node watches by itself."""
+        """Ask the next follower, and decide whether this node watches by itself.
+
+        A node that the store does not answer does both.
+        """
         followers = self._coordinator.ask(FindStoreFollowers())
         if followers is None:
             self._contact = FollowerContact()
             self._rely_on_followers(False, "this node follows the store")
             return
+        has_outage = False
         for _ in followers:
-            if self._ask(self._contact.choose(followers, self._clock())):
+            is_following = self._ask(self._contact.choose(followers, self._clock()))
+            if is_following:
                 break
+            has_outage = has_outage or is_following is False
         else:
             self._contact.note_lost()
         is_sufficient = self._contact.is_sufficient(self._clock())
-        is_listed = all(watcher.revision is not None for watcher in self._watchers)
+        # Only its own calls tell a node that the store answers it again.
+        is_reached = all(watcher.is_reachable for watcher in self._watchers)
         reason = "followers answer" if is_sufficient else "no follower is in contact"
-        self._rely_on_followers(is_sufficient and is_listed, reason)
+        has_outage = has_outage and not is_sufficient
+        self._rely_on_followers(is_sufficient and is_reached, reason, has_outage)
 
     def _ask(self, address):
-        """Ask a node and apply its answer; return whether it follows the store."""
+        """Ask a node and apply its answer; return the first of `StoreUpdates.after`."""
         answer = self._poll(address, {w.kind: w.revision for w in self._watchers})
         is_following, update_by_kind = answer or (None, {})
         for watcher in self._watchers if is_following else ():
             watcher.apply_update(update_by_kind[watcher.kind])
-        self._contact.note_answer(address, is_following, self._clock())
+        self._contact.note_answer(address, bool(is_following), self._clock())
         outcome = {None: "unanswered", False: "outage", True: "answered"}
         self._metrics.count("store relayed", outcome[is_following])
-        return is_following is not None
+        return is_following
 
-    def _rely_on_followers(self, is_relied_on, reason):
+    def _rely_on_followers(self, is_relied_on, reason, has_outage=False):
         if is_relied_on == self.is_relied_on:
             return
         self.is_relied_on = is_relied_on
@@ -72,4 +80,4 @@
             if is_relied_on:
                 watcher.rely_on_peers()
             else:
-                watcher.follow_store(self._contact.has_outage)
+                watcher.follow_store(has_outage)
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -89,6 +89,11 @@
         """Up to which revision changes are known, None before the first list."""
         return self._revision
 
+    @property
+    def is_reachable(self):
+        """Whether documents were listed and the last call to the store was answered."""
+        return self._revision is not None and self._is_reachable
+
     @property
     def is_relayed(self):
         """Whether peers tell of changes in place of the store."""
--- a/tests/features/gateway/store_relay.feature
+++ b/tests/features/gateway/store_relay.feature
@@ -19,6 +19,13 @@
     And a gateway that relies on others is killed and started again
     Then it relies on others within 2.5 seconds of being ready
 
+  # It relied on others from then on, and never noticed that the store answered it again.
+  Scenario: A gateway that the store refuses alone notices when it is served again
+    Given 15 gateways and 1 runner, with an entrance of the store for each gateway
+    When three gateways follow the store and all others rely on them
+    And one that relies on others starts again while the store refuses it for 6 seconds
+    Then it knows that it reaches the store within 5 seconds
+
   Scenario Outline: Changes are known in time when <followers> followers are <change>
     Given 15 gateways and 1 runner, with an entrance of the store for each gateway
     When three gateways follow the store and all others rely on them
@@ -32,6 +39,7 @@
       | 1         | suspended                | 0.1   | 2       |
       | 3         | suspended                | 0.1   | 2.5     |
       | 2         | cut off from the store   | 0.1   | 2       |
+      | 2         | refused by the store     | 2.0   | 2       |
       | 3         | refused by the store     | 0.1   | 4       |
       | 1         | stopped regularly        | 0.1   | 2       |
 
--- a/tests/features/steps/store_relay_steps.py
+++ b/tests/features/steps/store_relay_steps.py
@@ -157,3 +157,31 @@
         seconds,
         "the gateway relies on others",
     )
+
+
+@when(
+    "one that relies on others starts again while the store refuses it for {seconds:d} "
+    "seconds"
+)
+def restart_refused(context, seconds):
+    fleet = context.gateways
+    followers = _followers(context)
+    number = next(n for n in range(len(fleet.nodes)) if n not in followers)
+    fleet.entrances[number].set_refusal(503)
+    fleet.nodes[number].kill()
+    fleet.nodes[number].start()
+    fleet.wait_ready(number)
+    time.sleep(seconds)
+    assert not fleet.status(number)["is_store_reachable"]
+    fleet.entrances[number].set_refusal(None)
+    context.restarted = number
+
+
+@then("it knows that it reaches the store within {seconds:g} seconds")
+def check_reachable(context, seconds):
+    fleet = context.gateways
+    wait_until(
+        lambda: fleet.status(context.restarted)["is_store_reachable"],
+        seconds,
+        "the gateway reaches the store",
+    )
