--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -48,7 +48,7 @@
     def start(self):
         self._server_stack = self._stack.enter_context(contextlib.ExitStack())
         parts = [None] * 5
-        servicer = FleetServicer(_Gossip(), *parts, self.streams, None)
+        servicer = FleetServicer(_Gossip(), *parts, self.streams, None, None)
         start_peer_server(self._server_stack, self._address, servicer)
 
     def stop(self):
