An answer to a watch that is older than what a peer told changes nothing

Found by re-reading: for the 3 s before a gateway relies on followers, and while the store does not answer it, it both watches the store and asks followers. An answer to its watch that a follower had overtaken was applied after it: an endpoint that had been removed was in use again until its next change. In the kinds that followers tell of, answers and lists older than the known revision are now left out; whatever they contain is known.

--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -213,9 +213,18 @@
             return listing
         self._update_reachability(None)
         with self._lock:
-            self._apply_list(listing.documents, listing.revision)
+            if not self._is_known(listing.revision):
+                self._apply_list(listing.documents, listing.revision)
         return None
 
+    def _is_known(self, revision):
+        """Return whether a peer has told of a later revision meanwhile.
+
+        Only in kinds with a history, whose answers are never outdated by themselves.
+        """
+        known = self._revision
+        return self._history is not None and known is not None and revision < known
+
     def _apply_list(self, documents, revision):
         self._on_list(documents)
         if self._history is not None:
@@ -248,7 +257,8 @@
         self._expired_count = 0
         self._update_reachability(None)
         with self._lock:
-            self._apply_changes(result.changes, result.revision)
+            if not self._is_known(result.revision):
+                self._apply_changes(result.changes, result.revision)
         if result.changes:
             self._stopped.wait(COALESCE_SECONDS)
         return None
--- a/tests/features/gateway/store_relay.feature
+++ b/tests/features/gateway/store_relay.feature
@@ -19,6 +19,11 @@
     And a gateway that relies on others is killed and started again
     Then it relies on others within 2.5 seconds of being ready
 
+  # A node that asks followers while it watches the store had a removed endpoint again.
+  Scenario: An answer to a watch that is older than what a peer told changes nothing
+    Given a watcher that a peer tells of a removal before an older answer is applied
+    Then the watcher has told of the removal last
+
   # It relied on others from then on, and never noticed that the store answered it again.
   Scenario: A gateway that the store refuses alone notices when it is served again
     Given 15 gateways and 1 runner, with an entrance of the store for each gateway
--- a/tests/features/steps/store_relay_steps.py
+++ b/tests/features/steps/store_relay_steps.py
@@ -8,6 +8,10 @@
 from emulator import RunnerPlan
 from emulator.fleet import wait_until
 from gateway_calls import start
+from sequoiaglade_gateway.store_cache import KindWatcher
+
+from sequoiaglade_decisions.gateway import KindUpdate
+from sequoiaglade_platform import Changes, Document, DocumentChange, Listing
 
 FOLLOWERS = 3
 SETTLE_SECONDS = 30.0
@@ -185,3 +189,38 @@
         seconds,
         "the gateway reaches the store",
     )
+
+
+class _LateStore:
+    """Answers the first watch with a change of before what a peer tells meanwhile."""
+
+    def __init__(self):
+        self.watcher = None
+        self.watch_count = 0
+
+    def list(self, kind, may_be_outdated=False):
+        return Listing([Document("a", 1, {})], 1)
+
+    def watch(self, kind, revision, seconds, may_be_outdated=False):
+        self.watch_count += 1
+        if self.watch_count > 1:
+            time.sleep(LOOK_SECONDS)
+            return Changes([], revision)
+        self.watcher.apply_update(KindUpdate(9, False, [("a", None)]))
+        return Changes([DocumentChange("a", Document("a", 5, {}))], 5)
+
+
+@given("a watcher that a peer tells of a removal before an older answer is applied")
+def given_late_answer(context):
+    store = _LateStore()
+    context.told = []
+    store.watcher = KindWatcher(
+        store, "servers", lambda rows: None, context.told.append, keeps_history=True
+    )
+    context.stack.enter_context(store.watcher)
+    wait_until(lambda: store.watch_count > 1, SETTLE_SECONDS, "a second watch begins")
+
+
+@then("the watcher has told of the removal last")
+def check_removal_last(context):
+    assert context.told[-1] == DocumentChange("a", None), context.told
