A tenth of a fleet, exactly, accepts no job with a limit

Found by re-reading: 1.0 - 0.9 is a little less than 0.1, so that with 3 of 30 nodes cut off these still accepted jobs, while the other 27 did not look for them. The doctest failed before.

--- a/packages/decisions/sequoiaglade_decisions/gateway/gossip_targets.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/gossip_targets.py
@@ -1,8 +1,8 @@
 """Choice of the peers that a node of a large fleet exchanges states with in a round.
 
 Load pattern: a round a second at each of 14 to 400 nodes, in up to seven failure
-domains.
-Each exchange relays the states of most nodes, and bytes between domains are dear.
+domains. Each exchange relays the states of most nodes, and bytes between domains are
+dear.
 """
 
 # Part of the rounds in which a node exchanges states with a peer of another domain.
--- a/packages/decisions/sequoiaglade_decisions/gateway/token_keepers.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/token_keepers.py
@@ -17,8 +17,8 @@
 # the stored jobs are read before each decision.
 COMPLETE_SHARE = 0.9
 # The others do not look for the jobs of a part of the fleet of at most this fraction,
-# which therefore accepts none.
-MINORITY_SHARE = 1.0 - COMPLETE_SHARE
+# the rest to 1.0, which therefore accepts none.
+MINORITY_SHARE = 0.1
 
 
 class KeeperAsk(NamedTuple):
@@ -78,8 +78,8 @@
     >>> last = ask._replace(is_last_resort=True)
     >>> may_decide("b", ("a", "b"), last, is_settled=False, share=1.0)
     True
-    >>> may_decide("b", ("b",), last, is_settled=True, share=0.05)
-    False
+    >>> [may_decide("b", ("b",), last, True, share) for share in (3 / 30, 4 / 30)]
+    [False, True]
     """
     if own_address not in keepers or share <= MINORITY_SHARE:
         return False
