Review, case 4: streams end with their gateway as a release begins

Cause: peers are told of a stream's version only if the service has several versions when the stream begins. Once a second version is listed, they refuse streams of a killed gateway that they were not told of.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -106,8 +106,21 @@
     `note(event, runner, headers)` is told of each run's begin and whole end.
     """
 
-    def __init__(self, store, name, events_of, note, slots=8, event_seconds=0.005):
+    def __init__(
+        self,
+        store,
+        name,
+        events_of,
+        note,
+        slots=8,
+        event_seconds=0.005,
+        version="v1",
+        service=SERVICE,
+    ):
         self._store = store
+        self.version = version
+        self.service = service
+        self._born = int(time.time() * 1000)
         self.name = name
         self._events_of = events_of
         self._note = note
@@ -122,23 +135,27 @@
 
     def __enter__(self):
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.register("ready")
+        return self
+
+    def __exit__(self, *exc_info):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def register(self, state):
+        """Write the runner's entry to the store."""
         entry = {
-            "Service": SERVICE,
+            "Service": self.service,
             "Address": self.address,
             "Zone": "zone-a",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self._slot_count,
-            "State": "ready",
+            "State": state,
             "ColdLeftMs": 0,
             "Seq": 1,
-            "born": int(time.time() * 1000),
+            "born": self._born,
         }
         self._store.put("servers", self.name, entry)
-        return self
-
-    def __exit__(self, *exc_info):
-        self._server.shutdown()
-        self._server.server_close()
 
     def answer(self, handler, body):
         """Answer one request, or refuse it."""
@@ -247,12 +264,22 @@
 class Deployment:
     """Store, gateways and runners; a context manager that ends all of them."""
 
-    def __init__(self, gateway_count, record, routes, rate=0, burst=0, memory_mb=150):
+    def __init__(
+        self,
+        gateway_count,
+        record,
+        routes,
+        rate=0,
+        burst=0,
+        memory_mb=150,
+        services=(SERVICE,),
+    ):
         self.record = record
         self._gateway_count = gateway_count
         self._routes = routes
         self._rate, self._burst = rate, burst
         self._memory_mb = memory_mb
+        self._services = services
         self._stack = contextlib.ExitStack()
         self.gateways = []
 
@@ -311,7 +338,9 @@
         return {
             "Version": 7,
             "Routes": self._routes,
-            "Services": [{"Name": SERVICE, "MaxConnections": 370}],
+            "Services": [
+                {"Name": name, "MaxConnections": 370} for name in self._services
+            ],
             "Tenants": [
                 {
                     "Name": TENANT,
