--- a/review/deployment.py
+++ b/review/deployment.py
@@ -499,6 +499,8 @@
 
     `play(record)` returns the sentences that tell how the rule was broken.
     """
+    # Ends the processes of the case also if it is stopped.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record = Record(folder)
     record(f"TROUBLE={int(HAS_TROUBLE)}")
     try:
