--- a/packages/cli/sequoiaglade_cli/client.py
+++ b/packages/cli/sequoiaglade_cli/client.py
@@ -56,7 +56,7 @@
             return response
         if response.status >= 400:
             return _problem(response)
-        return response.data.decode().splitlines()
+        return _split_lines(response.data)
 
     def _request(self, method, path, value, headers, fields):
         all_headers = self._headers | dict(headers)
@@ -72,6 +72,15 @@
             return Problem(EXIT_UNREACHABLE, f"{self._url} can't be reached: {error}")
 
 
+def _split_lines(data):
+    r"""Return the lines of UTF-8 bytes as texts, which may hold line separators.
+
+    >>> _split_lines("a\u2028b\nc\n".encode())
+    ['a\u2028b', 'c']
+    """
+    return [line.decode() for line in data.splitlines()]
+
+
 def _problem(response):
     try:
         reason = json.loads(response.data)["error"]["message"]
--- a/packages/cli/sequoiaglade_cli/commands.py
+++ b/packages/cli/sequoiaglade_cli/commands.py
@@ -1,5 +1,6 @@
 """Implementation of the subcommands. Each returns a `Reply` or a `Problem`."""
 
+import io
 import secrets
 from urllib.parse import quote
 
@@ -198,7 +199,7 @@
     text = _read_text(options.trace)
     if isinstance(text, Problem):
         return text
-    outcome = replay(text.splitlines())
+    outcome = replay(io.StringIO(text))
     match outcome:
         case TraceFault(line=line, reason=reason):
             return Problem(EXIT_USAGE, f"{options.trace}:{line}: {reason}")
--- a/packages/cli/sequoiaglade_cli/logs.py
+++ b/packages/cli/sequoiaglade_cli/logs.py
@@ -73,9 +73,9 @@
 
 def _read(path):
     if path == "-":
-        return sys.stdin.read().splitlines()
+        return [line.rstrip("\n") for line in sys.stdin]
     try:
         with open(path, encoding="utf-8", errors="replace") as file:
-            return file.read().splitlines()
+            return [line.rstrip("\n") for line in file]
     except OSError as error:
         return Problem(EXIT_USAGE, f"{path}: {error.strerror}")
