Bound stored documents and results in bytes as sent

Cause: a page of results was full from 200,000 characters on, while the store bounds an object in bytes, as sent. The adapter sent 6 bytes for a Thai character, so that from about 174,000 of them on each write of the page got 413, and no new page was begun.

Change: JSON is sent in UTF-8, and sizes are those of what is sent. A page to which the next result would not fit is closed, which its document says. The other objects that gateways write have bounds in bytes: items' headers (413 at once; before, 504 after 3 s) and records of versions (64). Responses with results are bounded in bytes as well.

Evidence: tests/features/gateway/value_sizes.feature, 7 of 12 scenarios failed without the change, and that of versions without its part; 12 of 12 pass.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -15,12 +15,13 @@
 from .health import EndpointHealth
 from .job_ends import EndsKnowledge, SendDecision, may_know_ends
 from .jobs import Batch, Item, ItemOutcome, JobSpec, Result, job_key, run_order
+from .json_sizes import encode_json, json_size
 from .kind_history import KindHistory, KindUpdate
 from .leaving import LeavingEndpoints
 from .nodes import PROTOCOL_REVISION, JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
 from .page_validity import PageValidity
-from .pages import ResultPages
+from .pages import ResultPage, ResultPages, bounded_results, page_bytes_max
 from .part_evidence import Blame, PartCrash, SoundPart
 from .peer_acks import PeerAcks
 from .permits import (
@@ -159,6 +160,7 @@
     "ResponsePart",
     "ResponseProgress",
     "Result",
+    "ResultPage",
     "ResultPages",
     "Route",
     "RouteKind",
@@ -180,8 +182,10 @@
     "Workspace",
     "batch_allowance",
     "batch_targets",
+    "bounded_results",
     "choose_targets",
     "eligible_nodes",
+    "encode_json",
     "forwarding_nodes",
     "group_count",
     "group_of",
@@ -189,12 +193,14 @@
     "guard_step",
     "job_holder",
     "job_key",
+    "json_size",
     "may_decide",
     "may_know_ends",
     "move_headroom",
     "missing_part",
     "next_step",
     "only_version",
+    "page_bytes_max",
     "permit_granters",
     "run_order",
     "schedulers",
--- a/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from .json_sizes import json_size
+
 # Items are given up after their route has been missing for this long.
 MISSING_ROUTE_GRACE_SECONDS = 3.0
 # A route counts as missing only in a configuration that was the newest one at most this
@@ -12,8 +14,6 @@
 RETRY_DELAY_SECONDS = 0.3
 # An event has at least one token, except for a few such as the last one.
 EVENTS_BEYOND_TOKENS_MAX = 64
-# Results of more characters do not fit into an object of the store.
-OUTPUT_CHARACTERS_MAX = 1_000_000
 
 
 class Item(NamedTuple):
@@ -72,7 +72,8 @@
         self.parts = []
         # The last event before the current run.
         self.resumed_after = 0
-        self.character_count = 0
+        # Bytes of the output as JSON.
+        self.output_bytes = 0
         self.is_running = False
         self.not_before = 0.0
         self.result = None
@@ -82,7 +83,7 @@
         self.last_event_id = 0
         self.version = None
         self.parts = []
-        self.character_count = 0
+        self.output_bytes = 0
 
 
 class Batch:
@@ -173,15 +174,18 @@
         row.version = version
         row.last_event_id = event_id
         row.parts.append(data)
-        row.character_count += len(data)
+        row.output_bytes += json_size(data)
         return True
 
-    def is_output_excessive(self, item_id):
-        """Whether an item's events are more than a complete run of it can have."""
+    def is_output_excessive(self, item_id, bytes_max):
+        """Whether an item's events are more than a complete run of it can have.
+
+        A result of more than `bytes_max` bytes does not fit into a document.
+        """
         row = self._progress_by_id[item_id]
         return (
             row.last_event_id > row.item.tokens + EVENTS_BEYOND_TOKENS_MAX
-            or row.character_count > OUTPUT_CHARACTERS_MAX
+            or row.output_bytes > bytes_max
         )
 
     def finish(self, item_id, outcome, attempts, now):
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -211,14 +211,14 @@
             scope = (job.workspace, job.route)
             self._waiting.note_job(job.job_key, scope, job.waiting_tokens, source, now)
 
-    def window(self, key, after, size_max):
+    def window(self, key, after, bytes_max):
         """Return the number of items and the results from `after`; None if not held."""
         with self.lock:
             job = self._job_by_key.get(key)
             if job is None:
                 return None
             total = len(job.batch.spec.items)
-            return total, job.pages.window(after, size_max)
+            return total, job.pages.window(after, bytes_max)
 
     def body(self, key, item_id):
         """Return the body of an item as bytes, or None."""
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -13,6 +13,7 @@
     ItemOutcome,
     ResponseBounds,
     missing_part,
+    page_bytes_max,
 )
 from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.threads import OwnedThread
@@ -324,6 +325,7 @@
     def _read_events(self, run, answer):
         splitter = EventSplitter()
         item_id = run.progress.item.item_id
+        result_bytes_max = page_bytes_max(self._parts.settings.store.value_bytes)
         new_event_count = 0
         for chunk in answer.chunks():
             for event in splitter.feed(chunk):
@@ -345,7 +347,7 @@
                     return ItemOutcome.BROKEN, BROKEN, reason
                 answer.note_event()
                 new_event_count += 1
-                if run.job.batch.is_output_excessive(item_id):
+                if run.job.batch.is_output_excessive(item_id, result_bytes_max):
                     answer.log_abandoned("item output")
                     return ItemOutcome.EXCESSIVE, BROKEN, "the output has no end"
         if run.attempt.is_aborted:
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -6,7 +6,13 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import JobSpec, ResultPages, job_key
+from sequoiaglade_decisions.gateway import (
+    JobSpec,
+    ResultPages,
+    bounded_results,
+    encode_json,
+    job_key,
+)
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.web import Response, json_response
 
@@ -18,8 +24,8 @@
 from .storage import JobHeader
 from .token_limits import TokenLimits
 
-# Characters of output in one response; the platform's documentation allows a megabyte.
-RESPONSE_CHARACTERS_MAX = 400_000
+# Bytes of the results in one response; the platform's documentation allows a megabyte.
+RESULTS_BYTES_MAX = 990_000
 # Retry-After of a request that was refused because the store is unavailable.
 STORE_RETRY_AFTER_SECONDS = 0.5
 # A write whose answer was lost is retried for this long. Callers of batch jobs wait
@@ -82,6 +88,9 @@
         )
         if self._is_known(spec.key):
             return self._accept(spec, "known")
+        oversize = self._storage.oversize(spec)
+        if oversize is not None:
+            return self._refuse(call, GatewayRefusal(413, oversize))
         steps.end("read")
         admission = self._limits.take(spec, route)
         steps.end("check")
@@ -216,8 +225,12 @@
             "results read", job=key, after=after, count=len(results), source=source
         )
         self._parts.metrics.count("results read", source)
-        body = self._parts.dialect.results_body(total, after, results)
-        return json_response(200, body)
+        body = encode_json(self._parts.dialect.results_body(total, after, results))
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        return Response(200, headers, [body])
 
     def held_window(self, key, after):
         """Return the number of items and the results from `after`; None if not held.
@@ -236,7 +249,7 @@
             failure = self._refresh_results(job)
             if failure is not None:
                 return None
-        return self._registry.window(key, after, RESPONSE_CHARACTERS_MAX)
+        return self._registry.window(key, after, RESULTS_BYTES_MAX)
 
     def _refresh_results(self, job):
         pages = ResultPages()
@@ -254,7 +267,15 @@
 
     def _read_from_peer(self, key, after):
         address = self._peer_of(key)
-        return address and self._parts.peers.read_job(address, key, after)
+        return address and self._ask_holder(address, key, after)
+
+    def _ask_holder(self, address, key, after):
+        window = self._parts.peers.read_job(address, key, after)
+        if window is None:
+            return None
+        # Peers that run another release have other bounds.
+        total, results = window
+        return total, bounded_results(results, RESULTS_BYTES_MAX)
 
     def _read_from_store(self, key, after):
         header = self._header_of(key)
@@ -263,7 +284,7 @@
         # In a large fleet the gossip about a job's holder arrives late. The holder is
         # most often the node that accepted the job.
         address = self._address_of(header.spec.accepted_by)
-        window = address and self._parts.peers.read_job(address, key, after)
+        window = address and self._ask_holder(address, key, after)
         if window:
             return window
         pages = ResultPages()
@@ -278,7 +299,7 @@
                     self._pages_by_key.clear()
                 cached = self._pages_by_key.setdefault(key, ResultPages())
                 cached.merge(pages)
-        return len(header.spec.items), pages.window(after, RESPONSE_CHARACTERS_MAX)
+        return len(header.spec.items), pages.window(after, RESULTS_BYTES_MAX)
 
     def _header_of(self, key):
         header = self._header_by_key.get(key)
--- a/packages/gateway/sequoiaglade_gateway/batch/storage.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/storage.py
@@ -8,7 +8,14 @@
 import base64
 from typing import NamedTuple
 
-from sequoiaglade_decisions.gateway import Item, JobSpec, Result
+from sequoiaglade_decisions.gateway import (
+    Item,
+    JobSpec,
+    Result,
+    ResultPage,
+    json_size,
+    page_bytes_max,
+)
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 
 JOBS_KIND = "batch-jobs"
@@ -21,6 +28,9 @@
 # Size of a part as a fraction of the store's maximum value size: the encoding as base64
 # adds a third, JSON a little.
 PART_SIZE_FRACTION = 0.6
+# Size of a header as a fraction of the store's maximum value size; the rest is for what
+# the store keeps with it.
+HEADER_SIZE_FRACTION = 0.9
 
 
 class JobHeader(NamedTuple):
@@ -32,19 +42,24 @@
     revision: int
 
 
-class ResultPage(NamedTuple):
-    """A page of results and the revision of its document."""
-
-    results: list[Result]
-    revision: int
-
-
 class JobStorage:
     """Reads and writes batch jobs in a `DocumentStore`."""
 
     def __init__(self, store, value_bytes):
         self._store = store
         self._part_bytes = int(value_bytes * PART_SIZE_FRACTION)
+        self._header_bytes_max = int(value_bytes * HEADER_SIZE_FRACTION)
+        self.page_bytes_max = page_bytes_max(value_bytes)
+
+    def oversize(self, spec):
+        """Return why a job does not fit into the store as text, None if it does."""
+        size = json_size(_encode_header(spec, False))
+        if size <= self._header_bytes_max:
+            return None
+        return (
+            f"ids, paths and headers of the items take {size} bytes, "
+            f"{self._header_bytes_max} are allowed"
+        )
 
     def write_job(self, spec):
         """Store a job; return its header's `Document`, or a `Failure`.
@@ -108,17 +123,19 @@
         found = self._store.get(RESULTS_KIND, _document_name(key, number))
         return found if isinstance(found, Failure) else _decode_page(found)
 
-    def write_page(self, key, number, revision, results):
-        """Write a page conditional on its `revision`, None for a new page.
+    def write_page(self, key, write):
+        """Write a page as a `PageWrite` has it; return the new `ResultPage`.
 
-        Return the new `ResultPage`, or a `Failure`.
+        Return a `Failure` if its revision was another, or the store failed.
         """
-        value = {"results": [list(result) for result in results]}
-        name = _document_name(key, number)
-        if revision is None:
+        value = {"results": [list(result) for result in write.results]}
+        if write.is_closed:
+            value["is_closed"] = True
+        name = _document_name(key, write.number)
+        if write.revision is None:
             done = self._store.create(RESULTS_KIND, name, value)
         else:
-            done = self._store.replace(RESULTS_KIND, name, value, revision)
+            done = self._store.replace(RESULTS_KIND, name, value, write.revision)
         return done if isinstance(done, Failure) else _decode_page(done)
 
     def read_pages(self, key, pages):
@@ -128,7 +145,7 @@
             page = self.read_page(key, number)
             if isinstance(page, Failure):
                 return None if page.code is FailureCode.NOT_FOUND else page
-            pages.put(number, page.results, page.revision)
+            pages.put(number, *page)
             if pages.next_unread == number:
                 return None
 
@@ -195,4 +212,5 @@
 
 def _decode_page(document):
     rows = document.value["results"]
-    return ResultPage([Result(*row) for row in rows], document.revision)
+    is_closed = bool(document.value.get("is_closed"))
+    return ResultPage([Result(*row) for row in rows], document.revision, is_closed)
--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -56,18 +56,20 @@
             if self._registry.get(job.key) is not job:
                 # Released to a peer, which then does not expect writes of this node.
                 return True
-            number, revision, content = job.pages.plan(job.batch.unlisted())
-        if content is None:
+            unlisted = job.batch.unlisted()
+            write = job.pages.plan(unlisted, self._storage.page_bytes_max)
+        if write.results is None:
             return self._mark_finished(job)
         job.validity.begin_write()
         began_at = self._registry.clock()
-        page = self._storage.write_page(job.key, number, revision, content)
+        page = self._storage.write_page(job.key, write)
         if isinstance(page, Failure):
             self._log.info(
                 "results not listed",
                 job=job.key,
-                page=number,
-                revision=revision,
+                page=write.number,
+                revision=write.revision,
+                results=len(write.results),
                 reason=page.reason,
             )
             if page.code is FailureCode.UNAVAILABLE:
@@ -77,16 +79,20 @@
             # still take effect, also after the page was read.
             began_at = self._registry.clock()
             job.validity.note_uncertain(began_at)
-            page = self._storage.read_page(job.key, number)
+            page = self._storage.read_page(job.key, write.number)
         if isinstance(page, Failure):
             return False
         with self._registry.lock:
-            job.pages.put(number, page.results, page.revision)
+            job.pages.put(write.number, *page)
             job.batch.note_listed(page.results)
             job.validity.note_confirmed(began_at)
             job.validity.end_write()
         self._log.info(
-            "results listed", job=job.key, page=number, listed=job.pages.count
+            "results listed",
+            job=job.key,
+            page=write.number,
+            is_closed=page.is_closed,
+            listed=job.pages.count,
         )
         return True
 
--- a/packages/gateway/sequoiaglade_gateway/online/version_history.py
+++ b/packages/gateway/sequoiaglade_gateway/online/version_history.py
@@ -12,6 +12,9 @@
 from ..version_messages import FindRecentVersions, VersionsRecalled
 
 VERSIONS_KIND = "versions"
+# Versions of a service in a record, whose names are bounded, so that it fits into a
+# document. Which of several began a stream can't be told from the record anyway.
+RECORDED_VERSIONS_MAX = 64
 # A new version's first streams and the kill of all gateways are further apart.
 INTERVAL_SECONDS = 0.3
 
@@ -76,6 +79,7 @@
             return
         for service, versions in recent.versions_by_service.items():
             document = self._record_by_service.get(service)
+            versions = set(sorted(versions)[:RECORDED_VERSIONS_MAX])
             needs_record = len(versions) > 1 or document is not None
             if needs_record and versions != _versions(document):
                 self._write(service, versions, document)
--- a/tests/features/steps/gateway_decision_steps.py
+++ b/tests/features/steps/gateway_decision_steps.py
@@ -19,12 +19,15 @@
     Result,
     ResultPages,
     batch_targets,
+    json_size,
 )
 
 RATE, BURST = 18.0, 18.0
 # Window, allowed overshoot and slack in requests, from the platform's documentation.
 WINDOW_SECONDS, OVERSHOOT, SLACK = 5.0, 0.1, 20
 GOSSIP_SECONDS = 0.2
+# Two results of 150,000 Thai characters do not fit into a page.
+PAGE_BYTES = 600_000
 
 
 class _Node:
@@ -136,17 +139,18 @@
     def __init__(self):
         self.pages = {}
 
-    def write(self, number, revision, content):
-        stored = self.pages.get(number)
-        if (stored and stored[0]) != revision:
+    def write(self, write):
+        stored = self.pages.get(write.number)
+        if (stored and stored[0]) != write.revision:
             return
-        self.pages[number] = ((revision or 0) + 1, content)
+        revision = (write.revision or 0) + 1
+        self.pages[write.number] = (revision, write.results, write.is_closed)
 
     def read(self, pages):
         while pages.next_unread in self.pages:
             number = pages.next_unread
-            revision, content = self.pages[number]
-            pages.put(number, content, revision)
+            revision, content, is_closed = self.pages[number]
+            pages.put(number, content, revision, is_closed)
             if pages.next_unread == number:
                 return
 
@@ -171,10 +175,13 @@
                 store.read(writers[number])
             elif action == "plan":
                 item = f"i-{rng.randrange(8)}"
-                result = Result(item, True, "x" * rng.choice((10, 150_000)))
-                planned[number] = writers[number].plan([result])
-            elif planned[number] and planned[number][2]:
-                store.write(*planned[number])
+                text = rng.choice(("x", "\u0e01")) * rng.choice((10, 150_000))
+                plan = writers[number].plan([Result(item, True, text)], PAGE_BYTES)
+                planned[number] = plan
+            elif planned[number] and planned[number].results:
+                store.write(planned[number])
+            sizes = [json_size(content) for _, content, _ in store.pages.values()]
+            assert max(sizes, default=0) <= PAGE_BYTES, sizes
             now = store.results()
             assert now[: len(seen)] == seen
             ids = [result.item_id for result in now]
