Tell peers of streams that run when a second version appears

Cause: peers are told of a stream's version only while its service has several, and that was decided once, when the stream began.

Change: a node keeps its running streams and which starts of peers know them (RunningStreams), and tells the others each 0.2 s while a service has several versions. That covers a second version, peers that start, streams that were taken up here, notes that were lost, and streams that broke up to 5 s before.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -55,6 +55,7 @@
     Service,
     Workspace,
 )
+from .running_streams import RunningStreams
 from .scheduling import GroupScheduler, Scheduled
 from .shares import RESERVE_SLOTS, batch_allowance, batch_targets
 from .silence import (
@@ -164,6 +165,7 @@
     "ResultPages",
     "Route",
     "RouteKind",
+    "RunningStreams",
     "Scheduled",
     "Service",
     "SendDecision",
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -76,6 +76,7 @@
 from .token_keepers import FleetTokenKeepers
 from .version_messages import (
     FindRecentVersions,
+    FindRunKeepers,
     FindStreamKeepers,
     UsableVersions,
     VersionsRecalled,
@@ -205,6 +206,7 @@
                 return self._loads.health.note_pace(endpoint_id, seconds)
             case (
                 UsableVersions()
+                | FindRunKeepers()
                 | FindStreamKeepers()
                 | FindRecentVersions()
                 | VersionsRecalled()
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -36,6 +36,7 @@
     BatchPreemptor,
     OnlineService,
     StreamDirectory,
+    StreamNotes,
     VersionHistory,
 )
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
@@ -240,6 +241,7 @@
         parts.preemptor = BatchPreemptor(parts, client.request_preemption)
         for thread in (
             history,
+            StreamNotes(parts.streams),
             parts.paths,
             parts.preemptor,
             self._gossip,
--- a/packages/gateway/sequoiaglade_gateway/online/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/online/__init__.py
@@ -2,7 +2,13 @@
 
 from .preemption import BatchPreemptor
 from .service import OnlineService
-from .streams import StreamDirectory
+from .streams import StreamDirectory, StreamNotes
 from .version_history import VersionHistory
 
-__all__ = ["BatchPreemptor", "OnlineService", "StreamDirectory", "VersionHistory"]
+__all__ = [
+    "BatchPreemptor",
+    "OnlineService",
+    "StreamDirectory",
+    "StreamNotes",
+    "VersionHistory",
+]
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -196,6 +196,9 @@
         """Release the endpoint and all other resources."""
         self.end_attempt()
         self._stack.close()
+        self._parts.streams.end(
+            self.request.call.request_id, is_complete=outcome == "answered"
+        )
         self._parts.metrics.count("ended", outcome)
 
     def _try_once(self):
@@ -300,9 +303,13 @@
             seconds_left=round(seconds_left, 3),
             configuration_version=request.version,
         )
-        if request.route.is_resumable and not self.last_event_id:
+        if request.route.is_resumable:
+            call = request.call
             self._parts.streams.note(
-                request.call.request_id, endpoint.service, endpoint.version
+                call.request_id,
+                endpoint.service,
+                endpoint.version,
+                call.resumes if call.last_event_id else None,
             )
         sent_at = time.monotonic()
         with self._parts.preemptor.watching(endpoint.endpoint_id):
--- a/packages/gateway/sequoiaglade_gateway/online/streams.py
+++ b/packages/gateway/sequoiaglade_gateway/online/streams.py
@@ -5,17 +5,27 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import StreamVersions, only_version
+from sequoiaglade_decisions.gateway import (
+    RunningStreams,
+    StreamVersions,
+    only_version,
+)
+from sequoiaglade_node.threads import OwnedThread
 
-from ..version_messages import FindStreamKeepers, StreamAnswer
+from ..version_messages import FindRunKeepers, FindStreamKeepers, StreamAnswer
+
+# Interval of checks for peers that are to be told of running streams. A release, or the
+# start of a peer, is seldom followed by the kill of this node within it.
+TELL_SECONDS = 0.2
 
 
 class StreamDirectory:
     """Keeps the versions of streams, tells peers of them, and asks peers for them.
 
-    Peers are told only while the service has several versions or had until lately.
-    `read_versions` returns the versions of a service that the store names now, None if
-    they can't be read.
+    Peers are told only while the service has several versions or had until lately: of
+    streams that begin then at once, of those that run already by `tell_peers`, which
+    also tells peers that start. `read_versions` returns the versions of a service that
+    the store names now, None if they can't be read.
     """
 
     def __init__(self, parts, client, read_versions, clock=time.monotonic):
@@ -25,17 +35,63 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._versions = StreamVersions()
+        self._running = RunningStreams()
         self._log = structlog.get_logger()
 
-    def note(self, request_id, service, version):
-        """Record that a request that may begin a stream is sent to a version."""
-        if self.known_version(request_id) == version:
-            return
-        self.receive_note(request_id, version)
-        keepers = self._find_keepers(request_id, service)
-        if len(keepers.versions) > 1:
-            for address in keepers.addresses:
-                self._client.note_stream(address, request_id, version)
+    def note(self, request_id, service, version, stream_id=None):
+        """Record that a request that may begin a stream is sent to a version.
+
+        With `stream_id` it goes on with the stream that another request began.
+        """
+        stream_id = stream_id or request_id
+        run = (stream_id, version)
+        with self._lock:
+            is_known = self._running.get(request_id) == run
+            self._running.note(request_id, stream_id, service, version)
+            self._versions.note(stream_id, version, self._clock())
+        if not is_known:
+            self._tell(service, {request_id: stream_id})
+
+    def end(self, request_id, is_complete):
+        """Record that a request has ended; a stream that broke may be taken up."""
+        with self._lock:
+            self._running.end(request_id, is_complete, self._clock())
+
+    def tell_peers(self):
+        """Tell peers of the running streams that they are to know and do not know."""
+        with self._lock:
+            streams_by_service = self._running.streams_by_service(self._clock())
+        for service, stream_id_by_run in streams_by_service.items():
+            told_count = self._tell(service, stream_id_by_run)
+            if told_count:
+                self._log.info(
+                    "peers told of running streams",
+                    service=service,
+                    running=len(stream_id_by_run),
+                    notes=told_count,
+                )
+
+    def _tell(self, service, stream_id_by_run):
+        """Tell peers of runs that they do not know; return the number of notes."""
+        note_count = 0
+        question = FindRunKeepers(service, stream_id_by_run)
+        keepers_by_run = self._parts.coordinator.ask(question)
+        for run_id, keepers in keepers_by_run.items():
+            with self._lock:
+                run = self._running.get(run_id)
+                untold = self._running.take_untold(run_id, keepers)
+            note_count += len(untold)
+            for peer in untold:
+                self._tell_peer(run_id, *run, peer)
+        return note_count
+
+    def _tell_peer(self, run_id, stream_id, version, peer):
+        def forget_told():
+            with self._lock:
+                self._running.forget_told(run_id, version, peer)
+
+        address, _ = peer
+        self._client.note_stream(address, stream_id, version, forget_told)
 
     def receive_note(self, request_id, version):
         """Record the version of a stream that a peer told."""
@@ -92,3 +148,15 @@
 
     def _find_keepers(self, request_id, service):
         return self._parts.coordinator.ask(FindStreamKeepers(request_id, service))
+
+
+class StreamNotes(OwnedThread):
+    """A thread that tells peers of the streams of a `StreamDirectory`; owns nothing."""
+
+    def __init__(self, streams):
+        super().__init__("stream notes")
+        self._streams = streams
+
+    def _run(self):
+        while not self._stopped.wait(TELL_SECONDS):
+            self._streams.tell_peers()
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -171,21 +171,25 @@
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
         stub.Report.future(encode_report(report), timeout=CALL_SECONDS)
 
-    def note_stream(self, address, request_id, version):
-        """Tell a peer the version of a stream, without waiting for the reply."""
+    def note_stream(self, address, request_id, version, on_lost=lambda: None):
+        """Tell a peer the version of a stream, without waiting for the reply.
+
+        `on_lost` is called if the peer does not answer.
+        """
         note = fleet_pb2.StreamNote(request_id=request_id, version=version)
-        self._send_note(address, note, NOTE_TRIES)
+        self._send_note(address, note, NOTE_TRIES, on_lost)
 
-    def _send_note(self, address, note, tries):
+    def _send_note(self, address, note, tries, on_lost):
         def end(call):
             match call.code():
                 case grpc.StatusCode.OK:
                     return
                 # Cancelled means that the channel was closed.
                 case code if tries > 1 and code is not grpc.StatusCode.CANCELLED:
-                    self._send_note(address, note, tries - 1)
+                    self._send_note(address, note, tries - 1, on_lost)
                 case code:
                     self._log_lost_note(address, note, code.name)
+                    on_lost()
 
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
         try:
@@ -196,6 +200,7 @@
         except ValueError as error:
             # The channel was closed, since the peer is gone or this node stops.
             self._log_lost_note(address, note, str(error))
+            on_lost()
         else:
             call.add_done_callback(end)
 
--- a/packages/gateway/sequoiaglade_gateway/version_messages.py
+++ b/packages/gateway/sequoiaglade_gateway/version_messages.py
@@ -19,6 +19,18 @@
     service: str
 
 
+class FindRunKeepers(NamedTuple):
+    """Asks which peers are to know of runs of streams of a service.
+
+    `stream_id_by_run` has the stream of each run. The reply has by run a list of pairs
+    of a peer address and the number of the peer's start. It is empty while the service
+    has one version, which any gateway can tell.
+    """
+
+    service: str
+    stream_id_by_run: dict
+
+
 class StreamKeepers(NamedTuple):
     """Peer addresses of a stream's keepers, and its service's versions until lately.
 
--- a/packages/gateway/sequoiaglade_gateway/versions.py
+++ b/packages/gateway/sequoiaglade_gateway/versions.py
@@ -4,6 +4,7 @@
 
 from .version_messages import (
     FindRecentVersions,
+    FindRunKeepers,
     FindStreamKeepers,
     RecentServiceVersions,
     StreamKeepers,
@@ -31,6 +32,8 @@
                 return {e.version for e in self._directory.usable(service, now)}
             case FindStreamKeepers():
                 return self._find_keepers(message, now)
+            case FindRunKeepers():
+                return self._find_run_keepers(message, now)
             case FindRecentVersions():
                 return self._find_recent(now)
             case VersionsRecalled(versions_by_service):
@@ -39,12 +42,29 @@
                 self._is_history_known = True
                 return None
 
+    def _find_run_keepers(self, message, now):
+        if len(self._directory.recent_versions(message.service, now)) < 2:
+            return {}
+        live = self._nodes.live(now)
+        return {
+            run_id: [
+                (state.peer_address, state.incarnation)
+                for state in self._keepers(stream_id, live)
+            ]
+            for run_id, stream_id in message.stream_id_by_run.items()
+        }
+
+    def _keepers(self, stream_id, live):
+        """Return the states of the peers that keep the version of a stream."""
+        state_by_id = {state.node_id: state for state in live}
+        ids = [self._get_own_state().node_id, *sorted(state_by_id)]
+        keepers = stream_keepers(stream_id, ids, self._nodes.is_large)
+        return [state_by_id[name] for name in keepers if name in state_by_id]
+
     def _find_keepers(self, message, now):
-        live = {state.node_id: state for state in self._nodes.live(now)}
-        ids = [self._get_own_state().node_id, *sorted(live)]
-        keepers = stream_keepers(message.request_id, ids, self._nodes.is_large)
+        keepers = self._keepers(message.request_id, self._nodes.live(now))
         return StreamKeepers(
-            [live[n].peer_address for n in keepers if n in live],
+            [state.peer_address for state in keepers],
             self._directory.recent_versions(message.service, now),
             self._directory.is_list_readable,
             self._is_history_known,
--- a/tests/features/gateway/versions.feature
+++ b/tests/features/gateway/versions.feature
@@ -83,3 +83,50 @@
       | no peer answers                               |
       | a peer answers that knows versions "v1, v2"   |
       | a peer answers that has just started          |
+
+  # Peers were told of a stream when it began only, so that its version was unknown.
+  Scenario: Streams that run at the start of a release are refused after their gateway is killed
+    Given 3 gateways and runners of "v1, v1, v1" with long streams
+    When 12 callers request streams that may be resumed from gateway 0
+    And all have begun, and a runner of "v2" is listed
+    And gateway 0 is killed 0.8 seconds later
+    And the callers take their streams up at gateway 2
+    Then all streams are complete, each with the events of one version
+
+  # The gateway that takes a stream up is the only one that knows its version.
+  Scenario: Streams that were taken up before a release are refused after their gateway is killed
+    Given 3 gateways and runners of "v1, v1, v1" with long streams
+    When 12 callers request streams that may be resumed from gateway 0
+    And gateway 0 is killed while they run
+    And the callers take their streams up at gateway 1
+    And all have begun, and a runner of "v2" is listed
+    And gateway 1 is killed 0.8 seconds later
+    And the callers take their streams up at gateway 2
+    Then all streams are complete, each with the events of one version
+
+  # A gateway that starts knows nothing of the streams that run.
+  Scenario: Streams are refused by a gateway that started after they began
+    Given 2 gateways and runners of "v1, v1, v2, v2" with long streams
+    When 8 callers request streams that may be resumed from gateway 0
+    And all have begun, and gateway 1 is killed and starts again
+    And gateway 0 is killed 1.5 seconds later
+    And the callers take their streams up at gateway 1
+    Then all streams are complete, each with the events of one version
+
+  Scenario Outline: A peer is told of a stream that began before a release: <event>
+    Given a gateway that listed versions "v1" and lists "v1" now
+    When a stream begins there, <event>, and "v2" is listed as well
+    And it looks for peers to tell, 0.2 seconds later
+    And it looks for peers to tell, 0.2 seconds later
+    Then the peer has been told of the stream <count> times
+    When the peer has started again
+    And it looks for peers to tell, <seconds> seconds later
+    Then the peer has been told of the stream <again> times
+
+    Examples:
+      | event                       | count | seconds | again |
+      | it goes on                  | 1     | 0.2     | 2     |
+      | it breaks                   | 1     | 0.2     | 2     |
+      | it breaks                   | 1     | 6       | 1     |
+      | it ends                     | 0     | 0.2     | 0     |
+      | a peer loses the first note | 1     | 0.2     | 2     |
--- a/tests/features/steps/gateway_version_steps.py
+++ b/tests/features/steps/gateway_version_steps.py
@@ -8,13 +8,18 @@
 
 from behave import given, then, when
 from emulator import RunnerPlan
-from emulator.fleet import wait_until
+from emulator.fleet import SERVICE, wait_until
+from emulator.runner import EmulatedRunner
 from gateway_calls import SLOW, start
 
 # Longer than any stream of these scenarios, as the gateway's decision assumes.
 STREAM_SECONDS = 6.5
 # Streams last so long that all of them run at the same time.
 LASTING = SLOW._replace(event_seconds=0.25)
+# Streams that outlive two gateways, with slots for those of a killed gateway as well,
+# and the time that their callers give them.
+LONG = RunnerPlan(slots=64, event_count=32, event_seconds=0.25)
+LONG_SECONDS = 14.0
 # Time for an event that the gateway has counted to reach its caller.
 FORWARD_SECONDS = 0.5
 FIRST_EVENT_COUNT = re.compile(
@@ -59,7 +64,11 @@
 
 @given('{nodes:d} gateways and slow runners of "{versions}"')
 def given_slow_versions(context, nodes, versions):
-    start(context, nodes, _plans(versions, LASTING))
+    _start_and_meet(context, nodes, _plans(versions, LASTING))
+
+
+def _start_and_meet(context, nodes, plans, **options):
+    start(context, nodes, plans, **options)
     fleet = context.gateways
     have_met = lambda: all(  # noqa: E731
         len(fleet.status(node)["peers"]) == nodes - 1 for node in range(nodes)
@@ -72,7 +81,7 @@
     time.sleep(STREAM_SECONDS)
 
 
-def _send(context, node, stream=None):
+def _send(context, node, stream=None, deadline=5.0):
     """Request a stream, or take one up; return the `CallerStream`."""
     request_id = uuid.uuid4().hex[:16]
     events, headers = [], []
@@ -82,7 +91,9 @@
         headers += [("Last-Event-Id", str(events[-1][0]))] if events else []
     path = "/resume/" + (stream.request_id if stream else request_id)
     began_at = time.monotonic()
-    response = context.gateways.send(path, node, request_id=request_id, headers=headers)
+    response = context.gateways.send(
+        path, node, request_id=request_id, headers=headers, deadline=deadline
+    )
     seconds = time.monotonic() - began_at
     first_id = stream.request_id if stream else request_id
     if response is None or response.status != 200:
@@ -92,10 +103,66 @@
     return CallerStream(first_id, events, response.is_complete, 200, seconds)
 
 
+@given('{nodes:d} gateways and runners of "{versions}" with long streams')
+def given_long_streams(context, nodes, versions):
+    plans = _plans(versions, LONG)
+    _start_and_meet(context, nodes, plans, timeout_seconds=LONG_SECONDS)
+
+
 @when("{count:d} callers request streams that may be resumed from gateway {node:d}")
 def request_streams(context, count, node):
     pool = context.stack.enter_context(ThreadPoolExecutor(count))
-    context.pending = [pool.submit(_send, context, node) for _ in range(count)]
+    context.pending = [
+        pool.submit(_send, context, node, None, LONG_SECONDS) for _ in range(count)
+    ]
+
+
+@when('all have begun, and a runner of "{version}" is listed')
+def list_version(context, version):
+    if hasattr(context, "streams"):
+        time.sleep(FORWARD_SECONDS)
+    else:
+        _await_first_events(context)
+    fleet = context.gateways
+    runner = EmulatedRunner(
+        fleet.store, "runner-new", SERVICE, LONG._replace(version=version)
+    )
+    context.stack.enter_context(runner)
+    fleet.runners[0].register("draining")
+
+
+@when("gateway {node:d} is killed {seconds:g} seconds later")
+def kill_later(context, node, seconds):
+    time.sleep(seconds)
+    context.gateways.nodes[node].kill()
+
+
+@when("all have begun, and gateway {node:d} is killed and starts again")
+def restart_peer(context, node):
+    _await_first_events(context)
+    fleet = context.gateways
+    fleet.nodes[node].kill()
+    fleet.nodes[node].start()
+    fleet.wait_ready(node)
+
+
+@when("the callers take their streams up at gateway {node:d}")
+def take_up_long(context, node):
+    broken = [pending.result() for pending in context.pending]
+    assert all(s.events and not s.is_complete for s in broken), broken
+    pool = context.stack.enter_context(ThreadPoolExecutor(len(broken)))
+    context.pending = [
+        pool.submit(_send, context, node, stream, LONG_SECONDS) for stream in broken
+    ]
+    context.streams = None
+
+
+@then("all streams are complete, each with the events of one version")
+def check_long_streams(context):
+    for stream in [pending.result() for pending in context.pending]:
+        ids = [number for number, _ in stream.events]
+        assert ids == list(range(1, LONG.event_count + 1)), stream
+        assert stream.is_complete and len(stream.versions) == 1, stream
 
 
 @when("gateway 0 is killed while they run")
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -9,9 +9,10 @@
 from emulator.fleet import wait_until
 from sequoiaglade_gateway.online import StreamDirectory
 from sequoiaglade_gateway.peers import FleetServicer, PeerClient, start_peer_server
-from sequoiaglade_gateway.version_messages import StreamAnswer, StreamKeepers
+from sequoiaglade_gateway.version_messages import StreamAnswer, VersionsRecalled
+from sequoiaglade_gateway.versions import FleetVersions
 
-from sequoiaglade_decisions.gateway import Endpoint, EndpointDirectory
+from sequoiaglade_decisions.gateway import Endpoint, EndpointDirectory, NodeState
 from sequoiaglade_protocol import fleet_pb2
 from sequoiaglade_standins.ports import PortBlock
 from sequoiaglade_standins.relay import Relay
@@ -119,21 +120,71 @@
     directory.replace([e for e in endpoints if e.version == now], context.now)
     context.noted_ids = []
     context.answer = None
+    context.lost_notes = 0
+
+    def note_stream(address, request_id, version, on_lost):
+        if context.lost_notes:
+            context.lost_notes -= 1
+            on_lost()
+        else:
+            context.noted_ids.append(request_id)
+
     client = SimpleNamespace(
         find_stream=lambda addresses, request_id, service: context.answer,
-        note_stream=lambda address, request_id, _: context.noted_ids.append(request_id),
+        note_stream=note_stream,
     )
-
-    def find_keepers(message):
-        versions = directory.recent_versions(message.service, context.now)
-        return StreamKeepers(["peer:1"], versions, directory.is_list_readable)
-
-    parts = SimpleNamespace(coordinator=SimpleNamespace(ask=find_keepers))
+    context.peer_state = NodeState("peer-1", 1, 1, peer_address="peer:1")
+    versions = FleetVersions(
+        lambda: NodeState("node-0", 1, 1),
+        directory,
+        SimpleNamespace(live=lambda now: [context.peer_state], is_large=False),
+    )
+    versions.handle(VersionsRecalled({}), context.now)
+    ask = lambda message: versions.handle(message, context.now)  # noqa: E731
+    parts = SimpleNamespace(coordinator=SimpleNamespace(ask=ask))
     read_versions = lambda service: context.store_versions  # noqa: E731
     context.store_versions = {now}
     context.streams = StreamDirectory(parts, client, read_versions, lambda: context.now)
 
 
+@when('a stream begins there, {event}, and "{version}" is listed as well')
+def begin_before_release(context, event, version):
+    context.streams.note("early", "service", "v1")
+    match event:
+        case "it breaks":
+            context.streams.end("early", is_complete=False)
+        case "it ends":
+            context.streams.end("early", is_complete=True)
+        case "it goes on":
+            pass
+        case "a peer loses the first note":
+            context.lost_notes = 1
+    assert not context.noted_ids, context.noted_ids
+    context.directory.replace(
+        [
+            Endpoint(name, "service", "", "", 8, version=name)
+            for name in ("v1", version)
+        ],
+        context.now,
+    )
+
+
+@when("it looks for peers to tell, {seconds:g} seconds later")
+def tell_peers(context, seconds):
+    context.now += seconds
+    context.streams.tell_peers()
+
+
+@when("the peer has started again")
+def restart_peer(context):
+    context.peer_state = context.peer_state._replace(incarnation=2)
+
+
+@then("the peer has been told of the stream {count:d} times")
+def check_told(context, count):
+    assert context.noted_ids == ["early"] * count, context.noted_ids
+
+
 @when("it can't read the list and no peer answers for {seconds:d} seconds")
 def cut_off(context, seconds):
     context.directory.note_outage()
