Do not take another request's refusal for that of the own one

Cause: a call looked for Not-Run before it compared the ids of response and request.

Change: the ids are compared first; the response to another request is a broken call.

Evidence: tests/features/gateway/repeated_refusals.feature, 2 of 4 scenarios failed before (12 of 12 requests ran twice, both directly and through a peer), 4 of 4 pass.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -179,14 +179,15 @@
 def _read_head(connection, response, head, request, parts, attempt, bounded):
     if head.is_leaving:
         note_leaving(parts, request, head, response.status)
+    # A refusal of another request says nothing about this one, which may run.
+    if head.request_id not in (None, request.request_id):
+        _close(connection, response, attempt)
+        reason = f"{request.address} answered another request, {head.request_id!r}"
+        return CallFault(Fault.BROKEN, reason)
     if head.is_not_run:
         _close(connection, response, attempt)
         reason = f"{request.address} refused the request with {response.status}"
         return CallFault(Fault.NOT_RUN, reason)
-    if head.request_id not in (None, request.request_id):
-        _close(connection, response, attempt)
-        reason = f"{request.address} answered another request"
-        return CallFault(Fault.BROKEN, reason)
     is_success = 200 <= response.status < 300
     if is_success and not head.is_signed:
         _close(connection, response, attempt)
