Break a resumed stream that begins with content without an id

Cause: events without an id were passed on as comments, and a resumed stream without a new event counted as one that had only its end left.

Change: a resumed stream with anything but comments before its next event is a broken attempt, online and for items.

--- a/packages/decisions/sequoiaglade_decisions/gateway/events.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/events.py
@@ -20,6 +20,12 @@
     data: tuple[str, ...]
     raw: bytes
 
+    @property
+    def has_content(self):
+        """Whether there is more than comments and the delay of reconnections."""
+        lines = self.raw.splitlines()
+        return any(line and not line.startswith((b":", b"retry:")) for line in lines)
+
 
 class EventSplitter:
     r"""Splits a byte stream into complete events.
--- a/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
@@ -21,3 +21,22 @@
     if not new_event_count and not has_length:
         return "the stream ended without an event and without a length"
     return None
+
+
+def is_misplaced(event, resumed_after, new_event_count):
+    """Return whether an `Event` shows that a stream does not go on where it broke.
+
+    An endpoint that can't resume a stream may answer with an error in place of the next
+    event, which has no id. `resumed_after` is the last event before, 0 for a stream
+    that begins.
+
+    >>> from sequoiaglade_decisions.gateway import Event
+    >>> error = Event(None, (), b"event: error\\ndata: overloaded\\n\\n")
+    >>> is_misplaced(error, 2, 0), is_misplaced(error, 0, 0), is_misplaced(error, 2, 1)
+    (True, False, False)
+    >>> is_misplaced(Event(None, (), b": wait\\n\\n"), 2, 0)
+    False
+    """
+    if not resumed_after or new_event_count:
+        return False
+    return event.event_id is None and event.has_content
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -12,6 +12,7 @@
     Fault,
     ItemOutcome,
     ResponseBounds,
+    is_misplaced,
     missing_part,
     page_bytes_max,
 )
@@ -329,6 +330,9 @@
         new_event_count = 0
         for chunk in answer.chunks():
             for event in splitter.feed(chunk):
+                if is_misplaced(event, run.progress.resumed_after, new_event_count):
+                    reason = "the resumed stream begins with content that is no event"
+                    return ItemOutcome.BROKEN, BROKEN, reason
                 if (
                     event.event_id is None
                     or event.event_id <= run.progress.last_event_id
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -1,6 +1,7 @@
 """The attempts of an online request, until a response begins or the request fails."""
 
 import contextlib
+import itertools
 import time
 
 import structlog
@@ -13,6 +14,7 @@
     Full,
     NextStep,
     ResponseBounds,
+    is_misplaced,
     missing_part,
     next_step,
 )
@@ -358,6 +360,10 @@
         unnumbered = bytearray()
         for chunk in chunks:
             events = splitter.feed(chunk)
+            if self._has_misplaced(events):
+                answer.close()
+                reason = "the resumed stream begins with content that is no event"
+                return CallFault(Fault.BROKEN, reason)
             if any(self._is_new(event) for event in events):
                 if unnumbered:
                     events.insert(0, Event(None, (), bytes(unnumbered)))
@@ -374,6 +380,10 @@
         reason = missing or "the stream contains no event"
         return answer.fault or CallFault(Fault.BROKEN, reason)
 
+    def _has_misplaced(self, events):
+        before_new = itertools.takewhile(lambda e: not self._is_new(e), events)
+        return any(is_misplaced(e, self.last_event_id, 0) for e in before_new)
+
     def _is_new(self, event):
         return event.event_id is not None and event.event_id > self.last_event_id
 
