Read heads of endpoints' responses only if they are whole, in all calls

Gateways were not affected.

Cause: http.client takes the end of a connection as that of the head; only gateways checked it.

Change: all calls to endpoints read heads by WholeHeadResponse, which takes the place of the gateways' check.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -1,5 +1,6 @@
 """HTTP connections whose current attempt another thread can abort."""
 
+import http.client
 import socket
 import threading
 
@@ -59,7 +60,48 @@
                 self._sock.settimeout(seconds)
 
 
+class IncompleteHeadError(OSError):
+    """Ends the reading of a response whose head is incomplete."""
+
+
+class _HeadReader:
+    """Reads the lines of a head, and raises an error if the connection ends within it.
+
+    http.client takes the end of the connection as that of the head. It recognizes one
+    that ends before the first byte itself.
+    """
+
+    def __init__(self, file):
+        self._file = file
+        self._has_begun = False
+
+    def readline(self, limit):
+        line = self._file.readline(limit)
+        is_cut = len(line) < limit and not line.endswith(b"\n")
+        if is_cut and (line or self._has_begun):
+            raise IncompleteHeadError("the connection ended within the head")
+        self._has_begun = True
+        return line
+
+    def close(self):
+        self._file.close()
+
+
+class WholeHeadResponse(http.client.HTTPResponse):
+    """A response that is read only if its head is whole."""
+
+    def begin(self):
+        file = self.fp
+        self.fp = _HeadReader(file)
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = file
+
+
 class _TrackedMixin:
+    response_class = WholeHeadResponse
     _attempt = None
 
     def detach_attempt(self):
--- a/packages/gateway/sequoiaglade_gateway/bounded_reads.py
+++ b/packages/gateway/sequoiaglade_gateway/bounded_reads.py
@@ -1,6 +1,5 @@
 """Reading of responses from endpoints within bounds of bytes and time."""
 
-import http.client
 import io
 import threading
 import time
@@ -13,16 +12,13 @@
     ResponseProgress,
     SharedBytes,
 )
+from sequoiaglade_endpoints.connections import WholeHeadResponse
 
 
 class BoundExceededError(OSError):
     """Ends the reading of a response that exceeds a bound or was aborted."""
 
 
-class IncompleteHeadError(OSError):
-    """Ends the reading of a response whose head is incomplete."""
-
-
 class ResponseMemory:
     """Thread-safe `SharedBytes` of all calls of a node."""
 
@@ -55,28 +51,18 @@
         self._progress = ResponseProgress(bounds)
         self._memory = memory
         self._has_shared_bytes = False
-        self._has_ended = False
 
     def install(self, connection):
         """Check the bounds in all reads of the connection's response."""
 
         def response_class(sock, *args, **options):
-            response = http.client.HTTPResponse(sock, *args, **options)
+            response = WholeHeadResponse(sock, *args, **options)
             reader = _BoundedReader(response.fp.detach(), self)
             response.fp = io.BufferedReader(reader)
             return response
 
         connection.response_class = response_class
 
-    def check_head(self):
-        """Raise `IncompleteHeadError` if the connection ended within the head.
-
-        http.client takes the end of the connection as that of the head. Nothing is read
-        after the empty line of a whole head, so the end is not seen before it.
-        """
-        if self._has_ended:
-            raise IncompleteHeadError("the connection ended within the head")
-
     def begin(self, part):
         """Record that the head has ended and a `ResponsePart` begins."""
         self._progress.begin(part)
@@ -123,11 +109,8 @@
         )
 
     def receive(self, size):
-        """Record bytes as received from the connection, 0 at its end."""
-        if size == 0:
-            self._has_ended = True
-        else:
-            self._progress.receive(size, time.monotonic())
+        """Record bytes as received from the connection."""
+        self._progress.receive(size, time.monotonic())
 
     def log_abandoned(self, bound, **details):
         """Log the bound that ended the call."""
@@ -159,7 +142,7 @@
     def readinto(self, buffer):
         self._bounded.check()
         size = self._raw.readinto(buffer)
-        if size is not None:
+        if size:
             self._bounded.receive(size)
         return size
 
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -144,7 +144,6 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        bounded.check_head()
         head = parts.dialect.read_head(response.headers)
         note_request_limit(parts, request, head, sent_at)
         return _read_head(connection, response, head, request, parts, attempt, bounded)
