Place a taken up stream by the id of the request that began it

Where the first gateway was killed, streams went on at another service, with events of two versions.

Cause: the service of a split route is a hash of the request's id, and a request that takes a stream up has an id of its own.

Change: it is placed, and its stream noted, by the id in Resumes.

--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -30,6 +30,11 @@
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def stream_id(self):
+        """The id of the request that began the stream, this one for a new stream."""
+        return self.resumes if self.last_event_id and self.resumes else self.request_id
+
 
 class ResponseHead(NamedTuple):
     """Facts from the status line and headers of an endpoint's response.
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -311,7 +311,7 @@
                 call.request_id,
                 endpoint.service,
                 endpoint.version,
-                call.resumes if call.last_event_id else None,
+                call.stream_id,
             )
         sent_at = time.monotonic()
         with self._parts.preemptor.watching(endpoint.endpoint_id):
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -83,7 +83,8 @@
             return self._refuse(
                 call, refusal, configuration, fingerprint=request_fingerprint
             )
-        service = route.service_for(call.request_id)
+        # A stream goes on at the service that began it.
+        service = route.service_for(call.stream_id)
         blame = find_refusal(self._parts, call, service)
         if blame is not None:
             refusal = GatewayRefusal(503, "a part of the prompt crashes endpoints")
--- a/packages/gateway/sequoiaglade_gateway/online/streams.py
+++ b/packages/gateway/sequoiaglade_gateway/online/streams.py
@@ -38,12 +38,11 @@
         self._running = RunningStreams()
         self._log = structlog.get_logger()
 
-    def note(self, request_id, service, version, stream_id=None):
-        """Record that a request that may begin a stream is sent to a version.
+    def note(self, request_id, service, version, stream_id):
+        """Record that a request is sent to a version.
 
-        With `stream_id` it goes on with the stream that another request began.
+        It may begin the stream `stream_id`, or goes on with it.
         """
-        stream_id = stream_id or request_id
         run = (stream_id, version)
         with self._lock:
             is_known = self._running.get(request_id) == run
--- a/tests/features/gateway/versions.feature
+++ b/tests/features/gateway/versions.feature
@@ -130,3 +130,11 @@
       | it breaks                   | 1     | 6       | 1     |
       | it ends                     | 0     | 0.2     | 0     |
       | a peer loses the first note | 1     | 0.2     | 2     |
+
+  # The service was that of the new request's id, which the stream did not run at.
+  Scenario: Streams of a split route are looked for in another service
+    Given 3 gateways and a route for streams that is split over 4 services
+    When 24 callers request streams that may be resumed from gateway 0
+    And all have begun, and the connections of gateway 0 break
+    And the callers take their streams up at gateway 1
+    Then all streams are complete, each with the events of the version that began it
--- a/tests/features/steps/gateway_version_steps.py
+++ b/tests/features/steps/gateway_version_steps.py
@@ -20,6 +20,8 @@
 # and the time that their callers give them.
 LONG = RunnerPlan(slots=64, event_count=32, event_seconds=0.25)
 LONG_SECONDS = 14.0
+# The bound within which gateways follow a new configuration.
+CONFIGURATION_SECONDS = 2.0
 # Time for an event that the gateway has counted to reach its caller.
 FORWARD_SECONDS = 0.5
 FIRST_EVENT_COUNT = re.compile(
@@ -117,6 +119,37 @@
     ]
 
 
+@given(
+    "{nodes:d} gateways and a route for streams that is split over {count:d} services"
+)
+def given_split(context, nodes, count):
+    _start_and_meet(context, nodes, [LONG], timeout_seconds=LONG_SECONDS)
+    fleet = context.gateways
+    services = [f"{SERVICE}-{number}" for number in range(count)]
+    for number, service in enumerate(services):
+        for copy in range(2):
+            plan = LONG._replace(version=f"version-{number}")
+            name = f"split-{number}-{copy}"
+            runner = EmulatedRunner(fleet.store, name, service, plan)
+            context.stack.enter_context(runner)
+    fleet.services_by_split_route["resume"] = services
+    fleet.configure()
+    time.sleep(CONFIGURATION_SECONDS)
+
+
+@when("all have begun, and the connections of gateway 0 break")
+def break_connections(context):
+    _await_first_events(context)
+    context.gateways.nodes[0].kill()
+
+
+@then("all streams are complete, each with the events of the version that began it")
+def check_split_streams(context):
+    check_long_streams(context)
+    versions = {v for p in context.pending for v in p.result().versions}
+    assert len(versions) > 1, versions
+
+
 @when('all have begun, and a runner of "{version}" is listed')
 def list_version(context, version):
     if hasattr(context, "streams"):
--- a/tests/features/steps/stream_note_steps.py
+++ b/tests/features/steps/stream_note_steps.py
@@ -149,7 +149,7 @@
 
 @when('a stream begins there, {event}, and "{version}" is listed as well')
 def begin_before_release(context, event, version):
-    context.streams.note("early", "service", "v1")
+    context.streams.note("early", "service", "v1", "early")
     match event:
         case "it breaks":
             context.streams.end("early", is_complete=False)
@@ -229,7 +229,7 @@
 def check_noted(context, seconds):
     for context.now in (0.1, float(seconds)):
         request_id = f"request at {context.now}"
-        context.streams.note(request_id, "service", "v2")
+        context.streams.note(request_id, "service", "v2", request_id)
         assert context.noted_ids[-1] == request_id
 
 
