Release the bodies of closed jobs, and the jobs later

Cause: a gateway kept all jobs that it had accepted or taken over until its process ended, though the store has them.

Change: bodies are released once a job is listed in full or has ended and none of its items runs; the job itself is released 180 s later, if the store says that it is done.

--- a/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
@@ -133,6 +133,26 @@
         row = self._progress_by_id.get(item_id)
         return row and row.item
 
+    def drop_bodies(self):
+        """Release the bodies of a job that no item will start of; return whether done.
+
+        >>> item = Item("i-1", "/x/1", (), b"body", 100)
+        >>> batch = Batch(JobSpec("j", "w", "h", "/x/j", 0.0, "n", (item,)), due=18.0)
+        >>> batch.drop_bodies()
+        False
+        >>> batch.note_listed([Result("i-1", True)])
+        >>> batch.drop_bodies(), batch.item("i-1").body, batch.spec.items[0].body
+        (True, b'', b'')
+        """
+        rows = self._progress_by_id.values()
+        if self.is_open or any(row.is_running for row in rows):
+            return False
+        for row in rows:
+            row.item = row.item._replace(body=b"")
+        items = tuple(row.item for row in rows)
+        self.spec = self.spec._replace(items=items)
+        return True
+
     def start_next(self, now, versions=None):
         """Mark the next runnable item as running; return its progress, or None.
 
--- a/packages/gateway/sequoiaglade_gateway/batch/registry.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/registry.py
@@ -21,6 +21,8 @@
 
 # Initial value of the average run time of an item: the minimum over the sites.
 INITIAL_RUN_SECONDS = 1.0
+# A closed job is kept for reads at least so long, a little longer than callers read it.
+CLOSED_JOB_SECONDS = 180.0
 # Weight of the latest run in the moving average of run times.
 RUN_AVERAGE_WEIGHT = 0.1
 
@@ -40,6 +42,8 @@
         self.pages = pages or ResultPages()
         self.accepted_at = accepted_at
         self.held_since = None
+        self.closed_at = None
+        self.has_bodies = True
         self.route_name = route.name if route else ""
         self.is_marked_finished = header.is_finished
         self.validity = PageValidity(accepted_at)
@@ -54,6 +58,12 @@
             self.batch.due = self.batch.spec.submitted_at + route.due_seconds
         self.route_name = route.name
 
+    def drop_bodies(self):
+        """Release the bodies of the items, if none starts any more."""
+        if self.has_bodies and self.batch.drop_bodies():
+            self.has_bodies = False
+            self.header = self.header._replace(spec=self.batch.spec)
+
     def is_current(self, contact_since):
         """Return whether `pages` are those of the store; see `PageValidity`."""
         is_complete = self.pages.count >= len(self.batch.spec.items)
@@ -99,6 +109,24 @@
         with self.lock:
             return self._job_by_key.pop(key, None)
 
+    def release_closed(self, job):
+        """Release what is not needed of a job that is listed in full, or ended.
+
+        The store has the bodies, and after a while all reads are answered from there.
+        Return whether the job is not held any more.
+        """
+        with self.lock:
+            if job.batch.is_open:
+                return False
+            job.drop_bodies()
+            now = self.clock()
+            if job.closed_at is None:
+                job.closed_at = now
+            is_stored = job.is_marked_finished or job.batch.is_ended
+            if not is_stored or now - job.closed_at < CLOSED_JOB_SECONDS:
+                return False
+            return self._job_by_key.pop(job.key, None) is not None
+
     def end(self, key):
         """Mark a job as ended, so that no item starts.
 
@@ -221,8 +249,10 @@
             return total, job.pages.window(after, bytes_max)
 
     def body(self, key, item_id):
-        """Return the body of an item as bytes, or None."""
+        """Return the body of an item as bytes, None if it is not held here."""
         with self.lock:
             job = self._job_by_key.get(key)
-            item = job and job.batch.item(item_id)
+            if job is None or not job.has_bodies:
+                return None
+            item = job.batch.item(item_id)
             return item.body if item else None
--- a/packages/gateway/sequoiaglade_gateway/batch/writer.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/writer.py
@@ -104,4 +104,6 @@
             job.is_marked_finished = not isinstance(done, Failure) or (
                 done.code is not FailureCode.UNAVAILABLE
             )
+        if self._registry.release_closed(job):
+            self._log.info("closed job released", job=job.key)
         return True
