--- a/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/jobs.py
@@ -149,8 +149,8 @@
             return False
         for row in rows:
             row.item = row.item._replace(body=b"")
-        items = tuple(row.item for row in rows)
-        self.spec = self.spec._replace(items=items)
+        items = [item._replace(body=b"") for item in self.spec.items]
+        self.spec = self.spec._replace(items=tuple(items))
         return True
 
     def start_next(self, now, versions=None):
