--- a/packages/decisions/sequoiaglade_decisions/gateway/running_streams.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/running_streams.py
@@ -49,9 +49,6 @@
     def __init__(self):
         self._run_by_id = {}
 
-    def __len__(self):
-        return len(self._run_by_id)
-
     def get(self, run_id):
         """Return the stream id and the version of a run, None if it is not kept."""
         run = self._run_by_id.get(run_id)
