--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -18,6 +18,8 @@
     empty if unknown. `is_draining` is what the platform's list says of its shutdown,
     `is_leaving` what the endpoint itself announced to this node. `request_limit` is how
     many requests a second it takes from all nodes together, None without a limit.
+    `cold_seconds` is how much longer it is cold, counted from when its entry was
+    written, 0 if it is not. `is_evacuated` is whether its failure domain is.
     """
 
     endpoint_id: str
@@ -30,11 +32,13 @@
     version: str = ""
     is_leaving: bool = False
     request_limit: float | None = None
+    cold_seconds: float = 0.0
+    is_evacuated: bool = False
 
     @property
     def accepts_requests(self):
         """Whether new requests may be sent to the endpoint."""
-        return not (self.is_draining or self.is_leaving)
+        return not (self.is_draining or self.is_leaving or self.is_evacuated)
 
 
 class EndpointDirectory:
--- a/packages/decisions/sequoiaglade_decisions/gateway/routes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/routes.py
@@ -24,6 +24,7 @@
     of endpoints on which one request may run. For batch routes, results are due
     `due_seconds` after the submission, items may be given up after `retention`
     seconds, and a workspace may have `waiting_tokens` unfinished tokens (0: no limit).
+    `regions` are those in which its requests may be handled, empty for all.
     """
 
     name: str
@@ -40,6 +41,7 @@
     due_seconds: float = 0.0
     retention: float = 0.0
     waiting_tokens: int = 0
+    regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self):
@@ -71,17 +73,24 @@
 
 
 class Service(NamedTuple):
-    """A group of equivalent endpoints; `slots` is 0 if unknown."""
+    """A group of equivalent endpoints; `slots` is 0 if unknown.
+
+    An endpoint is cold for `cold_seconds` after its start. Meanwhile it takes
+    `cold_rate` requests a second from all nodes together (0: no limit).
+    """
 
     name: str
     connection_limit: int = 0
     slots: int = 0
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 class Workspace(NamedTuple):
     """A customer with its keys, priority (0 is the highest) and fleet-wide quota.
 
     `rate` is in requests per second, `burst` in requests; a rate of 0 is no limit.
+    `regions` are those in which its requests may be handled, empty for all.
     """
 
     name: str
@@ -89,6 +98,7 @@
     priority: int | None = None
     rate: float = 0.0
     burst: float = 0.0
+    regions: frozenset[str] = frozenset()
 
 
 class FleetConfiguration:
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -45,6 +45,7 @@
     its shutdown. `endpoint_id` is the id that the endpoint gives itself, or None.
     `names_limit` is whether it names the requests a second that it takes from all nodes
     together, `request_limit` that number, None if it is missing or can't be read.
+    `cold_seconds` is how much longer the endpoint is cold, None if it doesn't tell.
     """
 
     request_id: str | None
@@ -54,6 +55,7 @@
     endpoint_id: str | None = None
     names_limit: bool = False
     request_limit: float | None = None
+    cold_seconds: float | None = None
 
 
 class ReadJob(NamedTuple):
@@ -82,6 +84,7 @@
     configuration: str
     endpoints: str
     retirements: str
+    evacuations: str
 
 
 class Dialect(Protocol):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -69,7 +69,8 @@
     choice to endpoints of that software version; None allows all. `workspace` is the
     one whose quota the request uses when it is placed; None if the request uses none or
     was counted before. The reply is `QuotaExceeded` if that quota is used up, which is
-    not checked again if the request `is_admitted`.
+    not checked again if the request `is_admitted`. `regions` are those in which an
+    endpoint may be chosen, empty for all.
     """
 
     service: str
@@ -81,6 +82,7 @@
     version: str | None = None
     workspace: str | None = None
     is_admitted: bool = False
+    regions: frozenset[str] = frozenset()
 
 
 class EndpointResult(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -257,6 +257,7 @@
         is_batch=place.is_batch,
         is_late=place.is_late,
         workspace=None if place.is_admitted else place.workspace,
+        regions=sorted(place.regions),
     )
 
 
@@ -270,6 +271,7 @@
         message.is_batch,
         message.is_late,
         workspace=message.workspace or None,
+        regions=frozenset(message.regions),
     )
     report = decode_report(message.report)
     return Schedule(report, place, message.group, message.group_count)
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -41,6 +41,17 @@
     cores: float = Field(default=1.0, gt=0)
 
 
+class ColdStarts(_Part):
+    """How far the requests to a cold endpoint may exceed its rate.
+
+    In one second it gets at most its rate times `overshoot`, plus `slack`, from all
+    nodes together.
+    """
+
+    overshoot: float = Field(ge=1, le=100)
+    slack: float = Field(ge=0, le=1_000_000)
+
+
 class GatewaySettings(_Part):
     """All settings of a gateway node.
 
@@ -50,6 +61,13 @@
     the request to stop. Endpoints serve new requests for `drain_milliseconds` after
     they announced their shutdown. `directory_seconds` is the time to live of the
     addresses that the directory returns.
+
+    `cold_starts` bounds the requests to endpoints that are cold; None ignores that they
+    are. `evacuations` is whether operators may evacuate failure domains. `region` is
+    that of the node, `region_by_failure_domain` those of all failure domains, empty if
+    requests have no homes. An instance that was lost for `stable_milliseconds` is to be
+    known as lost soon after. `endpoint_pacing` is whether the number of requests at an
+    endpoint that has started or recovered follows from its responses.
     """
 
     node_id: NodeId
@@ -62,6 +80,12 @@
     grace_seconds: float = Field(default=8.0, gt=0, le=3600)
     drain_milliseconds: int = Field(default=2000, ge=0, le=3_600_000)
     directory_seconds: float = Field(default=1.0, gt=0, le=60)
+    cold_starts: ColdStarts | None = None
+    evacuations: bool = False
+    region: str = ""
+    region_by_failure_domain: dict[str, str] = {}
+    stable_milliseconds: int = Field(default=3000, ge=0, le=3_600_000)
+    endpoint_pacing: bool = False
     limits: Limits = Limits()
     processor: Processor = Processor()
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
