--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -8,6 +8,7 @@
 from .configuration_sources import ConfigurationSources
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import Endpoint, EndpointDirectory
+from .evacuations import EvacuationChanges, Evacuations
 from .events import Event, EventSplitter
 from .gossip_targets import choose_targets
 from .groups import eligible_nodes, group_count, group_of, schedulers
@@ -120,6 +121,8 @@
     "EndpointLoads",
     "EndpointReach",
     "EndsKnowledge",
+    "EvacuationChanges",
+    "Evacuations",
     "Event",
     "EventSplitter",
     "ExceededBound",
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -50,7 +50,7 @@
     at the end of that time, and not at all if the entry exists again by then.
 
     An endpoint that announced its shutdown gets no new requests, whatever the list says
-    of it.
+    of it. Neither does one of an evacuated failure domain.
 
     >>> directory = EndpointDirectory()
     >>> directory.replace([Endpoint("e-1", "s", "10.0.0.1:80", "a", 8)], now=0.0)
@@ -68,6 +68,7 @@
         self._recovered_at = None
         self._leaving = LeavingEndpoints(drain_seconds=drain_seconds)
         self._recent_versions = RecentVersions()
+        self._evacuated_domains = frozenset()
 
     @property
     def is_list_readable(self):
@@ -125,6 +126,25 @@
         self._drop_at_by_id[endpoint_id] = drop_at
         self._drop_removed(now)
 
+    def evacuate(self, domains):
+        """Mark the endpoints in these failure domains as evacuated, and no others.
+
+        This also holds for endpoints that are added later.
+
+        >>> directory = EndpointDirectory()
+        >>> directory.evacuate({"a"})
+        >>> directory.put(Endpoint("e-1", "s", "10.0.0.1:80", "a", 8), now=0.0)
+        >>> len(directory.usable("s", now=0.0)), len(directory.listed_ready("s", 0.0))
+        (0, 1)
+        """
+        self._evacuated_domains = frozenset(domains)
+        for endpoint in list(self._endpoint_by_id.values()):
+            self._store(endpoint)
+
+    def evacuated(self, service, now):
+        """Return the evacuated endpoints of `service` that could serve otherwise."""
+        return [e for e in self.listed_ready(service, now) if e.is_evacuated]
+
     def get(self, endpoint_id, now):
         """Return the `Endpoint`, or None if there is none."""
         self._drop_removed(now)
@@ -138,7 +158,7 @@
         return [
             endpoint
             for endpoint in self.listed_ready(service, now)
-            if not endpoint.is_leaving and version in (None, endpoint.version)
+            if endpoint.accepts_requests and version in (None, endpoint.version)
         ]
 
     def serving_on(self, service, now, version=None):
@@ -150,6 +170,7 @@
             endpoint
             for endpoint in self.listed_ready(service, now)
             if endpoint.is_leaving
+            and not endpoint.is_evacuated
             and self._leaving.serves_on(endpoint.endpoint_id, now)
             and version in (None, endpoint.version)
         ]
@@ -157,7 +178,8 @@
     def listed_ready(self, service, now):
         """Return the endpoints of `service` that are not draining by the list.
 
-        Unlike `usable`, this is the same at all nodes that read the same list.
+        Unlike `usable`, this is the same at all nodes that read the same list, also
+        while evacuations begin or end.
         """
         self._drop_removed(now)
         return [
@@ -203,8 +225,10 @@
 
     def _store(self, endpoint):
         endpoint_id = endpoint.endpoint_id
-        is_leaving = self._leaving.is_leaving(endpoint_id, endpoint.born)
-        self._endpoint_by_id[endpoint_id] = endpoint._replace(is_leaving=is_leaving)
+        self._endpoint_by_id[endpoint_id] = endpoint._replace(
+            is_leaving=self._leaving.is_leaving(endpoint_id, endpoint.born),
+            is_evacuated=endpoint.failure_domain in self._evacuated_domains,
+        )
 
     def _drop_removed(self, now):
         expired = [i for i, at in self._drop_at_by_id.items() if at <= now]
--- a/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
@@ -4,6 +4,7 @@
 
 from sequoiaglade_endpoints import Attempt
 
+from ..evacuation_messages import IsEvacuated
 from ..messages import AcceptsRequests
 
 
@@ -11,16 +12,16 @@
     """An attempt that is aborted before it is sent if the item must not be any more.
 
     That is if its job has ended, or if its route has changed or its endpoint begun to
-    leave since it was placed.
+    leave, or was evacuated, since it was placed.
     """
 
-    def __init__(self, parts, job, item_id, service, endpoint_id):
+    def __init__(self, parts, job, item_id, service, endpoint):
         super().__init__()
         self._parts = parts
         self._job = job
         self._item_id = item_id
         self._service = service
-        self._endpoint_id = endpoint_id
+        self._endpoint = endpoint
 
     def may_send(self):
         """Return whether the item may be sent now."""
@@ -37,9 +38,15 @@
         )
 
     def _is_accepted(self):
-        if self._parts.coordinator.ask(AcceptsRequests(self._endpoint_id)):
+        endpoint_id = self._endpoint.endpoint_id
+        if self._parts.coordinator.ask(AcceptsRequests(endpoint_id)):
             return True
-        self._log_withheld(endpoint_id=self._endpoint_id)
+        domain = self._endpoint.failure_domain
+        if self._parts.coordinator.ask(IsEvacuated(domain)):
+            self._log_withheld(endpoint_id=endpoint_id, evacuated_domain=domain)
+            self._parts.metrics.count("item send check", "endpoint evacuated")
+            return False
+        self._log_withheld(endpoint_id=endpoint_id)
         self._parts.metrics.count("item send check", "endpoint leaving")
         return False
 
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -21,6 +21,7 @@
 
 from ..endpoint_calls import CallFault, CompleteResponse, open_call
 from ..endpoint_requests import EndpointRequest
+from ..evacuation_messages import FindEvacuated
 from ..interface import IncomingCall
 from ..messages import (
     BROKEN,
@@ -128,7 +129,7 @@
             cache = self._parts.store_cache
             # Read first, so that it does not confirm an older configuration.
             confirmed_at = cache.confirmed_at
-            if cache.configuration is not None:
+            if cache.configuration is not None and not cache.lacks_evacuations:
                 self._tick(cache.configuration, confirmed_at)
 
     def _tick(self, configuration, confirmed_at):
@@ -160,8 +161,8 @@
     def _adjust_to_share(self, service, rows, configuration):
         backlog = sum(job.batch.unfinished_count for job, _ in rows)
         share = self._parts.coordinator.ask(BatchShare(service, backlog))
-        share = min(share, RUNNING_ITEMS_MAX)
-        runs = [run for run in self._current_runs() if run.service == service]
+        runs, evacuated_count = self._runs_of(service)
+        share = min(share, RUNNING_ITEMS_MAX - evacuated_count)
         if len(runs) > share + OVERRUN_ITEMS_MAX:
             runs.sort(key=self._sort_key())
             for run in runs[share + OVERRUN_ITEMS_MAX :]:
@@ -181,6 +182,18 @@
                 return
             count += 1
 
+    def _runs_of(self, service):
+        """Return the runs of a service, and how many more are at evacuated endpoints.
+
+        These may finish: to stop them frees no slot for others.
+        """
+        runs = [run for run in self._current_runs() if run.service == service]
+        if not (runs and self._parts.settings.evacuations):
+            return runs, 0
+        evacuated_ids = self._parts.coordinator.ask(FindEvacuated(service or "")).ids
+        counted = [r for r in runs if r.endpoint.endpoint_id not in evacuated_ids]
+        return counted, len(runs) - len(counted)
+
     def _start_one(self, service, rows, versions):
         now = time.monotonic()
         with self._registry.lock:
@@ -210,7 +223,7 @@
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             return False
         endpoint_id = placed.endpoint.endpoint_id
-        attempt = ItemAttempt(self._parts, job, item.item_id, service, endpoint_id)
+        attempt = ItemAttempt(self._parts, job, item.item_id, service, placed.endpoint)
         run = _ItemRun(job, progress, placed.endpoint, attempt, service)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -33,6 +33,13 @@
     TakePermit,
 )
 from .crash_blame import CrashBlame
+from .evacuation_messages import (
+    EvacuationChanged,
+    EvacuationsListed,
+    FindEvacuated,
+    IsEvacuated,
+)
+from .evacuations import FleetEvacuations
 from .messages import (
     AcceptsRequests,
     BatchPeers,
@@ -147,6 +154,7 @@
             self._scheduling,
             self._quota_share,
         )
+        self._evacuations = FleetEvacuations(settings, self._directory, self._nodes)
         self._followers = FleetStoreFollowers(lambda: self._state, self._nodes)
         self._keepers = FleetTokenKeepers(
             lambda: self._state, self._nodes, self._limits.is_settled, self._quota_share
@@ -231,7 +239,15 @@
             case ConfigurationChanged(configuration):
                 return self._configure(configuration, now)
             case EndpointsListed(endpoints):
-                return self._directory.replace(endpoints, now)
+                self._directory.replace(endpoints, now)
+                return self._evacuations.note_endpoints_listed(now)
+            case (
+                EvacuationsListed()
+                | EvacuationChanged()
+                | IsEvacuated()
+                | FindEvacuated()
+            ):
+                return self._evacuations.handle(message, now)
             case EndpointChanged(endpoint_id, None):
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
@@ -499,4 +515,5 @@
             "quota_share": self._quota_share(now),
             "rate_burst_level_by_workspace": self._quotas.levels(),
             "refused_prompt_parts": self._blame.status(now),
+            "evacuations": self._evacuations.status(now),
         }
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -0,0 +1,179 @@
+"""The coordinator's part in evacuations of failure domains, and checks before sending.
+
+Requests that were placed before a node learned of an evacuation are checked again right
+before they are sent.
+"""
+
+import time
+
+import structlog
+
+from sequoiaglade_decisions.gateway import EvacuationChanges, Evacuations
+from sequoiaglade_endpoints import Attempt
+
+from .evacuation_messages import (
+    EvacuatedEndpoints,
+    EvacuationChanged,
+    EvacuationNews,
+    EvacuationsListed,
+    FindEvacuated,
+    IsEvacuated,
+)
+
+# A request that is sent sooner after its placement is not checked again. A connection
+# within a region takes some milliseconds; this is a small part of the 5 seconds in
+# which an evacuation has to be in force.
+PLACEMENT_VALID_SECONDS = 0.05
+
+
+class FleetEvacuations:
+    """The coordinator's `Evacuations`, which marks the endpoints of its directory.
+
+    `on_return` is called with the ids of the endpoints whose evacuation has ended and
+    the time, so that their load can be limited until their responses tell more.
+    """
+
+    def __init__(self, settings, directory, nodes, on_return=None):
+        self._settings = settings
+        self._directory = directory
+        self._nodes = nodes
+        self._on_return = on_return or (lambda endpoint_ids, now: None)
+        self._evacuations = Evacuations()
+        self._log = structlog.get_logger()
+
+    def handle(self, message, now):
+        """Handle one of the messages about evacuations and return its reply."""
+        match message:
+            case EvacuationsListed(domains):
+                return self._apply(self._evacuations.replace(domains, now), now)
+            case EvacuationChanged(domain, is_evacuated):
+                changes = self._evacuations.note(domain, is_evacuated, now)
+                return self._apply(changes, now)
+            case IsEvacuated(domain):
+                return self._evacuations.is_evacuated(domain)
+            case FindEvacuated(service):
+                endpoints = self._directory.evacuated(service, now)
+                return EvacuatedEndpoints(
+                    frozenset(e.endpoint_id for e in endpoints),
+                    tuple(sorted({e.failure_domain for e in endpoints})),
+                )
+
+    def returned_at(self, domain, now):
+        """Return since when a failure domain is back; see `Evacuations`."""
+        return self._evacuations.returned_at(domain, now)
+
+    def note_endpoints_listed(self, now):
+        """Log the names that are of no known failure domain.
+
+        The endpoints tell of failure domains, mostly if the settings name none.
+        """
+        self._log_unknown(now)
+
+    def status(self, now):
+        """Return the evacuations for operators, as a list of dicts."""
+        known = self._known_domains(now)
+        return [
+            {
+                "failure_domain": domain,
+                "age_seconds": round(age, 3),
+                "endpoints": len(self._ids_in(domain)),
+                "is_known": domain in known,
+            }
+            for domain, age in self._evacuations.ages(now).items()
+        ]
+
+    def _apply(self, changes, now):
+        if changes == EvacuationChanges():
+            return EvacuationNews()
+        self._directory.evacuate(self._evacuations.domains)
+        for domain in changes.begun:
+            self._log.warning(
+                "evacuation began",
+                failure_domain=domain,
+                endpoints=len(self._ids_in(domain)),
+            )
+        for domain in changes.ended:
+            ids = self._ids_in(domain)
+            self._log.warning(
+                "evacuation ended", failure_domain=domain, endpoints=len(ids)
+            )
+            self._on_return(ids, now)
+        unknown = self._log_unknown(now)
+        return EvacuationNews(len(changes.begun), len(changes.ended), len(unknown))
+
+    def _log_unknown(self, now):
+        known = self._known_domains(now)
+        if not (known and self._directory.endpoints()):
+            return []
+        unknown = self._evacuations.note_known(known)
+        for domain in unknown:
+            self._log.warning(
+                "evacuation ignored",
+                name=domain,
+                reason="no failure domain of this name is known",
+            )
+        return unknown
+
+    def _known_domains(self, now):
+        domains = {state.failure_domain for state in self._nodes.live(now)}
+        domains.update(e.failure_domain for e in self._directory.endpoints())
+        domains.update(self._settings.region_by_failure_domain)
+        domains.add(self._settings.failure_domain)
+        return domains
+
+    def _ids_in(self, domain):
+        endpoints = self._directory.endpoints()
+        return sorted(e.endpoint_id for e in endpoints if e.failure_domain == domain)
+
+
+class PlacedAttempt(Attempt):
+    """An attempt that is aborted before it is sent if its endpoint was evacuated."""
+
+    def __init__(self, parts, request_id):
+        super().__init__()
+        self._parts = parts
+        self._request_id = request_id
+        self._endpoint = None
+        self._placed_at = None
+
+    def note_placed(self, endpoint):
+        """Note the endpoint at which the request was placed just now."""
+        self._endpoint = endpoint
+        self._placed_at = time.monotonic()
+
+    def may_send(self):
+        """Return whether the request may be sent now that the connection is open."""
+        endpoint = self._endpoint
+        if not self._parts.settings.evacuations or endpoint is None:
+            return True
+        if time.monotonic() - self._placed_at <= PLACEMENT_VALID_SECONDS:
+            return True
+        if not self._parts.coordinator.ask(IsEvacuated(endpoint.failure_domain)):
+            return True
+        self._parts.metrics.count("evacuation", "request withheld")
+        structlog.get_logger().info(
+            "request withheld",
+            request_id=self._request_id,
+            endpoint_id=endpoint.endpoint_id,
+            reason="its failure domain was evacuated since it was placed",
+            failure_domain=endpoint.failure_domain,
+        )
+        self.abort()
+        return False
+
+
+def describe_evacuated(parts, service):
+    """Return what the log line of a refused request says of evacuations, a dict.
+
+    It is empty if no endpoint of the service is evacuated.
+    """
+    if not parts.settings.evacuations:
+        return {}
+    evacuated = parts.coordinator.ask(FindEvacuated(service or ""))
+    if not evacuated.ids:
+        return {}
+    parts.metrics.count("evacuation", "request refused")
+    return {
+        "evacuated_domains": list(evacuated.domains),
+        "evacuated_endpoints": len(evacuated.ids),
+    }
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 
 from ..access_messages import FindEndpoint
 from ..endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS, EndpointRequest
+from ..evacuation_messages import IsEvacuated
 from ..leaving import note_leaving
 from ..request_limits import note_request_limit
 
@@ -26,6 +27,7 @@
 HEAD_END = b"\r\n\r\n"
 IDLE_CHECK_SECONDS = 0.05
 MS_PER_SECOND = 1000
+EVACUATED = "the endpoint's failure domain is evacuated"
 
 
 class Forwarder:
@@ -47,6 +49,8 @@
         with self._counted() as is_free:
             endpoint = self._parts.coordinator.ask(FindEndpoint(request.endpoint_id))
             reason = None if is_free else "too many requests are forwarded"
+            if self._parts.store_cache.lacks_evacuations:
+                reason = reason or "the evacuations are not known here yet"
             reason = reason or _refusal(endpoint, request)
             if reason is not None:
                 end = _end(fleet_pb2.ForwardEnd.NOT_FORWARDED, reason)
@@ -101,6 +105,9 @@
             if not context.add_callback(lambda: _shut_down(sock)):
                 return _end(fleet_pb2.ForwardEnd.BROKEN, "the peer gave up")
             try:
+                # Connecting takes time, in which the endpoint may be evacuated.
+                if self._parts.coordinator.ask(IsEvacuated(endpoint.failure_domain)):
+                    return _end(fleet_pb2.ForwardEnd.NOT_FORWARDED, EVACUATED)
                 sent_at = time.monotonic()
                 sock.settimeout(max(end_at - sent_at, 0.01))
                 sock.sendall(request.data)
@@ -148,6 +155,8 @@
     """Return why this node may not send a request to an endpoint, or None."""
     if endpoint is None:
         return "the endpoint is unknown here"
+    if endpoint.is_evacuated:
+        return EVACUATED
     if not endpoint.accepts_requests:
         return "the endpoint is leaving"
     if endpoint.request_limit is not None and not request.has_permit:
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -184,8 +184,8 @@
 class BeginRequest(NamedTuple):
     """Counts a request in flight at the endpoint that a scheduler chose.
 
-    The reply is `InFlightRequest`, or None if the endpoint is draining, leaving or
-    removed according to this node.
+    The reply is `InFlightRequest`, or None if the endpoint is draining, leaving,
+    evacuated or removed according to this node.
     """
 
     place: PlaceRequest
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -43,6 +43,7 @@
 from .placing import LoadReporter, Placer
 from .store_cache import (
     ConfigurationReader,
+    EvacuationCache,
     KindWatcher,
     StoreCache,
     StoreContactKeeper,
@@ -58,6 +59,9 @@
 # Reserved for the last steps of a drain before the process is killed.
 EXIT_MARGIN_SECONDS = 0.7
 AUXILIARY_THREADS = 4
+# Pause of the watch of evacuations after a change. A change has to be in force at all
+# nodes within a second, in which the nodes that rely on others ask twice.
+EVACUATION_COALESCE_SECONDS = 0.1
 # Limit of the platform for the addresses in one directory response.
 MAX_DIRECTORY_ADDRESSES = 64
 
@@ -183,7 +187,10 @@
         parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.store = CountedStore(parts.store, parts.metrics)
         parts.store_contact = StoreContactKeeper(parts.store, parts.metrics)
-        parts.store_cache = StoreCache(parts.dialect, actor)
+        evacuations = None
+        if parts.settings.evacuations:
+            evacuations = EvacuationCache(actor, parts.metrics)
+        parts.store_cache = StoreCache(parts.dialect, actor, evacuations)
         parts.metrics.observe_configuration(lambda: parts.store_cache.version)
         parts.configuration_reader = stack.enter_context(
             ConfigurationReader(
@@ -275,18 +282,35 @@
             keeps_history=True,
         )
         watchers = [configuration_watcher, endpoint_watcher]
-        for watcher in watchers:
+        optional_watchers = []
+        if cache.evacuations is not None:
+            evacuation_watcher = KindWatcher(
+                parts.store,
+                kinds.evacuations,
+                cache.evacuations.on_listed,
+                cache.evacuations.on_changed,
+                is_store_silent=contact.is_store_silent,
+                keeps_history=True,
+                coalesce_seconds=EVACUATION_COALESCE_SECONDS,
+            )
+            optional_watchers = [evacuation_watcher]
+        guards = []
+        for watcher in (*watchers, *optional_watchers):
             self._updates.add(watcher)
+            guards += guards_of(parts.store, watcher, contact, parts.metrics)
         self._relay = StoreRelay(
-            parts.coordinator, watchers, parts.peers.poll_store, parts.metrics
+            parts.coordinator,
+            watchers,
+            parts.peers.poll_store,
+            parts.metrics,
+            optional_watchers,
         )
         for thread in (
-            configuration_watcher,
-            endpoint_watcher,
+            *watchers,
+            *optional_watchers,
             self._ends_watcher,
             # Ends are confirmed by `JobEnds` instead.
-            *guards_of(parts.store, configuration_watcher, contact, parts.metrics),
-            *guards_of(parts.store, endpoint_watcher, contact, parts.metrics),
+            *guards,
             contact,
             self._relay,
         ):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -18,7 +18,6 @@
     missing_part,
     next_step,
 )
-from sequoiaglade_endpoints import Attempt
 from sequoiaglade_node.web import Response
 
 from ..endpoint_calls import (
@@ -28,6 +27,7 @@
     open_call,
 )
 from ..endpoint_requests import EndpointRequest
+from ..evacuations import PlacedAttempt, describe_evacuated
 from ..messages import (
     BROKEN,
     DONE,
@@ -64,7 +64,7 @@
         self.request = request
         self._disconnected = disconnected
         self._stack = contextlib.ExitStack()
-        self._attempt = Attempt()
+        self._attempt = PlacedAttempt(parts, request.call.request_id)
         self._in_flight = None
         self._excluded = frozenset()
         self._reserved = self._stack.enter_context(ReservedPlace(parts))
@@ -160,7 +160,8 @@
     def end_attempt(self, fault=None):
         """Release the endpoint; `fault` is the `CallFault` of a failed attempt."""
         in_flight_request, self._in_flight = self._in_flight, None
-        attempt, self._attempt = self._attempt, Attempt()
+        attempt = self._attempt
+        self._attempt = PlacedAttempt(self._parts, self.request.call.request_id)
         if in_flight_request is None:
             return
         outcome = _outcome_of(fault, attempt.is_aborted)
@@ -214,6 +215,7 @@
         self._is_admitted = True
         if placed.preempts:
             self._parts.batch.preempt(placed.endpoint.endpoint_id)
+        self._attempt.note_placed(placed.endpoint)
         outcome = self._send(placed.endpoint)
         if isinstance(outcome, CallFault):
             self._excluded = self._excluded | {placed.endpoint.endpoint_id}
@@ -433,6 +435,7 @@
             reason=reason,
             retry_after=retry_after,
             configuration_version=self.request.version,
+            **describe_evacuated(self._parts, self.request.service),
         )
         self._parts.metrics.count("refused", str(status))
         return GatewayRefusal(status, reason, retry_after)
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -65,7 +65,7 @@
     def fetch_store_cache(self, address):
         """Return the result of a peer's `StoreCache.export_for_peer`, or None."""
         reply = self._call(address, "Knowledge", fleet_pb2.KnowledgeRequest())
-        return reply and (reply.configuration, reply.endpoints)
+        return reply and (reply.configuration, reply.endpoints, reply.evacuations)
 
     def read_job(self, address, key, after):
         """Return the item count and results of a job held by a peer, or None."""
@@ -120,12 +120,13 @@
         reply = self._call(ask.address, "ReserveTokens", request, seconds)
         return None if reply is None else decode_keeper_answer(reply)
 
-    def poll_store(self, address, revision_by_kind):
+    def poll_store(self, address, revision_by_kind, optional_revision_by_kind):
         """Ask a follower of the store for changes since the revisions known.
 
-        Return the result of `StoreUpdates.after` there, None without an answer.
+        A follower of an older release does not tell of the optional kinds. Return the
+        result of `StoreUpdates.after` there, None without an answer.
         """
-        request = encode_poll(revision_by_kind)
+        request = encode_poll(revision_by_kind, optional_revision_by_kind)
         reply = self._call(address, "PollStore", request, POLL_TIMEOUT_SECONDS, True)
         return None if reply is None else decode_updates(reply)
 
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -41,6 +41,9 @@
 FANOUT = 4
 # Probability that a round also contacts a seed that is not a live peer.
 SEED_PROBABILITY = 0.2
+# Interval at which a node that starts asks peers for the evacuations. The answer has
+# the whole configuration, and an older peer does not know them.
+EVACUATIONS_RETRY_SECONDS = 1.0
 # A peer that takes longer is contacted again in a later round.
 CALL_SECONDS = 0.4
 
@@ -76,6 +79,7 @@
         self._peer_acks = PeerAcks()
         self._messages = StateMessages()
         self._configuration_sources = ConfigurationSources()
+        self._evacuations_due_at = 0.0
         self._round_at = self._resumed_at = self._clock()
         self._failing_since_by_address = {}
         self._is_exclusive = True
@@ -216,22 +220,33 @@
         self._learn_configuration(live)
 
     def _learn_configuration(self, live):
-        """Ask a peer with a newer configuration for it, if there is one."""
+        """Ask a peer with a newer configuration for it, if there is one.
+
+        A node that starts while the store is away also asks for the evacuations.
+        """
         cache = self._parts.store_cache
+        version = cache.version
+        is_due = self._clock() >= self._evacuations_due_at
+        if version and cache.lacks_evacuations and is_due:
+            self._evacuations_due_at = self._clock() + EVACUATIONS_RETRY_SECONDS
+            version -= 1
         unreachable_ids = {
             state.node_id
             for state in live
             if state.peer_address in self._failing_since_by_address
         }
         source = self._configuration_sources.choose(
-            live, cache.version, unreachable_ids, self._clock()
+            live, version, unreachable_ids, self._clock()
         )
         if source is None:
             return
         exported = self._client.fetch_store_cache(source.peer_address)
         if exported is not None:
-            cache.import_from_peer(*exported, source=source.node_id)
-        if cache.version < source.configuration_version:
+            configuration, endpoints, evacuations = exported
+            cache.import_from_peer(
+                configuration, endpoints, source.node_id, evacuations
+            )
+        if cache.version < source.configuration_version or cache.lacks_evacuations:
             self._configuration_sources.note_failure(source.node_id, self._clock())
 
     def _log_reachability(self, address, is_reachable):
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -57,9 +57,9 @@
         return reply
 
     def Knowledge(self, request, context):  # noqa: N802
-        configuration, endpoints = self._store_cache.export_for_peer()
+        configuration, endpoints, evacuations = self._store_cache.export_for_peer()
         return fleet_pb2.KnowledgeReply(
-            configuration=configuration, endpoints=endpoints
+            configuration=configuration, endpoints=endpoints, evacuations=evacuations
         )
 
     def ReadJob(self, request, context):  # noqa: N802
@@ -115,7 +115,7 @@
         return fleet_pb2.TokensReleaseReply()
 
     def PollStore(self, request, context):  # noqa: N802
-        is_following, update_by_kind = self._updates.after(decode_poll(request))
+        is_following, update_by_kind = self._updates.after(*decode_poll(request))
         return encode_updates(is_following, update_by_kind)
 
     def Schedule(self, request, context):  # noqa: N802
--- a/packages/gateway/sequoiaglade_gateway/peers/store_codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/store_codec.py
@@ -7,19 +7,34 @@
 from sequoiaglade_protocol import fleet_pb2
 
 
-def encode_poll(revision_by_kind):
-    """Return the message that asks for changes since revisions, None for all."""
+def encode_poll(revision_by_kind, optional_revision_by_kind):
+    """Return the message that asks for changes since revisions, None for all.
+
+    The optional kinds are those that an older release does not know.
+
+    >>> decode_poll(encode_poll({"endpoints": 7}, {"evacuations": None}))
+    ({'endpoints': 7}, {'evacuations': None})
+    """
     return fleet_pb2.StorePoll(
-        kinds=[
-            fleet_pb2.KindPoll(kind=kind, revision=revision or 0)
-            for kind, revision in revision_by_kind.items()
-        ]
+        kinds=_encode_revisions(revision_by_kind),
+        optional_kinds=_encode_revisions(optional_revision_by_kind),
     )
 
 
 def decode_poll(message):
-    """Return the revisions by kind of a message."""
-    return {row.kind: row.revision or None for row in message.kinds}
+    """Return the revisions by kind of a message, and those of the optional kinds."""
+    return _decode_revisions(message.kinds), _decode_revisions(message.optional_kinds)
+
+
+def _encode_revisions(revision_by_kind):
+    return [
+        fleet_pb2.KindPoll(kind=kind, revision=revision or 0)
+        for kind, revision in revision_by_kind.items()
+    ]
+
+
+def _decode_revisions(rows):
+    return {row.kind: row.revision or None for row in rows}
 
 
 def encode_updates(is_following, update_by_kind):
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -8,6 +8,7 @@
 from sequoiaglade_node.threads import OwnedThread
 
 from .access_messages import FindPermitGranters, PermitDenied, TakePermit
+from .evacuation_messages import FindEvacuated
 from .messages import (
     STOPPED,
     BeginRequest,
@@ -110,10 +111,10 @@
 
         A request for one of several software versions is placed by this node, since the
         group that a scheduler places in may have no endpoint of that version.
-        A scheduler that chooses an endpoint that is draining, leaving or removed
-        according to this node is asked once more. If no scheduler answers or finds an
-        endpoint, this node places the request by its own state. Return None if it then
-        finds no slot for a batch item.
+        A scheduler that chooses an endpoint that is draining, leaving, evacuated or
+        removed according to this node is asked once more. If no scheduler answers or
+        finds an endpoint, this node places the request by its own state. Return None if
+        it then finds no slot for a batch item.
         """
         coordinator = self._parts.coordinator
         query = coordinator.ask(FindSchedulers(place.service, place.spread))
@@ -132,7 +133,9 @@
                     running = coordinator.ask(begin)
                     if running is not None:
                         return running
-                    excluded = place.excluded | {endpoint_id}
+                    # A scheduler of an older release knows of no evacuations.
+                    evacuated = coordinator.ask(FindEvacuated(place.service))
+                    excluded = place.excluded | {endpoint_id} | evacuated.ids
                     place = place._replace(excluded=excluded, is_admitted=True)
                 case Full(_, True) | QuotaExceeded():
                     return placement
--- a/packages/gateway/sequoiaglade_gateway/reach.py
+++ b/packages/gateway/sequoiaglade_gateway/reach.py
@@ -37,6 +37,8 @@
                 ]
             case FindAnyEndpoint():
                 endpoints = self._directory.endpoints()
+                # An evacuated domain may be switched off.
+                endpoints = [e for e in endpoints if not e.is_evacuated] or endpoints
                 return random.choice(endpoints) if endpoints else None
 
     def _note_connection(self, message, now):
--- a/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/__init__.py
@@ -2,6 +2,7 @@
 
 from .cache import StoreCache
 from .contact import StoreContactKeeper
+from .evacuations import EvacuationCache
 from .guard import StandbyWatch, WatchGuard, guards_of
 from .reader import ConfigurationReader
 from .relay import StoreRelay
@@ -10,6 +11,7 @@
 
 __all__ = [
     "ConfigurationReader",
+    "EvacuationCache",
     "KindWatcher",
     "StandbyWatch",
     "StoreCache",
--- a/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
@@ -20,12 +20,14 @@
     """Local copy of the store's configuration and endpoint list.
 
     A configuration is never replaced by one with an older version. The parsed documents
-    are passed on to the coordinator.
+    are passed on to the coordinator. `evacuations` is the `EvacuationCache`, None if
+    failure domains can't be evacuated.
     """
 
-    def __init__(self, dialect, coordinator):
+    def __init__(self, dialect, coordinator, evacuations=None):
         self._dialect = dialect
         self._coordinator = coordinator
+        self.evacuations = evacuations
         self._lock = threading.Lock()
         self._log = structlog.get_logger()
         self._configuration_value = None
@@ -45,8 +47,20 @@
 
     @property
     def is_complete(self):
-        """Whether the node can serve: it has a configuration and an endpoint list."""
-        return self.configuration is not None and self._has_listed_endpoints
+        """Whether the node can serve.
+
+        It has a configuration, an endpoint list, and knows the evacuations.
+        """
+        return (
+            self.configuration is not None
+            and self._has_listed_endpoints
+            and not self.lacks_evacuations
+        )
+
+    @property
+    def lacks_evacuations(self):
+        """Whether failure domains can be evacuated and none were listed yet."""
+        return self.evacuations is not None and not self.evacuations.is_listed
 
     def on_configurations_listed(self, documents):
         """Apply the list of configuration documents."""
@@ -131,24 +145,33 @@
         self._coordinator.tell(EndpointListReachable(is_reachable))
 
     def export_for_peer(self):
-        """Return the configuration and the endpoints as a pair of JSON bytes.
+        """Return the configuration, the endpoints and the evacuations as JSON bytes.
 
-        Both are empty without a configuration.
+        All are empty without a configuration, the last one if they are not known.
         """
         with self._lock:
             configuration = self._configuration_value
             endpoints = dict(self._endpoint_by_name)
         if configuration is None:
-            return b"", b""
-        return json.dumps(configuration).encode(), json.dumps(endpoints).encode()
+            return b"", b"", b""
+        evacuations = self.evacuations.export_for_peer() if self.evacuations else b""
+        return (
+            json.dumps(configuration).encode(),
+            json.dumps(endpoints).encode(),
+            evacuations,
+        )
 
-    def import_from_peer(self, configuration, endpoints, source):
+    def import_from_peer(self, configuration, endpoints, source, evacuations=b""):
         """Apply the result of a peer's `export_for_peer`.
 
-        The list of endpoints is used only if this node has read none yet.
+        The lists of endpoints and of evacuations are used only if this node has read
+        none yet.
         """
         if not configuration:
             return
+        # First, so that no endpoint is used before it is marked.
+        if self.evacuations is not None:
+            self.evacuations.import_from_peer(evacuations)
         document = Document("main", 0, json.loads(configuration))
         self.apply_configuration(document, source)
         with self._listing_lock:
--- a/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/watcher.py
@@ -49,7 +49,8 @@
 
     With `keeps_history` peers may be told of changes (`update_after`), and the other
     way round: after `rely_on_peers` it makes no calls and `apply_update` tells of what
-    peers know, until `follow_store`.
+    peers know, until `follow_store`. `coalesce_seconds` is the pause after a call that
+    returned changes.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         may_be_outdated=False,
         is_store_silent=lambda: False,
         keeps_history=False,
+        coalesce_seconds=COALESCE_SECONDS,
     ):
         super().__init__(f"watch {kind}", join_seconds=0.2)
         self._store = store
@@ -71,6 +73,7 @@
         self._on_reachable = on_reachable or (lambda is_reachable: None)
         self._may_be_outdated = may_be_outdated
         self._is_store_silent = is_store_silent
+        self._coalesce_seconds = coalesce_seconds
         self._revision = None
         self._history = KindHistory() if keeps_history else None
         self._lock = threading.Lock()
@@ -260,7 +263,7 @@
             if not self._is_known(result.revision):
                 self._apply_changes(result.changes, result.revision)
         if result.changes:
-            self._stopped.wait(COALESCE_SECONDS)
+            self._stopped.wait(self._coalesce_seconds)
         return None
 
     def _update_reachability(self, failure):
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -88,7 +88,9 @@
         ),
         dialect=PlatformDialect(),
         store_cache=SimpleNamespace(
-            configuration=FleetConfiguration(1, (route,), (), ()), confirmed_at=0.0
+            configuration=FleetConfiguration(1, (route,), (), ()),
+            confirmed_at=0.0,
+            lacks_evacuations=False,
         ),
         writer=SimpleNamespace(wake=lambda: None),
         response_memory=ResponseMemory(),
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -166,7 +166,10 @@
         )
         parts.metrics = SimpleNamespace(count=lambda event, outcome: None)
         parts.store_cache = SimpleNamespace(
-            configuration=simulation.configuration, version=0, is_store_reachable=True
+            configuration=simulation.configuration,
+            version=0,
+            is_store_reachable=True,
+            lacks_evacuations=False,
         )
         return parts
 
