--- a/tests/features/gateway/evacuations.feature
+++ b/tests/features/gateway/evacuations.feature
@@ -130,3 +130,43 @@
     When the watches of evacuations that wait get no answer any more
     And the domain "zone-a" is evacuated
     Then from 5 seconds later on nothing arrives in "zone-a" for 2 seconds
+
+  # A connect may take as long as the time in which an evacuation has to be in force.
+  Scenario Outline: A request is checked again right before it is sent: <case>
+    Given a request that is placed in "a" and sent <seconds> seconds later
+    When the domain is <state> meanwhile
+    Then its attempt is <outcome>
+
+    Examples:
+      | case                       | seconds | state     | outcome  |
+      | evacuated while connecting | 0.2     | evacuated | withheld |
+      | sent at once               | 0.0     | evacuated | sent     |
+      | nothing happened           | 0.2     | in use    | sent     |
+
+  Scenario Outline: A gateway that sends a request for a peer refuses it: <case>
+    Given a gateway that is asked to send a request to an endpoint in "a"
+    When it learns of the evacuation <case>
+    Then the endpoint gets nothing, and the peer may send the request elsewhere
+
+    Examples:
+      | case              |
+      | before            |
+      | while it connects |
+      | after its start   |
+
+  # The scheduler of an older release places in the domain again and again.
+  Scenario: A scheduler that knows no evacuation is asked once more without the domain
+    Given endpoints in the domains "a, b", and nodes in the domains "a, b"
+    When the entries "a" are written
+    And a scheduler that knows no evacuation places a request, first in "a"
+    Then the request runs in "b" after 2 questions, without all endpoints in "a"
+
+  # Followers of both releases, which answer for different kinds.
+  Scenario: An evacuation is known to the gateways of this release beside an older one
+    Given 12 gateways of the release in production beside 3 of this one with evacuations
+    When three gateways follow the store and all others rely on them
+    And the domain "zone-a" is evacuated
+    Then the gateways of this release know within 1 second that "zone-a" is evacuated
+    And three gateways follow the store and all others rely on them
+    When the runner is removed from the store
+    Then all gateways know it within 2 seconds
