--- a/packages/gateway/sequoiaglade_gateway/evacuations.py
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -136,10 +136,13 @@
         self._endpoint = None
         self._placed_at = None
 
-    def note_placed(self, endpoint):
-        """Note the endpoint at which the request was placed just now."""
+    def note_placed(self, endpoint, began_at):
+        """Note the endpoint of the request, whose placement began at a time.
+
+        Placements of other nodes and permits take a while.
+        """
         self._endpoint = endpoint
-        self._placed_at = time.monotonic()
+        self._placed_at = began_at
 
     def may_send(self):
         """Return whether the request may be sent now that the connection is open."""
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -205,6 +205,7 @@
         self._parts.metrics.count("ended", outcome)
 
     def _try_once(self):
+        began_at = time.monotonic()
         self._has_moved = self._has_moved or self._reserved.is_held
         placed = self._reserved.take() or self._place()
         if isinstance(placed, Full):
@@ -215,7 +216,7 @@
         self._is_admitted = True
         if placed.preempts:
             self._parts.batch.preempt(placed.endpoint.endpoint_id)
-        self._attempt.note_placed(placed.endpoint)
+        self._attempt.note_placed(placed.endpoint, began_at)
         outcome = self._send(placed.endpoint)
         if isinstance(outcome, CallFault):
             self._excluded = self._excluded | {placed.endpoint.endpoint_id}
--- a/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/relay.py
@@ -17,7 +17,8 @@
     While their answers suffice the `KindWatcher` of each kind makes no calls, and
     `is_relied_on` is true. `poll` is `PeerClient.poll_store`. `optional_watchers` are
     those of kinds that followers of an older release do not know. These make no calls
-    only while each answer has all of these kinds; they do not affect the others.
+    only while one answer of each round has all of these kinds; they do not affect the
+    others.
     """
 
     def __init__(
@@ -59,14 +60,17 @@
             self._rely_on_followers(False, "this node follows the store")
             self._rely_optionally(False, False)
             return
-        has_outage = False
+        is_following = has_optional = has_outage = False
         for _ in followers:
-            is_following = self._ask(self._contact.choose(followers, self._clock()))
-            if is_following:
+            answer, is_whole = self._ask(self._contact.choose(followers, self._clock()))
+            is_following = is_following or bool(answer)
+            has_optional = has_optional or is_whole
+            if is_following and has_optional:
                 break
-            has_outage = has_outage or is_following is False
-        else:
+            has_outage = has_outage or answer is False
+        if not is_following:
             self._contact.note_lost()
+        if not has_optional:
             self._optional_contact.note_lost()
         is_sufficient = self._contact.is_sufficient(self._clock())
         # Only its own calls tell a node that the store answers it again.
@@ -77,7 +81,10 @@
         self._rely_optionally(is_sufficient, has_outage)
 
     def _ask(self, address):
-        """Ask a node and apply its answer; return the first of `StoreUpdates.after`."""
+        """Ask a node and apply its answer.
+
+        Return the first of `StoreUpdates.after`, and whether it has all optional kinds.
+        """
         answer = self._poll(
             address,
             {w.kind: w.revision for w in self._watchers},
@@ -86,21 +93,20 @@
         is_following, update_by_kind = answer or (None, {})
         for watcher in self._watchers if is_following else ():
             watcher.apply_update(update_by_kind[watcher.kind])
-        if is_following:
-            self._apply_optional(update_by_kind, address)
+        is_whole = bool(is_following) and self._apply_optional(update_by_kind)
+        if is_whole:
+            self._optional_contact.note_answer(address, True, self._clock())
         self._contact.note_answer(address, bool(is_following), self._clock())
         outcome = {None: "unanswered", False: "outage", True: "answered"}
         self._metrics.count("store relayed", outcome[is_following])
-        return is_following
+        return is_following, is_whole
 
-    def _apply_optional(self, update_by_kind, address):
+    def _apply_optional(self, update_by_kind):
+        """Apply the optional kinds of an answer; return whether it has all of them."""
         found = [w for w in self._optional_watchers if w.kind in update_by_kind]
         for watcher in found:
             watcher.apply_update(update_by_kind[watcher.kind])
-        if len(found) == len(self._optional_watchers):
-            self._optional_contact.note_answer(address, True, self._clock())
-        else:
-            self._optional_contact.note_lost()
+        return len(found) == len(self._optional_watchers)
 
     def _rely_optionally(self, is_sufficient, has_outage):
         """Decide whether this node watches the optional kinds by itself."""
--- a/tests/features/gateway/evacuations.feature
+++ b/tests/features/gateway/evacuations.feature
@@ -63,6 +63,8 @@
     Then the node relies on it for "config, servers, evacuations" only
     When the follower tells of "config, servers" once
     Then the node relies on it for "config, servers" only
+    When another follower tells of "config, servers, evacuations" as well for 5 seconds
+    Then the node relies on it for "config, servers, evacuations" only
 
   Scenario: A node that does not follow evacuations answers for the other kinds
     Then updates are told for "config", and "evacuations" is left out if not followed
@@ -170,3 +172,9 @@
     And three gateways follow the store and all others rely on them
     When the runner is removed from the store
     Then all gateways know it within 2 seconds
+
+  # A peer was asked for its lists only if it had a newer configuration.
+  Scenario: A node that read its configuration, but no evacuations, asks its peers
+    Given gateways "a, b, c" with one configuration, of which "c" knows evacuations
+    When "c" lists the evacuations "zone-a"
+    Then "a" knows within 4 seconds that "zone-a" is evacuated, and is complete
--- a/tests/features/steps/gateway_evacuation_decision_steps.py
+++ b/tests/features/steps/gateway_evacuation_decision_steps.py
@@ -244,12 +244,14 @@
 @given('a node that relies on a follower for "{kinds}" and "{optional}"')
 def given_relay(context, kinds, optional):
     context.now = 0.0
+    context.followers = ("follower",)
+    context.updates_by_follower = {}
     watchers = [_Watcher(kind) for kind in names_in(kinds)]
     optional_watchers = [_Watcher(kind) for kind in names_in(optional)]
     context.relay = StoreRelay(
-        SimpleNamespace(ask=lambda message: ("follower",)),
+        SimpleNamespace(ask=lambda message: context.followers),
         watchers,
-        lambda address, *asked: (True, dict(context.updates)),
+        lambda address, *asked: (True, dict(context.updates_by_follower[address])),
         SimpleNamespace(count=lambda *labels: None),
         optional_watchers,
         clock=lambda: context.now,
@@ -257,19 +259,33 @@
     context.watchers = [*watchers, *optional_watchers]
 
 
-@when('the follower tells of "{kinds}" for {seconds:d} seconds')
-def tell_for(context, kinds, seconds):
-    context.updates = {kind: KindUpdate(1, False, []) for kind in names_in(kinds)}
-    for _ in range(2 * seconds):
+def _updates(kinds):
+    return {kind: KindUpdate(1, False, []) for kind in names_in(kinds)}
+
+
+def _run_rounds(context, count):
+    for _ in range(count):
         context.now += 0.5
         context.relay.run_round()
 
 
+@when('the follower tells of "{kinds}" for {seconds:d} seconds')
+def tell_for(context, kinds, seconds):
+    context.updates_by_follower["follower"] = _updates(kinds)
+    _run_rounds(context, 2 * seconds)
+
+
 @when('the follower tells of "{kinds}" once')
 def tell_once(context, kinds):
-    context.updates = {kind: KindUpdate(1, False, []) for kind in names_in(kinds)}
-    context.now += 0.5
-    context.relay.run_round()
+    context.updates_by_follower["follower"] = _updates(kinds)
+    _run_rounds(context, 1)
+
+
+@when('another follower tells of "{kinds}" as well for {seconds:d} seconds')
+def tell_beside(context, kinds, seconds):
+    context.followers = ("follower", "another")
+    context.updates_by_follower["another"] = _updates(kinds)
+    _run_rounds(context, 2 * seconds)
 
 
 @then('the node relies on it for "{kinds}" only')
--- a/tests/features/steps/gateway_evacuation_sending_steps.py
+++ b/tests/features/steps/gateway_evacuation_sending_steps.py
@@ -43,7 +43,8 @@
     context.domain, context.seconds = domain, seconds
     parts = _parts(lambda message: message.failure_domain in context.evacuated)
     context.attempt = PlacedAttempt(parts, "request-1")
-    context.attempt.note_placed(Endpoint("e-1", SERVICE, "10.0.0.1:80", domain, 8))
+    endpoint = Endpoint("e-1", SERVICE, "10.0.0.1:80", domain, 8)
+    context.attempt.note_placed(endpoint, time.monotonic())
 
 
 @when("the domain is {state} meanwhile")
