--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -429,6 +429,9 @@
             status = 504
         if status == 503 and retry_after is None:
             retry_after = RETRY_AFTER_SECONDS
+        evacuated = {}
+        if status == 503:
+            evacuated = describe_evacuated(self._parts, self.request.service)
         self._log.info(
             "request given up",
             request_id=self.request.call.request_id,
@@ -436,7 +439,7 @@
             reason=reason,
             retry_after=retry_after,
             configuration_version=self.request.version,
-            **describe_evacuated(self._parts, self.request.service),
+            **evacuated,
         )
         self._parts.metrics.count("refused", str(status))
         return GatewayRefusal(status, reason, retry_after)
