--- a/packages/gateway/sequoiaglade_gateway/evacuations.py
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -52,6 +52,8 @@
             case IsEvacuated(domain):
                 return self._evacuations.is_evacuated(domain)
             case FindEvacuated(service):
+                if not self._evacuations.domains:
+                    return EvacuatedEndpoints(frozenset(), ())
                 endpoints = self._directory.evacuated(service, now)
                 return EvacuatedEndpoints(
                     frozenset(e.endpoint_id for e in endpoints),
