--- a/packages/gateway/sequoiaglade_gateway/evacuations.py
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -104,10 +104,12 @@
         return EvacuationNews(len(changes.begun), len(changes.ended), len(unknown))
 
     def _log_unknown(self, now):
-        known = self._known_domains(now)
-        if not (known and self._directory.endpoints()):
+        is_informed = (
+            self._settings.region_by_failure_domain or self._directory.endpoints()
+        )
+        if not is_informed:
             return []
-        unknown = self._evacuations.note_known(known)
+        unknown = self._evacuations.note_known(self._known_domains(now))
         for domain in unknown:
             self._log.warning(
                 "evacuation ignored",
