--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -6,8 +6,9 @@
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
 from .configuration_sources import ConfigurationSources
+from .endpoint_pace import EndpointPaces, PaceChange, PaceLimit
 from .endpoint_reach import EndpointReach, forwarding_nodes
-from .endpoints import Endpoint, EndpointDirectory
+from .endpoints import DEFAULT_SLOTS, Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
 from .gossip_targets import choose_targets
 from .groups import eligible_nodes, group_count, group_of, schedulers
@@ -34,7 +35,7 @@
     granter_share,
     permit_granters,
 )
-from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
+from .placement import EndpointLoads, Full, Placed
 from .prompt_parts import LASTING_SECONDS, PromptParts
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
@@ -118,6 +119,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoads",
+    "EndpointPaces",
     "EndpointReach",
     "EndsKnowledge",
     "Event",
@@ -147,6 +149,8 @@
     "NodeState",
     "NodeTable",
     "OrphanedJobs",
+    "PaceChange",
+    "PaceLimit",
     "PageValidity",
     "PeerAcks",
     "PartCrash",
--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -0,0 +1,404 @@
+"""Concurrency limits of endpoints that have started or recovered, and their speed now.
+
+Load pattern: many nodes send short requests to endpoints that fill up within a fraction
+of a second. An endpoint that has just started is empty, so that it is chosen first and
+gets as many requests as it has slots before its first answer is there.
+"""
+
+from typing import NamedTuple
+
+from .endpoints import DEFAULT_SLOTS
+
+# Concurrent requests of an endpoint that has just started or recovered, as specified.
+START_REQUESTS = 2.0
+# An available endpoint always gets one request: only answers can raise its limit.
+MIN_REQUESTS = 1.0
+# Answers within this part of what callers need leave room for twice the requests, so
+# that the limit doubles in each response time; later ones raise it by one in that time.
+EARLY_LATENESS = 0.5
+# An answer is late if it takes longer than callers need.
+LATE_LATENESS = 1.0
+# Factor of the limit when answers are late or refused.
+FALL_FACTOR = 0.5
+# Refusals and breaks within this time have one cause: nodes report them within 50 ms.
+FALL_SECONDS = 0.1
+# Streams whose events are this many times as far apart as usual are late.
+LATE_INTERVAL_RATIO = 4.0
+# A limit that no answer has confirmed ends after this time. Nodes that do not schedule
+# an endpoint get none; the slowest starts that are known take a few seconds.
+LAPSE_SECONDS = 10.0
+# Endpoints in the first list that started within this time have just started. Clocks
+# of machines differ by less than a second.
+RECENT_START_SECONDS = 10.0
+# A figure of an endpoint's speed says nothing after this time.
+FIGURE_SECONDS = 1.0
+# Weight of the newest figure in the moving average of an endpoint's figures.
+FIGURE_WEIGHT = 0.1
+# Bounds of a figure relative to the average of its endpoint, so that no figure alone
+# excludes an endpoint.
+FIGURE_FACTOR_MAX = 4.0
+# What schedulers told of limits is repeated to their successors within this time, which
+# is longer than nodes take to agree on a successor.
+TOLD_SECONDS = 5.0
+# Messages between nodes take less than this time.
+TOLD_MARGIN_SECONDS = 0.1
+# Limits of a node are logged at most this often per endpoint when they fall.
+LOG_FALL_SECONDS = 1.0
+# Endpoints that are remembered beyond those that are listed.
+SPARE_ENDPOINTS = 100
+
+BEGAN, FELL, ENDED, LAPSED = "began", "fell", "ended", "lapsed"
+
+
+class PaceLimit(NamedTuple):
+    """How many concurrent requests an endpoint gets from all nodes, and why.
+
+    A limit is firm if answers of the endpoint, or failures, show that it can't take
+    more. `requests` is 0 in what a scheduler tells of an endpoint without a limit.
+    `age_seconds` is the time since a scheduler told it.
+    """
+
+    endpoint_id: str
+    requests: float
+    is_firm: bool = False
+    reason: str = ""
+    age_seconds: float = 0.0
+
+
+class PaceChange(NamedTuple):
+    """A limit that began, fell, ended or lapsed, for operators."""
+
+    endpoint_id: str
+    change: str
+    requests: float
+    reason: str
+
+
+class _Limit(NamedTuple):
+    requests: float
+    is_firm: bool
+    reason: str
+    # When the limit began or last fell, and when an answer last confirmed it.
+    changed_at: float
+    heard_at: float
+
+
+class _Told(NamedTuple):
+    pace: PaceLimit
+    at: float
+
+
+class _Figure(NamedTuple):
+    percent: float
+    at: float
+    average: float
+
+
+class EndpointPaces:
+    """One concurrency limit for each endpoint that has started or recovered.
+
+    The limit is found from the endpoint's answers. `is_on` is whether it applies to all
+    endpoints; if not, it applies to those that tell how long their work takes now, and
+    to those whose evacuation ended.
+
+    >>> from sequoiaglade_decisions.gateway import Endpoint
+    >>> paces = EndpointPaces(is_on=True)
+    >>> paces.note_list([], now=0.0, unix_seconds=0.0)
+    >>> paces.note_endpoint(Endpoint("a", "s", "", "d", 8), now=1.0)
+    >>> paces.limits(now=1.0)["a"].requests
+    2.0
+    >>> for _ in range(6):
+    ...     paces.note_answer("a", lateness=0.3, seconds=0.1, now=1.2)
+    >>> paces.limits(now=1.2)
+    {}
+    """
+
+    def __init__(self, is_on=False):
+        self._is_on = is_on
+        self._has_list = False
+        self._endpoint_by_id = {}
+        self._started_at_by_id = {}
+        self._limit_by_id = {}
+        self._ended_at_by_id = {}
+        self._logged_fall_at_by_id = {}
+        self._figure_by_id = {}
+        self._told_by_id = {}
+        self._changes = []
+
+    def note_list(self, endpoints, now, unix_seconds):
+        """Note the list of endpoints, read at the wall clock time `unix_seconds`.
+
+        Endpoints in the first list that this node reads count as warmed up, unless
+        their entry states that they have just started: it is this node that is new. If
+        all of them counted as started, a restarted node or fleet would throttle sound
+        endpoints until each has answered.
+        """
+        for endpoint in endpoints:
+            if self._has_list:
+                self.note_endpoint(endpoint, now)
+                continue
+            self._endpoint_by_id[endpoint.endpoint_id] = endpoint
+            age = unix_seconds - endpoint.born / 1000
+            if endpoint.born and age < RECENT_START_SECONDS:
+                self._note_start(endpoint.endpoint_id, now)
+        self._has_list = True
+        if len(self._endpoint_by_id) > len(endpoints) + SPARE_ENDPOINTS:
+            self._forget({endpoint.endpoint_id for endpoint in endpoints})
+
+    def note_endpoint(self, endpoint, now):
+        """Note a listed endpoint; one with a new id or a later start has started."""
+        known = self._endpoint_by_id.get(endpoint.endpoint_id)
+        self._endpoint_by_id[endpoint.endpoint_id] = endpoint
+        if known is None or endpoint.born > known.born:
+            self._note_start(endpoint.endpoint_id, now)
+
+    def note_return(self, endpoint_ids, now):
+        """Limit endpoints whose evacuation has ended."""
+        for endpoint_id in endpoint_ids:
+            self._begin(endpoint_id, "evacuation ended", False, now)
+
+    def note_failure(self, endpoint_id, now):
+        """Limit an endpoint that is avoided for a failure."""
+        if endpoint_id in self._limit_by_id:
+            self._fall(endpoint_id, "failed", now)
+        elif self.is_paced(endpoint_id):
+            self._begin(endpoint_id, "failed", True, now)
+
+    def note_refusal(self, endpoint_id, now):
+        """Note that a limited endpoint refused a request for lack of capacity."""
+        self._fall(endpoint_id, "refused", now)
+
+    def note_silence(self, endpoint_id, now):
+        """Note that a request waits for data of a limited endpoint."""
+        self._fall(endpoint_id, "silent", now)
+
+    def note_interval(self, endpoint_id, ratio, now):
+        """Note the interval between events, as a multiple of the usual one."""
+        if ratio > LATE_INTERVAL_RATIO:
+            self._fall(endpoint_id, "slow events", now)
+
+    def note_answer(self, endpoint_id, lateness, seconds, now, weight=1.0):
+        """Note an answer whose first event took `seconds`.
+
+        `lateness` is this time as a multiple of what callers need. `weight` is the
+        number of requests for which the answer stands: a node that sees only its own
+        answers takes those of the other nodes to be alike.
+        """
+        limit = self._limit_by_id.get(endpoint_id)
+        if limit is None or now - seconds < limit.changed_at:
+            # Requests that were sent before the change tell nothing of the limit now.
+            return
+        if lateness > LATE_LATENESS:
+            self._fall(endpoint_id, "late", now)
+            return
+        is_early = lateness <= EARLY_LATENESS
+        step = min(weight, limit.requests)
+        requests = limit.requests + (step if is_early else step / limit.requests)
+        if requests >= self._slots(endpoint_id):
+            self._end(endpoint_id, ENDED, now)
+            return
+        limit = limit._replace(requests=requests, heard_at=now)
+        self._limit_by_id[endpoint_id] = limit
+
+    def note_figure(self, endpoint_id, percent, now, age=0.0):
+        """Note how long work takes at an endpoint now, in per cent of the usual time.
+
+        `age` is how many seconds ago it stated that. Such an endpoint is paced.
+        """
+        figure = self._figure_by_id.get(endpoint_id)
+        is_first = figure is None
+        average = 100.0 if is_first else figure.average
+        average += FIGURE_WEIGHT * (percent - average)
+        if is_first or figure.at <= now - age:
+            self._figure_by_id[endpoint_id] = _Figure(percent, now - age, average)
+        started_at = self._started_at_by_id.get(endpoint_id)
+        is_new = started_at is not None and now - started_at < RECENT_START_SECONDS
+        if is_first and is_new and endpoint_id not in self._limit_by_id:
+            self._begin(endpoint_id, "started", False, now)
+
+    def is_paced(self, endpoint_id):
+        """Return whether the limit of an endpoint follows from its answers."""
+        return (
+            self._is_on
+            or endpoint_id in self._figure_by_id
+            or endpoint_id in self._limit_by_id
+        )
+
+    def is_limited(self, endpoint_id):
+        """Return whether an endpoint has a limit."""
+        return endpoint_id in self._limit_by_id
+
+    @property
+    def has_figures(self):
+        """Whether any endpoint tells how long its work takes now."""
+        return bool(self._figure_by_id)
+
+    def figure_factor(self, endpoint_id, now):
+        """Return how much longer work takes now than on average at this endpoint.
+
+        It is relative to the endpoint's own figures, so that it corrects the measured
+        pace and a constant figure has no effect, true or not. It loses its effect with
+        its age, since the figure changes many times a second.
+
+        >>> paces = EndpointPaces()
+        >>> paces.note_figure("a", 300.0, now=0.0)
+        >>> [paces.figure_factor("a", now) for now in (0.0, 0.5, 1.0)]
+        [2.5, 1.75, 1.0]
+        """
+        figure = self._figure_by_id.get(endpoint_id)
+        if figure is None or now - figure.at >= FIGURE_SECONDS:
+            return 1.0
+        factor = figure.percent / figure.average if figure.average > 0 else 1.0
+        factor = min(max(factor, 1 / FIGURE_FACTOR_MAX), FIGURE_FACTOR_MAX)
+        return 1.0 + (factor - 1.0) * (1.0 - (now - figure.at) / FIGURE_SECONDS)
+
+    def limits(self, now):
+        """Return the limits in force by endpoint id, with `requests` and `is_firm`."""
+        lapsed = [
+            endpoint_id
+            for endpoint_id, limit in self._limit_by_id.items()
+            if now - limit.heard_at >= LAPSE_SECONDS
+        ]
+        for endpoint_id in lapsed:
+            self._end(endpoint_id, LAPSED, now)
+        return self._limit_by_id
+
+    def tell(self, endpoint_id, now):
+        """Return the `PaceLimit` to tell the node whose request was placed there.
+
+        It is None if the endpoint is not paced.
+        """
+        limit = self.limits(now).get(endpoint_id)
+        if limit is not None:
+            return PaceLimit(endpoint_id, limit.requests, limit.is_firm, limit.reason)
+        return PaceLimit(endpoint_id, 0.0) if self.is_paced(endpoint_id) else None
+
+    def note_told(self, pace, now):
+        """Note the `PaceLimit` that the scheduler of the endpoint told."""
+        self._told_by_id[pace.endpoint_id] = _Told(pace, now)
+        if pace.requests:
+            limit = _Limit(pace.requests, pace.is_firm, pace.reason, now, now)
+            self._limit_by_id[pace.endpoint_id] = limit
+        else:
+            self._limit_by_id.pop(pace.endpoint_id, None)
+
+    def notices(self, now):
+        """Return the limits that schedulers told lately, for their successors."""
+        self._told_by_id = {
+            endpoint_id: told
+            for endpoint_id, told in self._told_by_id.items()
+            if now - told.at < TOLD_SECONDS
+        }
+        return tuple(
+            told.pace._replace(age_seconds=now - told.at)
+            for told in self._told_by_id.values()
+            if told.pace.requests
+        )
+
+    def adopt(self, notices, now):
+        """Continue limits of the previous scheduler, as a scheduler.
+
+        Limits of which this node heard later than the notice's node are kept.
+        """
+        for pace in notices:
+            told_at = now - pace.age_seconds - TOLD_MARGIN_SECONDS
+            limit = self._limit_by_id.get(pace.endpoint_id)
+            heard_at = self._ended_at_by_id.get(pace.endpoint_id, float("-inf"))
+            if limit is not None:
+                heard_at = limit.heard_at
+            told = self._told_by_id.get(pace.endpoint_id)
+            if told is not None:
+                heard_at = max(heard_at, told.at)
+            if told_at > heard_at and pace.requests > 0:
+                self._limit_by_id[pace.endpoint_id] = _Limit(
+                    max(pace.requests, MIN_REQUESTS),
+                    pace.is_firm,
+                    pace.reason,
+                    told_at,
+                    told_at,
+                )
+
+    def take_changes(self):
+        """Return the list of `PaceChange` since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def status(self, now):
+        """Return the limits in force by endpoint id, for operators."""
+        return {
+            endpoint_id: {
+                "requests": round(limit.requests, 2),
+                "is_firm": limit.is_firm,
+                "reason": limit.reason,
+                "since_seconds": round(now - limit.changed_at, 3),
+            }
+            for endpoint_id, limit in self.limits(now).items()
+        }
+
+    def _note_start(self, endpoint_id, now):
+        self._started_at_by_id[endpoint_id] = now
+        if self.is_paced(endpoint_id):
+            known = self._limit_by_id.get(endpoint_id)
+            self._begin(endpoint_id, "started", bool(known and known.is_firm), now)
+
+    def _begin(self, endpoint_id, reason, is_firm, now):
+        requests = min(START_REQUESTS, float(self._slots(endpoint_id)))
+        limit = _Limit(requests, is_firm, reason, now, now)
+        self._limit_by_id[endpoint_id] = limit
+        self._changes.append(PaceChange(endpoint_id, BEGAN, requests, reason))
+
+    def _fall(self, endpoint_id, reason, now):
+        limit = self._limit_by_id.get(endpoint_id)
+        if limit is None or now - limit.changed_at < FALL_SECONDS:
+            return
+        requests = max(MIN_REQUESTS, limit.requests * FALL_FACTOR)
+        self._limit_by_id[endpoint_id] = _Limit(requests, True, reason, now, now)
+        logged_at = self._logged_fall_at_by_id.get(endpoint_id, float("-inf"))
+        if requests < limit.requests and now - logged_at >= LOG_FALL_SECONDS:
+            self._logged_fall_at_by_id[endpoint_id] = now
+            self._changes.append(PaceChange(endpoint_id, FELL, requests, reason))
+
+    def _end(self, endpoint_id, change, now):
+        limit = self._limit_by_id.pop(endpoint_id)
+        self._ended_at_by_id[endpoint_id] = now
+        self._changes.append(
+            PaceChange(endpoint_id, change, limit.requests, limit.reason)
+        )
+
+    def _slots(self, endpoint_id):
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        return (endpoint and endpoint.slots) or DEFAULT_SLOTS
+
+    def _forget(self, listed_ids):
+        for values in (
+            self._endpoint_by_id,
+            self._started_at_by_id,
+            self._limit_by_id,
+            self._ended_at_by_id,
+            self._logged_fall_at_by_id,
+            self._figure_by_id,
+        ):
+            for endpoint_id in set(values) - listed_ids:
+                del values[endpoint_id]
+
+
+def limited_slots(endpoint, limit_by_id):
+    """Return how many requests an endpoint runs at a time, within its limit if any.
+
+    >>> from sequoiaglade_decisions.gateway import Endpoint
+    >>> limited_slots(Endpoint("a", "s", "", "d", 8), {})
+    8
+    """
+    slots = endpoint.slots or DEFAULT_SLOTS
+    limit = limit_by_id.get(endpoint.endpoint_id)
+    return slots if limit is None else max(1, min(slots, int(limit.requests)))
+
+
+def firm_limits(limit_by_id, endpoints):
+    """Return the limits that hold even if a request is refused because of them.
+
+    Limits without evidence only order the endpoints. If all endpoints are limited by
+    evidence, their number of requests is not what slows them down.
+    """
+    firm = {i: limit for i, limit in limit_by_id.items() if limit.is_firm}
+    return firm if any(e.endpoint_id not in firm for e in endpoints) else {}
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -8,6 +8,8 @@
 # Entries that expired during an outage of the store are written again within about two
 # seconds of its recovery, according to the platform's documentation.
 RECOVERY_GRACE_SECONDS = 1.8
+# Slots of an endpoint if neither the endpoint nor its service specifies them.
+DEFAULT_SLOTS = 8
 
 
 class Endpoint(NamedTuple):
--- a/packages/decisions/sequoiaglade_decisions/gateway/health.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/health.py
@@ -6,6 +6,9 @@
 # consecutive failure up to the maximum. A crashed endpoint restarts within seconds.
 AVOID_SECONDS = 0.5
 AVOID_MAX_SECONDS = 4.0
+# The maximum for an endpoint whose concurrent requests are limited after failures: it
+# is tried again with one request instead of as many as it has slots.
+AVOID_MAX_SECONDS_LIMITED = 1.0
 # Time for which an endpoint is avoided after each report of a silence; reports are
 # repeated within half of it while the silence lasts.
 SILENCE_AVOID_SECONDS = 0.5
@@ -42,10 +45,14 @@
         """Reset the failures of an endpoint that has answered."""
         self._avoidance_by_id.pop(endpoint_id, None)
 
-    def note_failure(self, endpoint_id, now):
-        """Avoid an endpoint that could not be reached or broke the connection."""
+    def note_failure(self, endpoint_id, now, is_limited=False):
+        """Avoid an endpoint that could not be reached or broke the connection.
+
+        `is_limited` is whether its concurrent requests are limited from now on.
+        """
         failures = self._avoidance(endpoint_id).failures + 1
-        seconds = min(AVOID_SECONDS * 2 ** (failures - 1), AVOID_MAX_SECONDS)
+        longest = AVOID_MAX_SECONDS_LIMITED if is_limited else AVOID_MAX_SECONDS
+        seconds = min(AVOID_SECONDS * 2 ** (failures - 1), longest)
         self._avoidance_by_id[endpoint_id] = _Avoidance(failures, now + seconds)
 
     def note_full(self, endpoint_id, now):
@@ -72,6 +79,14 @@
         paces = sorted(self._pace_by_id.values())
         self._typical_pace = paces[len(paces) // 2]
 
+    def interval_ratio(self, seconds):
+        """Return an interval between events divided by the median pace.
+
+        It is 1 while too few endpoints are known to tell what is usual.
+        """
+        is_known = len(self._pace_by_id) > 2 and self._typical_pace > 0
+        return seconds / self._typical_pace if is_known else 1.0
+
     def is_available(self, endpoint_id, now):
         """Return whether an endpoint is not being avoided."""
         return self._avoidance(endpoint_id).until <= now
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .endpoint_pace import EndpointPaces, PaceLimit, firm_limits, limited_slots
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
 
@@ -23,19 +24,19 @@
 SIMILAR_LOAD_REQUESTS = 1
 # Endpoints sampled for a request in a large fleet.
 SAMPLE_SIZE = 2
-# Slots of an endpoint if neither the endpoint nor its service specifies them.
-DEFAULT_SLOTS = 8
 
 
 class Placed(NamedTuple):
     """The endpoint for a request; `preempts` if a batch item there must stop first.
 
     `has_permit` is whether a permit for an endpoint with a limit was taken already.
+    `pace` is the `PaceLimit` that a scheduler told, None if it told none.
     """
 
     endpoint_id: str
     preempts: bool = False
     has_permit: bool = False
+    pace: PaceLimit | None = None
 
 
 class Full(NamedTuple):
@@ -72,11 +73,12 @@
     >>> loads.begin("a", is_batch=False)
     >>> loads.begin("a", is_batch=False)
     >>> loads.choose(endpoints, now=0.0, spread="")
-    Placed(endpoint_id='b', preempts=False, has_permit=False)
+    Placed(endpoint_id='b', preempts=False, has_permit=False, pace=None)
     """
 
-    def __init__(self, failure_domain=""):
+    def __init__(self, failure_domain="", paces=None):
         self._failure_domain = failure_domain
+        self._paces = paces or EndpointPaces()
         self._own_by_id = {}
         self._report_by_peer = {}
         self.health = EndpointHealth()
@@ -126,15 +128,26 @@
         preferred, since traffic to other domains costs more. `headroom` reduces the
         number of requests that may wait at an endpoint, for less urgent requests.
         """
+        candidates = self.health.candidates(endpoints, now, excluded)
+        if not candidates:
+            return Full(AVOID_SECONDS, bool(endpoints))
+        limits = self._paces.limits(now)
+        placed = self._choose_within(limits, candidates, now, spread, headroom)
+        if placed is None and limits:
+            firm = firm_limits(limits, candidates)
+            if firm != limits:
+                placed = self._choose_within(firm, candidates, now, spread, headroom)
+        return placed or Full(self._retry_after.next_seconds(now), True)
+
+    def _choose_within(self, limit_by_id, candidates, now, spread, headroom):
+        """Return `Placed`, or None if all endpoints are full within their limits."""
         ranked = []
-        for endpoint in self.health.candidates(endpoints, now, excluded):
+        for endpoint in candidates:
             online, batch = self.counts(endpoint.endpoint_id, now)
-            slots = endpoint.slots or DEFAULT_SLOTS
-            load = (online + batch) * self.health.pace_ratio(endpoint.endpoint_id)
+            slots = limited_slots(endpoint, limit_by_id)
+            load = self._weighted_load(endpoint.endpoint_id, online + batch, now)
             tie = stable_hash(spread, endpoint.endpoint_id)
             ranked.append((load / slots, tie, endpoint, online, batch, slots))
-        if not ranked:
-            return Full(AVOID_SECONDS, bool(endpoints))
         if self.is_fleet_large:
             sampled = self._choose_from_sample(ranked)
             if sampled is not None:
@@ -150,7 +163,14 @@
             ]
             _, _, endpoint, *_ = min(local or similar, key=lambda row: row[1])
             return Placed(endpoint.endpoint_id)
-        return self._choose_when_full(ranked, headroom, now)
+        return self._choose_when_full(ranked, limit_by_id, headroom, now)
+
+    def _weighted_load(self, endpoint_id, count, now):
+        ratio = self.health.pace_ratio(endpoint_id)
+        if not self._paces.has_figures:
+            return count * ratio
+        # The request itself counts, so that the speed matters at idle endpoints too.
+        return (count + 1) * ratio * self._paces.figure_factor(endpoint_id, now)
 
     def _choose_from_sample(self, ranked):
         """Return the least loaded of a few endpoints, or None if all are full.
@@ -162,17 +182,20 @@
         free = [row for row in sample if row[3] + row[4] < row[5]]
         return min(free, key=lambda row: row[:2])[2].endpoint_id if free else None
 
-    def _choose_when_full(self, ranked, headroom, now):
+    def _choose_when_full(self, ranked, limit_by_id, headroom, now):
         self._last_full_at = now
         for _, _, endpoint, *_ in sorted(ranked, key=lambda row: row[:2]):
             own_batch = self._own_by_id.get(endpoint.endpoint_id, (0, 0))[1]
             if own_batch:
                 return Placed(endpoint.endpoint_id, preempts=True)
-        rows = sorted(ranked, key=lambda row: (row[3] - row[5], row[1]))
-        _, _, endpoint, online, batch, slots = rows[0]
-        if online < slots + QUEUE_ALLOWANCE - headroom:
-            return Placed(endpoint.endpoint_id)
-        return Full(self._retry_after.next_seconds(now), True)
+        rows = []
+        for _, tie, endpoint, online, _, slots in ranked:
+            # None waits at an endpoint beyond its limit.
+            is_limited = endpoint.endpoint_id in limit_by_id
+            allowance = 0 if is_limited else QUEUE_ALLOWANCE - headroom
+            rows.append((online - slots - allowance, tie, endpoint.endpoint_id))
+        excess, _, endpoint_id = min(rows)
+        return Placed(endpoint_id) if excess < 0 else None
 
     def batch_nodes(self, endpoint_id, now):
         """Return the ids of peers with batch items at an endpoint, one per item."""
@@ -188,6 +211,7 @@
         The endpoint has at least one free slot beyond `reserve` slots.
         """
         best = None
+        limits = self._paces.limits(now)
         if self.is_fleet_large:
             by_hash = sorted(
                 endpoints, key=lambda e: stable_hash(spread, e.endpoint_id)
@@ -197,12 +221,14 @@
             if not self.health.is_available(endpoint.endpoint_id, now):
                 continue
             online, batch = self.counts(endpoint.endpoint_id, now)
-            slots = endpoint.slots or DEFAULT_SLOTS
-            if online + batch + reserve >= slots:
+            slots = limited_slots(endpoint, limits)
+            is_limited = endpoint.endpoint_id in limits
+            # The reserve leaves a limited endpoint one item, which may raise its limit.
+            reserved = min(reserve, slots - 1) if is_limited else reserve
+            if online + batch + reserved >= slots:
                 continue
-            load = (
-                (online + batch) * self.health.pace_ratio(endpoint.endpoint_id) / slots
-            )
+            count = online + batch
+            load = self._weighted_load(endpoint.endpoint_id, count, now) / slots
             load += (
                 (endpoint.failure_domain != self._failure_domain)
                 * SIMILAR_LOAD_REQUESTS
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -2,9 +2,10 @@
 
 from typing import NamedTuple
 
+from .endpoint_pace import EndpointPaces, PaceLimit, firm_limits, limited_slots
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
-from .placement import DEFAULT_SLOTS, QUEUE_ALLOWANCE, Full, RetryAfter
+from .placement import QUEUE_ALLOWANCE, Full, RetryAfter
 
 # An endpoint in the requesting node's failure domain is preferred if it has at most
 # this many requests more than the least loaded one. Traffic to other domains costs
@@ -20,11 +21,13 @@
     """The endpoint for a request, and the node that must stop a batch item there.
 
     `has_permit` is whether a permit for an endpoint with a limit was taken already.
+    `pace` is the `PaceLimit` of the endpoint, None if it is not paced.
     """
 
     endpoint_id: str
     preempted_node: str | None = None
     has_permit: bool = False
+    pace: PaceLimit | None = None
 
 
 class _Report(NamedTuple):
@@ -48,10 +51,11 @@
     >>> scheduler.report("n-1", (1, 1), {"a": (3, 0)}, now=0.0)
     >>> scheduler.report("n-2", (1, 1), {}, now=0.0)
     >>> scheduler.choose(endpoints, "n-2", now=0.0, spread="")
-    Scheduled(endpoint_id='b', preempted_node=None, has_permit=False)
+    Scheduled(endpoint_id='b', preempted_node=None, has_permit=False, pace=None)
     """
 
-    def __init__(self):
+    def __init__(self, paces=None):
+        self._paces = paces or EndpointPaces()
         self._report_by_node = {}
         self._totals_by_id = {}
         self.health = EndpointHealth()
@@ -110,18 +114,39 @@
         An endpoint with a free slot is chosen, else one with a batch item, which is
         preempted, else one with a short queue. `domain` is the node's failure domain.
         """
+        candidates = self.health.candidates(endpoints, now, excluded)
+        if not candidates:
+            return Full(AVOID_SECONDS, bool(endpoints))
+        limits = self._paces.limits(now)
+        placed = self._choose_within(
+            limits, candidates, node_id, now, spread, headroom, domain
+        )
+        if placed is None and limits:
+            firm = firm_limits(limits, candidates)
+            if firm != limits:
+                placed = self._choose_within(
+                    firm, candidates, node_id, now, spread, headroom, domain
+                )
+        return placed or Full(self._retry_after.next_seconds(now), True)
+
+    def _choose_within(
+        self, limit_by_id, candidates, node_id, now, spread, headroom, domain
+    ):
+        """Return `Scheduled`, or None if all endpoints are full within their limits."""
         ranked = [
-            (self._weighted_load(e, domain), stable_hash(spread, e.endpoint_id), e)
-            for e in self.health.candidates(endpoints, now, excluded)
+            (
+                self._weighted_load(e, domain, limit_by_id, now),
+                stable_hash(spread, e.endpoint_id),
+                e,
+            )
+            for e in candidates
         ]
-        if not ranked:
-            return Full(AVOID_SECONDS, bool(endpoints))
-        free = [row for row in ranked if self._free_slots(row[2]) > 0]
+        free = [row for row in ranked if self._free_slots(row[2], limit_by_id) > 0]
         if free:
             endpoint_id = min(free, key=lambda row: row[:2])[2].endpoint_id
             self._count_placement(node_id, endpoint_id, False)
             return Scheduled(endpoint_id)
-        return self._choose_when_full(ranked, node_id, now, headroom)
+        return self._choose_when_full(ranked, limit_by_id, node_id, headroom)
 
     def choose_for_batch(
         self, endpoints, node_id, now, reserve, spread, domain="", is_late=False
@@ -131,15 +156,16 @@
         The endpoint has at least one free slot beyond `reserve` slots. A late item gets
         none at endpoints where items that can still finish on time are refused.
         """
+        limits = self._paces.limits(now)
         rows = [
             (
-                self._weighted_load(endpoint, domain),
+                self._weighted_load(endpoint, domain, limits, now),
                 stable_hash(spread, endpoint.endpoint_id),
                 endpoint,
             )
             for endpoint in endpoints
             if self.health.is_available(endpoint.endpoint_id, now)
-            and self._free_slots(endpoint) > reserve
+            and self._has_batch_slot(endpoint, reserve, limits)
             and not (is_late and self._has_refused_batch(endpoint.endpoint_id, now))
         ]
         if not rows:
@@ -151,7 +177,7 @@
         self._count_placement(node_id, endpoint_id, True)
         return endpoint_id
 
-    def _choose_when_full(self, ranked, node_id, now, headroom):
+    def _choose_when_full(self, ranked, limit_by_id, node_id, headroom):
         most_batch = max(
             ranked, key=lambda row: (self.counts(row[2].endpoint_id)[1], row[1])
         )
@@ -160,13 +186,17 @@
         if preempted_node is not None:
             self._count_placement(node_id, endpoint_id, False)
             return Scheduled(endpoint_id, preempted_node)
+        # None waits at an endpoint beyond its limit.
+        rows = [row for row in ranked if row[2].endpoint_id not in limit_by_id]
+        if not rows:
+            return None
         _, _, shortest_queue = min(
-            ranked, key=lambda row: (-self._free_slots(row[2]), row[1])
+            rows, key=lambda row: (-self._free_slots(row[2], {}), row[1])
         )
-        if -self._free_slots(shortest_queue) < QUEUE_ALLOWANCE - headroom:
+        if -self._free_slots(shortest_queue, {}) < QUEUE_ALLOWANCE - headroom:
             self._count_placement(node_id, shortest_queue.endpoint_id, False)
             return Scheduled(shortest_queue.endpoint_id)
-        return Full(self._retry_after.next_seconds(now), True)
+        return None
 
     def _preempt_batch(self, endpoint_id):
         """Discount a batch item at an endpoint; return its node, or None."""
@@ -182,16 +212,27 @@
         refused_at = self._batch_refused_at_by_endpoint.get(endpoint_id)
         return refused_at is not None and now - refused_at < BATCH_RETRY_SECONDS
 
-    def _weighted_load(self, endpoint, domain):
-        online, batch = self.counts(endpoint.endpoint_id)
-        load = (online + batch) * self.health.pace_ratio(endpoint.endpoint_id)
+    def _weighted_load(self, endpoint, domain, limit_by_id, now):
+        count = sum(self.counts(endpoint.endpoint_id))
+        ratio = self.health.pace_ratio(endpoint.endpoint_id)
+        if self._paces.has_figures:
+            # The request itself counts: the speed matters at idle endpoints too.
+            count += 1
+            ratio *= self._paces.figure_factor(endpoint.endpoint_id, now)
+        load = count * ratio
         if endpoint.failure_domain != domain:
             load += LOCAL_PREFERENCE_REQUESTS
-        return load / (endpoint.slots or DEFAULT_SLOTS)
+        return load / limited_slots(endpoint, limit_by_id)
+
+    def _has_batch_slot(self, endpoint, reserve, limit_by_id):
+        if endpoint.endpoint_id in limit_by_id:
+            # The reserve leaves a limited endpoint one item, which may raise its limit.
+            reserve = min(reserve, limited_slots(endpoint, limit_by_id) - 1)
+        return self._free_slots(endpoint, limit_by_id) > reserve
 
-    def _free_slots(self, endpoint):
+    def _free_slots(self, endpoint, limit_by_id):
         online, batch = self.counts(endpoint.endpoint_id)
-        return (endpoint.slots or DEFAULT_SLOTS) - online - batch
+        return limited_slots(endpoint, limit_by_id) - online - batch
 
     def _count_placement(self, node_id, endpoint_id, is_batch):
         counts = self._report_by_node[node_id].counts_by_id
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -33,6 +33,7 @@
     TakePermit,
 )
 from .crash_blame import CrashBlame
+from .endpoint_pacing import FleetPacing
 from .messages import (
     AcceptsRequests,
     BatchPeers,
@@ -69,6 +70,7 @@
     RequestEnded,
     Schedule,
 )
+from .pace_messages import EvacuationEnded, FirstEventObserved, WorkTimeNamed
 from .reach import FleetReach
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
@@ -104,13 +106,14 @@
 
     use_daemon_thread = True
 
-    def __init__(self, settings, incarnation, clock=time.monotonic):
+    def __init__(self, settings, incarnation, clock=time.monotonic, count=None):
         super().__init__()
         self._settings = settings
         self._clock = clock
         self._log = structlog.get_logger()
         self._directory = EndpointDirectory(settings.drain_milliseconds / 1000)
-        self._loads = EndpointLoads(settings.failure_domain)
+        self._pacing = FleetPacing(settings.endpoint_pacing, count)
+        self._loads = EndpointLoads(settings.failure_domain, self._pacing.paces)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
         self._reach = FleetReach(self._directory, self._nodes)
@@ -138,6 +141,7 @@
             self._nodes,
             self._loads,
             self._quotas,
+            self._pacing.paces,
         )
         self._limits = FleetRequestLimits(
             settings,
@@ -177,6 +181,7 @@
             case FindTokenKeepers(workspace):
                 return self._keepers.find(workspace, now)
             case CollectLoadReports():
+                self._pacing.log_changes(now)
                 return self._scheduling.collect_reports(now)
             case LoadReportReceived(report):
                 return self._receive_report(report, now)
@@ -198,10 +203,15 @@
                 return self._find_endpoint(endpoint_id, now)
             case FindForwarders() | FindAnyEndpoint() | ConnectionTried():
                 return self._reach.handle(message, now)
+            case FirstEventObserved() | WorkTimeNamed() | EvacuationEnded():
+                return self._pacing.handle(message, now, self._loads, self._scheduling)
             case EndpointSilent(endpoint_id):
+                self._pacing.paces.note_silence(endpoint_id, now)
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
             case EventIntervalObserved(endpoint_id, seconds):
+                ratio = self._loads.health.interval_ratio(seconds)
+                self._pacing.paces.note_interval(endpoint_id, ratio, now)
                 self._scheduling.note_end(endpoint_id, "", seconds)
                 return self._loads.health.note_pace(endpoint_id, seconds)
             case (
@@ -231,10 +241,12 @@
             case ConfigurationChanged(configuration):
                 return self._configure(configuration, now)
             case EndpointsListed(endpoints):
+                self._pacing.note_list(endpoints, now)
                 return self._directory.replace(endpoints, now)
             case EndpointChanged(endpoint_id, None):
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
+                self._pacing.note_endpoint(endpoint, now)
                 return self._directory.put(endpoint, now)
             case EndpointListReachable(True):
                 return self._directory.note_recovery(now)
@@ -332,6 +344,8 @@
         endpoint = self._directory.get(message.endpoint_id, now)
         if endpoint is None or not endpoint.accepts_requests:
             return None
+        if message.pace is not None:
+            self._pacing.paces.note_told(message.pace, now)
         self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
@@ -362,10 +376,12 @@
         self._scheduling.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
         endpoint = self._find_endpoint(endpoint_id, now)
-        return InFlightRequest(endpoint, preempts, in_flight)
+        is_paced = self._pacing.paces.is_paced(endpoint_id)
+        return InFlightRequest(endpoint, preempts, in_flight, is_paced=is_paced)
 
     def _end(self, message, now):
         endpoint_id = message.endpoint_id
+        self._pacing.note_end(message, now, self._loads, self._scheduling)
         self._loads.end(endpoint_id, message.is_batch)
         self._scheduling.note_end(endpoint_id, message.outcome)
         match message.outcome:
@@ -386,7 +402,8 @@
         return endpoint._replace(request_limit=self._limits.find(endpoint))
 
     def _note_failure(self, endpoint_id, now):
-        self._loads.health.note_failure(endpoint_id, now)
+        is_limited = self._pacing.paces.is_limited(endpoint_id)
+        self._loads.health.note_failure(endpoint_id, now, is_limited)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
 
     def _configure(self, configuration, now):
@@ -492,6 +509,7 @@
             },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
             "request_limit_by_endpoint": self._limits.limited(),
+            "pace_limit_by_endpoint": self._pacing.paces.status(now),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
             "is_cut_off": self._reach.is_cut_off,
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -15,6 +15,7 @@
 from .endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS
 from .forwarding import ForwardError
 from .leaving import note_leaving
+from .pace_messages import WorkTimeNamed
 from .patient_socket import PatientSocket
 from .request_limits import note_request_limit
 
@@ -146,6 +147,7 @@
         response = connection.getresponse()
         head = parts.dialect.read_head(response.headers)
         note_request_limit(parts, request, head, sent_at)
+        _note_work_time(parts, request, head)
         return _read_head(connection, response, head, request, parts, attempt, bounded)
     except ForwardError as error:
         _close(connection, response, attempt)
@@ -166,6 +168,14 @@
     return CallFault(Fault.BROKEN, reason)
 
 
+def _note_work_time(parts, request, head):
+    endpoint_id = request.endpoint.endpoint_id
+    is_its_own = head.endpoint_id in (None, endpoint_id)
+    if is_its_own and head.load is not None and head.load.work_percent is not None:
+        named = WorkTimeNamed(endpoint_id, head.load.work_percent)
+        parts.coordinator.tell(named)
+
+
 def fault_of(error):
     """Return the `Fault` of an error while a response is read.
 
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -36,6 +36,19 @@
         return self.resumes if self.last_event_id and self.resumes else self.request_id
 
 
+class EndpointLoad(NamedTuple):
+    """What an endpoint states of its load: requests running and waiting, and slots.
+
+    `work_percent` is how long work takes there now in per cent of the usual time, None
+    if it isn't stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    work_percent: float | None = None
+
+
 class ResponseHead(NamedTuple):
     """Facts from the status line and headers of an endpoint's response.
 
@@ -46,6 +59,7 @@
     `names_limit` is whether it names the requests a second that it takes from all nodes
     together, `request_limit` that number, None if it is missing or can't be read.
     `cold_seconds` is how much longer the endpoint is cold, None if it doesn't tell.
+    `load` is the load that it states, None if it is missing or can't be read.
     """
 
     request_id: str | None
@@ -56,6 +70,7 @@
     names_limit: bool = False
     request_limit: float | None = None
     cold_seconds: float | None = None
+    load: EndpointLoad | None = None
 
 
 class ReadJob(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from sequoiaglade_decisions.gateway import NodeState
+from sequoiaglade_decisions.gateway import NodeState, PaceLimit
 
 
 class IsQuarantined(NamedTuple):
@@ -90,11 +90,18 @@
 
     `outcome` is one of the constants below, or empty if only the interval is reported.
     `pause_seconds` is the mean interval between the events of its stream, or 0.
+    `lateness` is the time to its first event as a multiple of what callers need, or 0,
+    `answer_seconds` this time. `work_percent` is how long work takes at the endpoint in
+    per cent of the usual time, as it stated `work_age_seconds` ago, or 0.
     """
 
     endpoint_id: str
     outcome: str
     pause_seconds: float = 0.0
+    lateness: float = 0.0
+    answer_seconds: float = 0.0
+    work_percent: float = 0.0
+    work_age_seconds: float = 0.0
 
 
 class LoadReport(NamedTuple):
@@ -103,7 +110,8 @@
     `number` is the pair of the node's incarnation and a number that increases with
     each report. `counts_by_id` has pairs of online and batch requests by endpoint id.
     `admitted_by_workspace` has the requests admitted since the node's start, of the
-    workspaces with recent ones.
+    workspaces with recent ones. `paces` are the `PaceLimit`s that schedulers told the
+    node lately.
     """
 
     node_id: str
@@ -111,6 +119,7 @@
     counts_by_id: dict
     results: tuple[EndpointResult, ...] = ()
     admitted_by_workspace: dict = {}
+    paces: tuple[PaceLimit, ...] = ()
 
 
 class FindStoreFollowers(NamedTuple):
@@ -185,12 +194,14 @@
     """Counts a request in flight at the endpoint that a scheduler chose.
 
     The reply is `InFlightRequest`, or None if the endpoint is draining, leaving or
-    removed according to this node.
+    removed according to this node. `pace` is the `PaceLimit` that another node told as
+    the scheduler, or None.
     """
 
     place: PlaceRequest
     endpoint_id: str
     has_permit: bool = False
+    pace: PaceLimit | None = None
 
 
 class CollectLoadReports(NamedTuple):
@@ -212,13 +223,15 @@
 
     `preempts` asks the sender to stop a batch item of this node there. `in_flight` is
     the number of requests at the endpoint. `has_permit` is whether a permit for an
-    endpoint with a limit was taken already.
+    endpoint with a limit was taken already. `is_paced` asks the sender for a
+    `FirstEventObserved`.
     """
 
     endpoint: Any
     preempts: bool
     in_flight: int
     has_permit: bool = False
+    is_paced: bool = False
 
 
 class RequestEnded(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -177,10 +177,12 @@
     def _start_coordinator(self, stack):
         parts = self._parts
         incarnation = int(time.time() * 1000)
-        actor = Coordinator.start(parts.settings, incarnation)
+        parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
+        actor = Coordinator.start(
+            parts.settings, incarnation, count=parts.metrics.count
+        )
         stack.callback(actor.stop, block=False)
         parts.coordinator = actor
-        parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
         parts.store = CountedStore(parts.store, parts.metrics)
         parts.store_contact = StoreContactKeeper(parts.store, parts.metrics)
         parts.store_cache = StoreCache(parts.dialect, actor)
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -39,6 +39,7 @@
     QuotaExceeded,
     RequestEnded,
 )
+from ..pace_messages import FirstEventObserved
 from .prompt_parts import is_suspect, note_answer, note_endpoint_answer
 from .refusals import GatewayRefusal, refusal_response
 from .requests import StartedStream
@@ -76,6 +77,8 @@
         self._placement_seconds = 0.0
         self._log = structlog.get_logger()
         self.last_event_id = request.call.last_event_id
+        # When the current attempt was sent.
+        self._sent_at = 0.0
         # The last event before the current attempt.
         self._sent_after_event = self.last_event_id
         # The version that began the stream; None before its first event.
@@ -194,6 +197,16 @@
             endpoint_id = self._in_flight.endpoint.endpoint_id
             self._parts.coordinator.tell(EventIntervalObserved(endpoint_id, seconds))
 
+    def _report_first_event(self):
+        objective = self.request.route.objective
+        if self._in_flight is None or not self._in_flight.is_paced or objective <= 0:
+            return
+        seconds = time.monotonic() - self._sent_at
+        observed = FirstEventObserved(
+            self._in_flight.endpoint.endpoint_id, seconds, seconds / objective
+        )
+        self._parts.coordinator.tell(observed)
+
     def close(self, outcome="answered"):
         """Release the endpoint and all other resources."""
         self.end_attempt()
@@ -313,7 +326,7 @@
                 endpoint.version,
                 call.stream_id,
             )
-        sent_at = time.monotonic()
+        self._sent_at = sent_at = time.monotonic()
         with self._parts.preemptor.watching(endpoint.endpoint_id):
             answer = open_call(
                 endpoint_request,
@@ -342,6 +355,7 @@
             case CompleteResponse(status):
                 self._count_run()
                 if 200 <= status < 300:
+                    self._report_first_event()
                     note_answer(self._parts, self.request, is_complete=True)
                 return answer
         self._count_run()
@@ -367,6 +381,7 @@
             if any(self._is_new(event) for event in events):
                 if unnumbered:
                     events.insert(0, Event(None, (), bytes(unnumbered)))
+                self._report_first_event()
                 note_answer(self._parts, self.request, is_complete=False)
                 return StartedStream(answer, splitter, chunks, events)
             for event in events:
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -7,6 +7,7 @@
     JobSummary,
     LimitNotice,
     NodeState,
+    PaceLimit,
     PartCrash,
     Permit,
     Placed,
@@ -227,6 +228,7 @@
         loads=_encode_loads(report.counts_by_id),
         results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
         admitted=_encode_admitted(report.admitted_by_workspace),
+        paces=[fleet_pb2.EndpointPace(**pace._asdict()) for pace in report.paces],
     )
 
 
@@ -237,10 +239,19 @@
         (message.incarnation, message.number),
         _decode_loads(message.loads),
         tuple(
-            EndpointResult(row.endpoint_id, row.outcome, row.pause_seconds)
+            EndpointResult(
+                row.endpoint_id,
+                row.outcome,
+                row.pause_seconds,
+                row.lateness,
+                row.answer_seconds,
+                row.work_percent,
+                row.work_age_seconds,
+            )
             for row in message.results
         ),
         _decode_admitted(message.admitted),
+        tuple(map(_decode_pace, message.paces)),
     )
 
 
@@ -293,9 +304,12 @@
                 retry_after=retry_after,
                 has_endpoints=has_endpoints,
             )
-        case Scheduled(endpoint_id, _, has_permit):
+        case Scheduled(endpoint_id, _, has_permit, pace):
             return fleet_pb2.ScheduleReply(
-                is_quota_checked=True, endpoint_id=endpoint_id, has_permit=has_permit
+                is_quota_checked=True,
+                endpoint_id=endpoint_id,
+                has_permit=has_permit,
+                pace=pace and fleet_pb2.EndpointPace(**pace._asdict()),
             )
 
 
@@ -305,7 +319,7 @@
     Return None if the scheduler runs a release that does not check quotas.
 
     >>> decode_placement(encode_placement(Scheduled("e-1")))
-    Placed(endpoint_id='e-1', preempts=False, has_permit=False)
+    Placed(endpoint_id='e-1', preempts=False, has_permit=False, pace=None)
     >>> decode_placement(encode_placement(QuotaExceeded(0.5, share=1.0)))
     QuotaExceeded(retry_after=0.5, share=1.0)
     >>> decode_placement(fleet_pb2.ScheduleReply(endpoint_id="e-1"))
@@ -315,7 +329,8 @@
     if message.is_quota_exceeded:
         return QuotaExceeded(message.retry_after, message.quota_share)
     if message.endpoint_id:
-        return Placed(message.endpoint_id, has_permit=message.has_permit)
+        pace = _decode_pace(message.pace) if message.HasField("pace") else None
+        return Placed(message.endpoint_id, has_permit=message.has_permit, pace=pace)
     return Full(message.retry_after, message.has_endpoints)
 
 
@@ -373,6 +388,16 @@
     )
 
 
+def _decode_pace(message):
+    return PaceLimit(
+        message.endpoint_id,
+        message.requests,
+        message.is_firm,
+        message.reason,
+        message.age_seconds,
+    )
+
+
 def _encode_loads(counts_by_id):
     return [
         fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -127,8 +127,8 @@
         for _ in range(SCHEDULER_ASKS_MAX):
             placement = self._ask_schedulers(query, place)
             match placement:
-                case Placed(endpoint_id, _, has_permit):
-                    begin = BeginRequest(place, endpoint_id, has_permit)
+                case Placed(endpoint_id, _, has_permit, pace):
+                    begin = BeginRequest(place, endpoint_id, has_permit, pace)
                     running = coordinator.ask(begin)
                     if running is not None:
                         return running
@@ -178,7 +178,7 @@
             return self._client.schedule(address, query, place)
         request = Schedule(query.report, place, query.group, query.group_count)
         match self.schedule(request):
-            case Scheduled(endpoint_id, _, has_permit):
+            case Scheduled(endpoint_id, _, has_permit, _):
                 return Placed(endpoint_id, has_permit=has_permit)
             case refusal:
                 return refusal
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -16,7 +16,7 @@
     stable_hash,
 )
 
-from . import messages
+from .endpoint_pacing import apply_result
 from .messages import EndpointResult, LoadReport, SchedulerQuery
 
 # Results kept for the next report; reports are due many times a second.
@@ -37,13 +37,15 @@
     quotas.
     """
 
-    def __init__(self, own_state, directory, nodes, loads, quotas):
+    def __init__(self, own_state, directory, nodes, loads, quotas, paces):
         self._get_own_state = own_state
         self._directory = directory
         self._nodes = nodes
         self._loads = loads
         self._quotas = quotas
-        self._scheduler = GroupScheduler()
+        self._paces = paces
+        self._scheduler = GroupScheduler(paces)
+        self._figure_by_id = {}
         self._number = 0
         self._results = []
         self._has_changes = False
@@ -108,7 +110,8 @@
             if isinstance(placement, Full):
                 return placement
             has_permit = limits.take_own(placement.endpoint_id, now)
-            return placement._replace(has_permit=has_permit)
+            pace = self._paces.tell(placement.endpoint_id, now)
+            return placement._replace(has_permit=has_permit, pace=pace)
         endpoint_id = self._scheduler.choose_for_batch(
             endpoints,
             node_id,
@@ -121,26 +124,16 @@
         if endpoint_id is None:
             return Full(BATCH_RETRY_SECONDS, bool(endpoints))
         has_permit = limits.take_own(endpoint_id, now)
-        return Scheduled(endpoint_id, has_permit=has_permit)
+        pace = self._paces.tell(endpoint_id, now)
+        return Scheduled(endpoint_id, has_permit=has_permit, pace=pace)
 
     def receive_report(self, report, now):
         """Update loads and health from a node's `LoadReport`."""
         self._scheduler.report(report.node_id, report.number, report.counts_by_id, now)
-        health = self._scheduler.health
+        is_own = report.node_id == self._get_own_state().node_id
+        self._paces.adopt(report.paces, now)
         for result in report.results:
-            match result.outcome:
-                case messages.DONE:
-                    health.note_success(result.endpoint_id)
-                case messages.NOT_SENT | messages.BROKEN:
-                    # Requests that fail in one crash count as one failure.
-                    if health.is_available(result.endpoint_id, now):
-                        health.note_failure(result.endpoint_id, now)
-                case messages.REFUSED:
-                    health.note_full(result.endpoint_id, now)
-                case messages.SILENT:
-                    health.note_silence(result.endpoint_id, now)
-            if result.pause_seconds:
-                health.note_pace(result.endpoint_id, result.pause_seconds)
+            apply_result(result, self._scheduler.health, self._paces, now, is_own)
 
     def note_begin(self):
         """Note that a request was sent to an endpoint; a report is due."""
@@ -148,10 +141,20 @@
 
     def note_end(self, endpoint_id, outcome, pause_seconds=0.0):
         """Note how a request ended, or that it waits, for the next report."""
+        self._note_result(EndpointResult(endpoint_id, outcome, pause_seconds))
+
+    def note_answer(self, endpoint_id, lateness, seconds):
+        """Note the time to a first event for the next report."""
+        result = EndpointResult(
+            endpoint_id, "", lateness=lateness, answer_seconds=seconds
+        )
+        self._note_result(result)
+
+    def note_figure(self, endpoint_id, percent, now):
+        """Note the latest speed that an endpoint stated for the next report."""
         if self._nodes.is_large:
             self._has_changes = True
-            result = EndpointResult(endpoint_id, outcome, pause_seconds)
-            self._results = [*self._results[-MAX_RESULTS:], result]
+            self._figure_by_id[endpoint_id] = (percent, now)
 
     def collect_reports(self, now):
         """Return a list of pairs of peer address and `LoadReport` that are due.
@@ -170,8 +173,14 @@
             return []
         self._has_changes = False
         self._reported_at = now
-        report = self._report(now, self._results)
-        self._results = []
+        figures = [
+            EndpointResult(
+                endpoint_id, "", work_percent=percent, work_age_seconds=now - at
+            )
+            for endpoint_id, (percent, at) in self._figure_by_id.items()
+        ]
+        report = self._report(now, [*self._results, *figures])
+        self._results, self._figure_by_id = [], {}
         if report.node_id in recipients:
             self.receive_report(report, now)
             recipients.remove(report.node_id)
@@ -201,8 +210,14 @@
             self._loads.own(),
             tuple(results),
             self._quotas.admitted_since(now, ADMITTED_SECONDS),
+            self._paces.notices(now),
         )
 
+    def _note_result(self, result):
+        if self._nodes.is_large:
+            self._has_changes = True
+            self._results = [*self._results[-MAX_RESULTS:], result]
+
     def _eligible(self, now):
         """Return the states of nodes by id, and the ids of those that may schedule."""
         state_by_id = {
