--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -14,7 +14,8 @@
 # An available endpoint always gets one request: only answers can raise its limit.
 MIN_REQUESTS = 1.0
 # Answers within this part of what callers need leave room for twice the requests, so
-# that the limit doubles in each response time; later ones raise it by one in that time.
+# that the limit doubles in each response time; later ones raise it by one in that time,
+# as do all answers of an endpoint that has failed repeatedly.
 EARLY_LATENESS = 0.5
 # An answer is late if it takes longer than callers need.
 LATE_LATENESS = 1.0
@@ -42,6 +43,11 @@
 TOLD_SECONDS = 5.0
 # Messages between nodes take less than this time.
 TOLD_MARGIN_SECONDS = 0.1
+# An endpoint that fails again within this time may do so once more: the longest time
+# that a crashing endpoint is known to work in between.
+REPEATED_FAILURE_SECONDS = 10.0
+# Nodes of a small fleet share the ends of limits for this time, several gossip rounds.
+ENDED_SECONDS = 2.0
 # Limits of a node are logged at most this often per endpoint when they fall.
 LOG_FALL_SECONDS = 1.0
 # Endpoints that are remembered beyond those that are listed.
@@ -81,6 +87,7 @@
     # When the limit began or last fell, and when an answer last confirmed it.
     changed_at: float
     heard_at: float
+    is_unstable: bool = False
 
 
 class _Told(NamedTuple):
@@ -118,6 +125,7 @@
         self._has_list = False
         self._endpoint_by_id = {}
         self._started_at_by_id = {}
+        self._failed_at_by_id = {}
         self._limit_by_id = {}
         self._ended_at_by_id = {}
         self._logged_fall_at_by_id = {}
@@ -159,10 +167,19 @@
 
     def note_failure(self, endpoint_id, now):
         """Limit an endpoint that is avoided for a failure."""
-        if endpoint_id in self._limit_by_id:
+        if not self.is_paced(endpoint_id):
+            return
+        failed_at = self._failed_at_by_id.get(endpoint_id, float("-inf"))
+        self._failed_at_by_id[endpoint_id] = now
+        limit = self._limit_by_id.get(endpoint_id)
+        if limit is not None:
             self._fall(endpoint_id, "failed", now)
-        elif self.is_paced(endpoint_id):
-            self._begin(endpoint_id, "failed", True, now)
+            return
+        self._begin(endpoint_id, "failed", True, now)
+        if now - failed_at < REPEATED_FAILURE_SECONDS:
+            limit = self._limit_by_id[endpoint_id]
+            limit = limit._replace(requests=MIN_REQUESTS, is_unstable=True)
+            self._limit_by_id[endpoint_id] = limit
 
     def note_refusal(self, endpoint_id, now):
         """Note that a limited endpoint refused a request for lack of capacity."""
@@ -191,7 +208,7 @@
         if lateness > LATE_LATENESS:
             self._fall(endpoint_id, "late", now)
             return
-        is_early = lateness <= EARLY_LATENESS
+        is_early = lateness <= EARLY_LATENESS and not limit.is_unstable
         step = min(weight, limit.requests)
         requests = limit.requests + (step if is_early else step / limit.requests)
         if requests >= self._slots(endpoint_id):
@@ -275,6 +292,8 @@
 
     def note_told(self, pace, now):
         """Note the `PaceLimit` that the scheduler of the endpoint told."""
+        if not self.is_paced(pace.endpoint_id):
+            return
         self._told_by_id[pace.endpoint_id] = _Told(pace, now)
         if pace.requests:
             limit = _Limit(pace.requests, pace.is_firm, pace.reason, now, now)
@@ -295,28 +314,57 @@
             if told.pace.requests
         )
 
-    def adopt(self, notices, now):
-        """Continue limits of the previous scheduler, as a scheduler.
+    def shared(self, now):
+        """Return the limits for the other nodes of a small fleet, which `adopt` them.
 
-        Limits of which this node heard later than the notice's node are kept.
+        Each node sees only its own answers, and would wait for a low limit to rise
+        while the other nodes use all of it.
         """
+        limits = tuple(
+            PaceLimit(
+                endpoint_id,
+                limit.requests,
+                limit.is_firm,
+                limit.reason,
+                now - limit.heard_at,
+            )
+            for endpoint_id, limit in self.limits(now).items()
+        )
+        ended = tuple(
+            PaceLimit(endpoint_id, 0.0, age_seconds=now - ended_at)
+            for endpoint_id, ended_at in self._ended_at_by_id.items()
+            if now - ended_at < ENDED_SECONDS and endpoint_id not in self._limit_by_id
+        )
+        return limits + ended
+
+    def adopt(self, notices, now):
+        """Continue the limits of other nodes that are newer than those of this one."""
         for pace in notices:
+            endpoint_id = pace.endpoint_id
             told_at = now - pace.age_seconds - TOLD_MARGIN_SECONDS
-            limit = self._limit_by_id.get(pace.endpoint_id)
-            heard_at = self._ended_at_by_id.get(pace.endpoint_id, float("-inf"))
-            if limit is not None:
-                heard_at = limit.heard_at
-            told = self._told_by_id.get(pace.endpoint_id)
-            if told is not None:
-                heard_at = max(heard_at, told.at)
-            if told_at > heard_at and pace.requests > 0:
-                self._limit_by_id[pace.endpoint_id] = _Limit(
+            if not self.is_paced(endpoint_id) or told_at <= self._heard_at(endpoint_id):
+                continue
+            limit = self._limit_by_id.get(endpoint_id)
+            if pace.requests > 0:
+                is_unstable = limit is not None and limit.is_unstable
+                self._limit_by_id[endpoint_id] = _Limit(
                     max(pace.requests, MIN_REQUESTS),
                     pace.is_firm,
                     pace.reason,
                     told_at,
                     told_at,
+                    is_unstable,
                 )
+            elif limit is not None:
+                self._end(endpoint_id, ENDED, told_at)
+
+    def _heard_at(self, endpoint_id):
+        limit = self._limit_by_id.get(endpoint_id)
+        if limit is not None:
+            return limit.heard_at
+        told = self._told_by_id.get(endpoint_id)
+        ended_at = self._ended_at_by_id.get(endpoint_id, float("-inf"))
+        return ended_at if told is None else max(ended_at, told.at)
 
     def take_changes(self):
         """Return the list of `PaceChange` since the last call."""
@@ -352,7 +400,12 @@
         if limit is None or now - limit.changed_at < FALL_SECONDS:
             return
         requests = max(MIN_REQUESTS, limit.requests * FALL_FACTOR)
-        self._limit_by_id[endpoint_id] = _Limit(requests, True, reason, now, now)
+        # A failure after answers in time is a repeated one.
+        has_grown = limit.heard_at > limit.changed_at
+        is_unstable = limit.is_unstable or (reason == "failed" and has_grown)
+        self._limit_by_id[endpoint_id] = _Limit(
+            requests, True, reason, now, now, is_unstable
+        )
         logged_at = self._logged_fall_at_by_id.get(endpoint_id, float("-inf"))
         if requests < limit.requests and now - logged_at >= LOG_FALL_SECONDS:
             self._logged_fall_at_by_id[endpoint_id] = now
@@ -373,6 +426,7 @@
         for values in (
             self._endpoint_by_id,
             self._started_at_by_id,
+            self._failed_at_by_id,
             self._limit_by_id,
             self._ended_at_by_id,
             self._logged_fall_at_by_id,
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -47,7 +47,8 @@
     `survived_breaks` those of `SurvivedBreaks`.
     `cores` is the node's processor capacity. `request_limits` are the notices of
     `RequestLimits`. `is_cut_off` is whether the node reaches no endpoint itself.
-    `protocol_revision` is that of its release, 0 for those that do not tell it.
+    `protocol_revision` is that of its release, 0 for those that do not tell it. `paces`
+    are the limits of endpoints that have started or recovered, in a small fleet.
     """
 
     node_id: str
@@ -74,6 +75,7 @@
     request_limits: tuple = ()
     is_cut_off: bool = False
     protocol_revision: int = 0
+    paces: tuple = ()
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from .endpoint_pace import EndpointPaces, PaceLimit, firm_limits, limited_slots
+from .endpoints import DEFAULT_SLOTS
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
 from .placement import QUEUE_ALLOWANCE, Full, RetryAfter
@@ -219,10 +220,11 @@
             # The request itself counts: the speed matters at idle endpoints too.
             count += 1
             ratio *= self._paces.figure_factor(endpoint.endpoint_id, now)
-        load = count * ratio
+        load = count * ratio / limited_slots(endpoint, limit_by_id)
         if endpoint.failure_domain != domain:
-            load += LOCAL_PREFERENCE_REQUESTS
-        return load / limited_slots(endpoint, limit_by_id)
+            # Not more at a low limit: an idle endpoint could not raise it.
+            load += LOCAL_PREFERENCE_REQUESTS / (endpoint.slots or DEFAULT_SLOTS)
+        return load
 
     def _has_batch_slot(self, endpoint, reserve, limit_by_id):
         if endpoint.endpoint_id in limit_by_id:
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -458,6 +458,7 @@
             is_store_reachable=message.is_store_reachable,
             request_limits=self._limits.notices(now),
             is_cut_off=self._reach.is_cut_off,
+            paces=() if is_large else self._pacing.paces.shared(now),
         )
         self._state = self._blame.add_to(state, now)
 
@@ -481,6 +482,7 @@
             )
             self._blame.receive(state, now)
             self._limits.receive(state, now)
+            self._pacing.paces.adopt(state.paces, now)
         return new_states
 
     def _batch_share(self, message, now):
--- a/packages/gateway/sequoiaglade_gateway/endpoint_pacing.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_pacing.py
@@ -40,7 +40,7 @@
         """Handle one of the messages of `pace_messages`."""
         match message:
             case FirstEventObserved(endpoint_id, seconds, lateness):
-                weight = self._weight(endpoint_id, now, loads)
+                weight = self.weight(endpoint_id, now, loads)
                 self.paces.note_answer(endpoint_id, lateness, seconds, now, weight)
                 scheduling.note_answer(endpoint_id, lateness, seconds)
             case WorkTimeNamed(endpoint_id, percent):
@@ -57,7 +57,7 @@
             return
         match message.outcome:
             case messages.DONE if message.is_batch:
-                weight = self._weight(endpoint_id, now, loads)
+                weight = self.weight(endpoint_id, now, loads)
                 self.paces.note_answer(endpoint_id, BATCH_LATENESS, 0.0, now, weight)
                 scheduling.note_answer(endpoint_id, BATCH_LATENESS, 0.0)
             case messages.NOT_SENT | messages.BROKEN:
@@ -79,7 +79,7 @@
             if self._count is not None:
                 self._count("endpoint pace", change)
 
-    def _weight(self, endpoint_id, now, loads):
+    def weight(self, endpoint_id, now, loads):
         """Return for how many requests an answer to this node stands.
 
         In a small fleet each node sees only its own answers. In a large one the
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -79,6 +79,7 @@
         request_limits=map(encode_notice, state.request_limits),
         is_cut_off=state.is_cut_off,
         protocol_revision=state.protocol_revision,
+        paces=_encode_paces(state.paces),
     )
 
 
@@ -93,7 +94,8 @@
     >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> notices = (LimitNotice("e-1", 5, 2.5, 0.25), LimitNotice("e-2", 6, None, 1.5))
     >>> state = state._replace(request_limits=notices, is_cut_off=True)
-    >>> state = state._replace(protocol_revision=1)
+    >>> paces = (PaceLimit("e-1", 2.5, True, "late", 0.25),)
+    >>> state = state._replace(protocol_revision=1, paces=paces)
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -145,6 +147,7 @@
         request_limits=tuple(map(decode_notice, message.request_limits)),
         is_cut_off=message.is_cut_off,
         protocol_revision=message.protocol_revision,
+        paces=tuple(map(_decode_pace, message.paces)),
     )
 
 
@@ -228,7 +231,7 @@
         loads=_encode_loads(report.counts_by_id),
         results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
         admitted=_encode_admitted(report.admitted_by_workspace),
-        paces=[fleet_pb2.EndpointPace(**pace._asdict()) for pace in report.paces],
+        paces=_encode_paces(report.paces),
     )
 
 
@@ -309,7 +312,7 @@
                 is_quota_checked=True,
                 endpoint_id=endpoint_id,
                 has_permit=has_permit,
-                pace=pace and fleet_pb2.EndpointPace(**pace._asdict()),
+                pace=None if pace is None else _encode_paces([pace])[0],
             )
 
 
@@ -388,6 +391,10 @@
     )
 
 
+def _encode_paces(paces):
+    return [fleet_pb2.EndpointPace(**pace._asdict()) for pace in paces]
+
+
 def _decode_pace(message):
     return PaceLimit(
         message.endpoint_id,
