--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -19,6 +19,9 @@
 EARLY_LATENESS = 0.5
 # An answer is late if it takes longer than callers need.
 LATE_LATENESS = 1.0
+# An endpoint whose last answer was late counts as late for this time, after which
+# callers give a stream up.
+LATE_SECONDS = 2.0
 # Factor of the limit when answers are late or refused.
 FALL_FACTOR = 0.5
 # Refusals and breaks within this time have one cause: nodes report them within 50 ms.
@@ -54,6 +57,10 @@
 SPARE_ENDPOINTS = 100
 
 BEGAN, FELL, ENDED, LAPSED = "began", "fell", "ended", "lapsed"
+# The limit ended because too many endpoints started at the same time.
+LIFTED = "lifted"
+# Why a limit is in force after a start, before an answer is late.
+STARTED = "started"
 
 
 class PaceLimit(NamedTuple):
@@ -110,7 +117,8 @@
 
     >>> from sequoiaglade_decisions.gateway import Endpoint
     >>> paces = EndpointPaces(is_on=True)
-    >>> paces.note_list([], now=0.0, unix_seconds=0.0)
+    >>> others = [Endpoint("b", "s", "", "d", 8), Endpoint("c", "s", "", "d", 8)]
+    >>> paces.note_list(others, now=0.0, unix_seconds=0.0)
     >>> paces.note_endpoint(Endpoint("a", "s", "", "d", 8), now=1.0)
     >>> paces.limits(now=1.0)["a"].requests
     2.0
@@ -126,6 +134,7 @@
         self._endpoint_by_id = {}
         self._started_at_by_id = {}
         self._failed_at_by_id = {}
+        self._late_at_by_id = {}
         self._limit_by_id = {}
         self._ended_at_by_id = {}
         self._logged_fall_at_by_id = {}
@@ -141,14 +150,14 @@
         all of them counted as started, a restarted node or fleet would throttle sound
         endpoints until each has answered.
         """
-        for endpoint in endpoints:
-            if self._has_list:
+        if self._has_list:
+            for endpoint in endpoints:
                 self.note_endpoint(endpoint, now)
-                continue
-            self._endpoint_by_id[endpoint.endpoint_id] = endpoint
-            age = unix_seconds - endpoint.born / 1000
-            if endpoint.born and age < RECENT_START_SECONDS:
-                self._note_start(endpoint.endpoint_id, now)
+        else:
+            self._endpoint_by_id.update({e.endpoint_id: e for e in endpoints})
+            ages = [(e, unix_seconds - e.born / 1000) for e in endpoints if e.born]
+            recent = [e for e, age in ages if age < RECENT_START_SECONDS]
+            self._note_starts(recent, now)
         self._has_list = True
         if len(self._endpoint_by_id) > len(endpoints) + SPARE_ENDPOINTS:
             self._forget({endpoint.endpoint_id for endpoint in endpoints})
@@ -158,7 +167,7 @@
         known = self._endpoint_by_id.get(endpoint.endpoint_id)
         self._endpoint_by_id[endpoint.endpoint_id] = endpoint
         if known is None or endpoint.born > known.born:
-            self._note_start(endpoint.endpoint_id, now)
+            self._note_starts([endpoint], now)
 
     def note_return(self, endpoint_ids, now):
         """Limit endpoints whose evacuation has ended."""
@@ -182,7 +191,9 @@
             self._limit_by_id[endpoint_id] = limit
 
     def note_refusal(self, endpoint_id, now):
-        """Note that a limited endpoint refused a request for lack of capacity."""
+        """Note that an endpoint refused a request for lack of capacity."""
+        if self.is_paced(endpoint_id):
+            self._late_at_by_id[endpoint_id] = now
         self._fall(endpoint_id, "refused", now)
 
     def note_silence(self, endpoint_id, now):
@@ -201,6 +212,10 @@
         number of requests for which the answer stands: a node that sees only its own
         answers takes those of the other nodes to be alike.
         """
+        if lateness > LATE_LATENESS:
+            self._late_at_by_id[endpoint_id] = now
+        else:
+            self._late_at_by_id.pop(endpoint_id, None)
         limit = self._limit_by_id.get(endpoint_id)
         if limit is None or now - seconds < limit.changed_at:
             # Requests that were sent before the change tell nothing of the limit now.
@@ -228,10 +243,12 @@
         average += FIGURE_WEIGHT * (percent - average)
         if is_first or figure.at <= now - age:
             self._figure_by_id[endpoint_id] = _Figure(percent, now - age, average)
-        started_at = self._started_at_by_id.get(endpoint_id)
-        is_new = started_at is not None and now - started_at < RECENT_START_SECONDS
-        if is_first and is_new and endpoint_id not in self._limit_by_id:
-            self._begin(endpoint_id, "started", False, now)
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if not (is_first and endpoint) or endpoint_id in self._limit_by_id:
+            return
+        is_common = self._is_common_start(endpoint.service, now)
+        if self._is_recent(endpoint_id, now) and not is_common:
+            self._begin(endpoint_id, STARTED, False, now)
 
     def is_paced(self, endpoint_id):
         """Return whether the limit of an endpoint follows from its answers."""
@@ -366,6 +383,22 @@
         ended_at = self._ended_at_by_id.get(endpoint_id, float("-inf"))
         return ended_at if told is None else max(ended_at, told.at)
 
+    def firm_limits(self, endpoints, now):
+        """Return the limits that hold even if a request is refused because of them.
+
+        Limits without evidence only order the endpoints. If more than half of the
+        endpoints are limited by evidence or late, limited or not, the cause is common
+        to them: with fewer requests they would not answer sooner, and some would only
+        be refused.
+        """
+        limits = self.limits(now)
+        firm = {i: limit for i, limit in limits.items() if limit.is_firm}
+        count = sum(
+            e.endpoint_id in limits or now - self._late_at(e.endpoint_id) < LATE_SECONDS
+            for e in endpoints
+        )
+        return firm if 2 * count <= len(endpoints) else {}
+
     def take_changes(self):
         """Return the list of `PaceChange` since the last call."""
         changes, self._changes = self._changes, []
@@ -383,11 +416,48 @@
             for endpoint_id, limit in self.limits(now).items()
         }
 
-    def _note_start(self, endpoint_id, now):
-        self._started_at_by_id[endpoint_id] = now
-        if self.is_paced(endpoint_id):
-            known = self._limit_by_id.get(endpoint_id)
-            self._begin(endpoint_id, "started", bool(known and known.is_firm), now)
+    def _late_at(self, endpoint_id):
+        return self._late_at_by_id.get(endpoint_id, float("-inf"))
+
+    def _note_starts(self, endpoints, now):
+        ids = [endpoint.endpoint_id for endpoint in endpoints]
+        self._started_at_by_id.update(dict.fromkeys(ids, now))
+        common = {
+            service
+            for service in {endpoint.service for endpoint in endpoints}
+            if self._is_common_start(service, now)
+        }
+        for service in common:
+            self._lift_starts(service, now)
+        for endpoint_id, service, *_ in endpoints:
+            if self.is_paced(endpoint_id) and service not in common:
+                known = self._limit_by_id.get(endpoint_id)
+                self._begin(endpoint_id, STARTED, bool(known and known.is_firm), now)
+
+    def _is_common_start(self, service, now):
+        """Return whether more than half of a service's endpoints have just started.
+
+        The load has nowhere else to go then.
+        """
+        ids = [i for i, e in self._endpoint_by_id.items() if e.service == service]
+        recent = [i for i in ids if self._is_recent(i, now)]
+        return 2 * len(recent) > len(ids)
+
+    def _is_recent(self, endpoint_id, now):
+        started_at = self._started_at_by_id.get(endpoint_id, float("-inf"))
+        return now - started_at < RECENT_START_SECONDS
+
+    def _lift_starts(self, service, now):
+        lifted = [
+            endpoint_id
+            for endpoint_id, limit in self._limit_by_id.items()
+            if limit.reason == STARTED
+            and not limit.is_firm
+            and endpoint_id in self._endpoint_by_id
+            and self._endpoint_by_id[endpoint_id].service == service
+        ]
+        for endpoint_id in lifted:
+            self._end(endpoint_id, LIFTED, now)
 
     def _begin(self, endpoint_id, reason, is_firm, now):
         requests = min(START_REQUESTS, float(self._slots(endpoint_id)))
@@ -427,6 +497,7 @@
             self._endpoint_by_id,
             self._started_at_by_id,
             self._failed_at_by_id,
+            self._late_at_by_id,
             self._limit_by_id,
             self._ended_at_by_id,
             self._logged_fall_at_by_id,
@@ -446,13 +517,3 @@
     slots = endpoint.slots or DEFAULT_SLOTS
     limit = limit_by_id.get(endpoint.endpoint_id)
     return slots if limit is None else max(1, min(slots, int(limit.requests)))
-
-
-def firm_limits(limit_by_id, endpoints):
-    """Return the limits that hold even if a request is refused because of them.
-
-    Limits without evidence only order the endpoints. If all endpoints are limited by
-    evidence, their number of requests is not what slows them down.
-    """
-    firm = {i: limit for i, limit in limit_by_id.items() if limit.is_firm}
-    return firm if any(e.endpoint_id not in firm for e in endpoints) else {}
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .endpoint_pace import EndpointPaces, PaceLimit, firm_limits, limited_slots
+from .endpoint_pace import EndpointPaces, PaceLimit, limited_slots
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
 
@@ -134,7 +134,7 @@
         limits = self._paces.limits(now)
         placed = self._choose_within(limits, candidates, now, spread, headroom)
         if placed is None and limits:
-            firm = firm_limits(limits, candidates)
+            firm = self._paces.firm_limits(candidates, now)
             if firm != limits:
                 placed = self._choose_within(firm, candidates, now, spread, headroom)
         return placed or Full(self._retry_after.next_seconds(now), True)
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .endpoint_pace import EndpointPaces, PaceLimit, firm_limits, limited_slots
+from .endpoint_pace import EndpointPaces, PaceLimit, limited_slots
 from .endpoints import DEFAULT_SLOTS
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
@@ -123,7 +123,7 @@
             limits, candidates, node_id, now, spread, headroom, domain
         )
         if placed is None and limits:
-            firm = firm_limits(limits, candidates)
+            firm = self._paces.firm_limits(candidates, now)
             if firm != limits:
                 placed = self._choose_within(
                     firm, candidates, node_id, now, spread, headroom, domain
