--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -7,7 +7,9 @@
 
 from typing import NamedTuple
 
+from .endpoint_starts import EndpointStarts
 from .endpoints import DEFAULT_SLOTS
+from .work_figures import WorkFigures
 
 # Concurrent requests of an endpoint that has just started or recovered, as specified.
 START_REQUESTS = 2.0
@@ -31,16 +33,6 @@
 # A limit that no answer has confirmed ends after this time. Nodes that do not schedule
 # an endpoint get none; the slowest starts that are known take a few seconds.
 LAPSE_SECONDS = 10.0
-# Endpoints in the first list that started within this time have just started. Clocks
-# of machines differ by less than a second.
-RECENT_START_SECONDS = 10.0
-# A figure of an endpoint's speed says nothing after this time.
-FIGURE_SECONDS = 1.0
-# Weight of the newest figure in the moving average of an endpoint's figures.
-FIGURE_WEIGHT = 0.1
-# Bounds of a figure relative to the average of its endpoint, so that no figure alone
-# excludes an endpoint.
-FIGURE_FACTOR_MAX = 4.0
 # What schedulers told of limits is repeated to their successors within this time, which
 # is longer than nodes take to agree on a successor.
 TOLD_SECONDS = 5.0
@@ -53,9 +45,6 @@
 ENDED_SECONDS = 2.0
 # Limits of a node are logged at most this often per endpoint when they fall.
 LOG_FALL_SECONDS = 1.0
-# Endpoints that are remembered beyond those that are listed.
-SPARE_ENDPOINTS = 100
-
 BEGAN, FELL, ENDED, LAPSED = "began", "fell", "ended", "lapsed"
 # The limit ended because too many endpoints started at the same time.
 LIFTED = "lifted"
@@ -102,12 +91,6 @@
     at: float
 
 
-class _Figure(NamedTuple):
-    percent: float
-    at: float
-    average: float
-
-
 class EndpointPaces:
     """One concurrency limit for each endpoint that has started or recovered.
 
@@ -130,44 +113,25 @@
 
     def __init__(self, is_on=False):
         self._is_on = is_on
-        self._has_list = False
-        self._endpoint_by_id = {}
-        self._started_at_by_id = {}
+        self._starts = EndpointStarts()
+        self._figures = WorkFigures()
         self._failed_at_by_id = {}
         self._late_at_by_id = {}
         self._limit_by_id = {}
         self._ended_at_by_id = {}
         self._logged_fall_at_by_id = {}
-        self._figure_by_id = {}
         self._told_by_id = {}
         self._changes = []
 
     def note_list(self, endpoints, now, unix_seconds):
-        """Note the list of endpoints, read at the wall clock time `unix_seconds`.
-
-        Endpoints in the first list that this node reads count as warmed up, unless
-        their entry states that they have just started: it is this node that is new. If
-        all of them counted as started, a restarted node or fleet would throttle sound
-        endpoints until each has answered.
-        """
-        if self._has_list:
-            for endpoint in endpoints:
-                self.note_endpoint(endpoint, now)
-        else:
-            self._endpoint_by_id.update({e.endpoint_id: e for e in endpoints})
-            ages = [(e, unix_seconds - e.born / 1000) for e in endpoints if e.born]
-            recent = [e for e, age in ages if age < RECENT_START_SECONDS]
-            self._note_starts(recent, now)
-        self._has_list = True
-        if len(self._endpoint_by_id) > len(endpoints) + SPARE_ENDPOINTS:
+        """Note the list of endpoints, read at the wall clock time `unix_seconds`."""
+        self._limit_starts(self._starts.note_list(endpoints, now, unix_seconds), now)
+        if self._starts.must_forget(len(endpoints)):
             self._forget({endpoint.endpoint_id for endpoint in endpoints})
 
     def note_endpoint(self, endpoint, now):
         """Note a listed endpoint; one with a new id or a later start has started."""
-        known = self._endpoint_by_id.get(endpoint.endpoint_id)
-        self._endpoint_by_id[endpoint.endpoint_id] = endpoint
-        if known is None or endpoint.born > known.born:
-            self._note_starts([endpoint], now)
+        self._limit_starts(self._starts.note(endpoint, now), now)
 
     def note_return(self, endpoint_ids, now):
         """Limit endpoints whose evacuation has ended."""
@@ -226,7 +190,7 @@
         is_early = lateness <= EARLY_LATENESS and not limit.is_unstable
         step = min(weight, limit.requests)
         requests = limit.requests + (step if is_early else step / limit.requests)
-        if requests >= self._slots(endpoint_id):
+        if requests >= self._starts.slots_of(endpoint_id):
             self._end(endpoint_id, ENDED, now)
             return
         limit = limit._replace(requests=requests, heard_at=now)
@@ -237,24 +201,21 @@
 
         `age` is how many seconds ago it stated that. Such an endpoint is paced.
         """
-        figure = self._figure_by_id.get(endpoint_id)
-        is_first = figure is None
-        average = 100.0 if is_first else figure.average
-        average += FIGURE_WEIGHT * (percent - average)
-        if is_first or figure.at <= now - age:
-            self._figure_by_id[endpoint_id] = _Figure(percent, now - age, average)
-        endpoint = self._endpoint_by_id.get(endpoint_id)
-        if not (is_first and endpoint) or endpoint_id in self._limit_by_id:
+        if not self._figures.note(endpoint_id, percent, now, age):
             return
-        is_common = self._is_common_start(endpoint.service, now)
-        if self._is_recent(endpoint_id, now) and not is_common:
+        service = self._starts.service_of(endpoint_id)
+        if (
+            endpoint_id not in self._limit_by_id
+            and self._starts.is_recent(endpoint_id, now)
+            and not self._starts.is_common(service, now)
+        ):
             self._begin(endpoint_id, STARTED, False, now)
 
     def is_paced(self, endpoint_id):
         """Return whether the limit of an endpoint follows from its answers."""
         return (
             self._is_on
-            or endpoint_id in self._figure_by_id
+            or endpoint_id in self._figures
             or endpoint_id in self._limit_by_id
         )
 
@@ -265,26 +226,11 @@
     @property
     def has_figures(self):
         """Whether any endpoint tells how long its work takes now."""
-        return bool(self._figure_by_id)
+        return bool(self._figures)
 
     def figure_factor(self, endpoint_id, now):
-        """Return how much longer work takes now than on average at this endpoint.
-
-        It is relative to the endpoint's own figures, so that it corrects the measured
-        pace and a constant figure has no effect, true or not. It loses its effect with
-        its age, since the figure changes many times a second.
-
-        >>> paces = EndpointPaces()
-        >>> paces.note_figure("a", 300.0, now=0.0)
-        >>> [paces.figure_factor("a", now) for now in (0.0, 0.5, 1.0)]
-        [2.5, 1.75, 1.0]
-        """
-        figure = self._figure_by_id.get(endpoint_id)
-        if figure is None or now - figure.at >= FIGURE_SECONDS:
-            return 1.0
-        factor = figure.percent / figure.average if figure.average > 0 else 1.0
-        factor = min(max(factor, 1 / FIGURE_FACTOR_MAX), FIGURE_FACTOR_MAX)
-        return 1.0 + (factor - 1.0) * (1.0 - (now - figure.at) / FIGURE_SECONDS)
+        """Return how much longer work takes now than on average at this endpoint."""
+        return self._figures.factor(endpoint_id, now)
 
     def limits(self, now):
         """Return the limits in force by endpoint id, with `requests` and `is_firm`."""
@@ -419,14 +365,9 @@
     def _late_at(self, endpoint_id):
         return self._late_at_by_id.get(endpoint_id, float("-inf"))
 
-    def _note_starts(self, endpoints, now):
-        ids = [endpoint.endpoint_id for endpoint in endpoints]
-        self._started_at_by_id.update(dict.fromkeys(ids, now))
-        common = {
-            service
-            for service in {endpoint.service for endpoint in endpoints}
-            if self._is_common_start(service, now)
-        }
+    def _limit_starts(self, endpoints, now):
+        services = {endpoint.service for endpoint in endpoints}
+        common = {s for s in services if self._starts.is_common(s, now)}
         for service in common:
             self._lift_starts(service, now)
         for endpoint_id, service, *_ in endpoints:
@@ -434,33 +375,14 @@
                 known = self._limit_by_id.get(endpoint_id)
                 self._begin(endpoint_id, STARTED, bool(known and known.is_firm), now)
 
-    def _is_common_start(self, service, now):
-        """Return whether more than half of a service's endpoints have just started.
-
-        The load has nowhere else to go then.
-        """
-        ids = [i for i, e in self._endpoint_by_id.items() if e.service == service]
-        recent = [i for i in ids if self._is_recent(i, now)]
-        return 2 * len(recent) > len(ids)
-
-    def _is_recent(self, endpoint_id, now):
-        started_at = self._started_at_by_id.get(endpoint_id, float("-inf"))
-        return now - started_at < RECENT_START_SECONDS
-
     def _lift_starts(self, service, now):
-        lifted = [
-            endpoint_id
-            for endpoint_id, limit in self._limit_by_id.items()
-            if limit.reason == STARTED
-            and not limit.is_firm
-            and endpoint_id in self._endpoint_by_id
-            and self._endpoint_by_id[endpoint_id].service == service
-        ]
-        for endpoint_id in lifted:
-            self._end(endpoint_id, LIFTED, now)
+        for endpoint_id in self._starts.ids_of(service):
+            limit = self._limit_by_id.get(endpoint_id)
+            if limit and limit.reason == STARTED and not limit.is_firm:
+                self._end(endpoint_id, LIFTED, now)
 
     def _begin(self, endpoint_id, reason, is_firm, now):
-        requests = min(START_REQUESTS, float(self._slots(endpoint_id)))
+        requests = min(START_REQUESTS, float(self._starts.slots_of(endpoint_id)))
         limit = _Limit(requests, is_firm, reason, now, now)
         self._limit_by_id[endpoint_id] = limit
         self._changes.append(PaceChange(endpoint_id, BEGAN, requests, reason))
@@ -488,20 +410,15 @@
             PaceChange(endpoint_id, change, limit.requests, limit.reason)
         )
 
-    def _slots(self, endpoint_id):
-        endpoint = self._endpoint_by_id.get(endpoint_id)
-        return (endpoint and endpoint.slots) or DEFAULT_SLOTS
-
     def _forget(self, listed_ids):
+        self._starts.forget(listed_ids)
+        self._figures.forget(listed_ids)
         for values in (
-            self._endpoint_by_id,
-            self._started_at_by_id,
             self._failed_at_by_id,
             self._late_at_by_id,
             self._limit_by_id,
             self._ended_at_by_id,
             self._logged_fall_at_by_id,
-            self._figure_by_id,
         ):
             for endpoint_id in set(values) - listed_ids:
                 del values[endpoint_id]
