--- a/tests/features/steps/pace_replay.py
+++ b/tests/features/steps/pace_replay.py
@@ -1,7 +1,7 @@
 """Replays load on endpoints that start or recover, without a network.
 
-Many nodes send short streams, which one scheduler places; or a few nodes place their own
-by gossip. Endpoints have slots and a queue, refuse what exceeds it, and may be slow,
+Many nodes send short streams, which one scheduler places; or a few nodes place their
+own by gossip. Endpoints have slots and a queue, refuse what exceeds it, and may be slow,
 down, or slow in proportion to what they run at a time.
 """
 
@@ -254,22 +254,26 @@
     """All nodes ask one scheduler, which a node without its state may replace."""
 
     def __init__(self, is_on, replaced_at=None):
-        self._is_on = is_on
+        self.is_on = is_on
         self._replaced_at = replaced_at
         self._results_by_node = {}
         self._changed_nodes = set()
         self._figures_by_node = {}
         self._paces_by_node = {}
         self.changes = []
+        # The limits that a new scheduler knows after one round of reports.
+        self.limits_at_replacement = {}
 
     def start(self, replay):
         for node_id in replay.node_ids:
-            paces = self._paces_by_node[node_id] = EndpointPaces(self._is_on)
+            paces = self._paces_by_node[node_id] = EndpointPaces(self.is_on)
             paces.note_list(replay.listed(), 0.0, LISTED_AT)
         self._become(replay, replay.node_ids[0])
         if self._replaced_at is not None:
             node_id = replay.node_ids[1]
             replay.schedule(self._replaced_at, self._become, replay, node_id)
+            known_at = self._replaced_at + 2 * REPORT_SECONDS
+            replay.schedule(known_at, self._note_limits, replay)
         replay.schedule(0.0, self._report_all, replay)
 
     def _become(self, replay, node_id):
@@ -277,6 +281,9 @@
         self.paces = self._paces_by_node[node_id]
         self._scheduler = GroupScheduler(self.paces)
 
+    def _note_limits(self, replay):
+        self.limits_at_replacement = dict(self.paces.limits(replay.now))
+
     def note_endpoint(self, endpoint, now):
         for paces in self._paces_by_node.values():
             paces.note_endpoint(endpoint, now)
@@ -347,13 +354,13 @@
     """Each node of a small fleet places its own requests by gossip."""
 
     def __init__(self, is_on):
-        self._is_on = is_on
+        self.is_on = is_on
         self._loads_by_node = {}
         self._pacing_by_node = {}
 
     def start(self, replay):
         for node_id in replay.node_ids:
-            pacing = FleetPacing(self._is_on, wall_clock=lambda: LISTED_AT)
+            pacing = FleetPacing(self.is_on, wall_clock=lambda: LISTED_AT)
             pacing.paces.note_list(replay.listed(), 0.0, LISTED_AT)
             self._pacing_by_node[node_id] = pacing
             self._loads_by_node[node_id] = EndpointLoads(paces=pacing.paces)
@@ -363,6 +370,10 @@
         for pacing in self._pacing_by_node.values():
             pacing.paces.note_endpoint(endpoint, now)
 
+    def note_return(self, endpoint_ids, now):
+        for pacing in self._pacing_by_node.values():
+            pacing.paces.note_return(endpoint_ids, now)
+
     def _gossip(self, replay):
         for node_id, loads in self._loads_by_node.items():
             for peer_id, peer in self._loads_by_node.items():
