--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -50,6 +50,7 @@
 LIFTED = "lifted"
 # Why a limit is in force after a start, before an answer is late.
 STARTED = "started"
+FAILED = "failed"
 
 
 class PaceLimit(NamedTuple):
@@ -57,7 +58,7 @@
 
     A limit is firm if answers of the endpoint, or failures, show that it can't take
     more. `requests` is 0 in what a scheduler tells of an endpoint without a limit.
-    `age_seconds` is the time since a scheduler told it.
+    `age_seconds` is the time since an answer last confirmed it.
     """
 
     endpoint_id: str
@@ -146,9 +147,9 @@
         self._failed_at_by_id[endpoint_id] = now
         limit = self._limit_by_id.get(endpoint_id)
         if limit is not None:
-            self._fall(endpoint_id, "failed", now)
+            self._fall(endpoint_id, FAILED, now)
             return
-        self._begin(endpoint_id, "failed", True, now)
+        self._begin(endpoint_id, FAILED, True, now)
         if now - failed_at < REPEATED_FAILURE_SECONDS:
             limit = self._limit_by_id[endpoint_id]
             limit = limit._replace(requests=MIN_REQUESTS, is_unstable=True)
@@ -250,16 +251,17 @@
         """
         limit = self.limits(now).get(endpoint_id)
         if limit is not None:
-            return PaceLimit(endpoint_id, limit.requests, limit.is_firm, limit.reason)
+            return self._pace_of(endpoint_id, limit, now)
         return PaceLimit(endpoint_id, 0.0) if self.is_paced(endpoint_id) else None
 
     def note_told(self, pace, now):
         """Note the `PaceLimit` that the scheduler of the endpoint told."""
         if not self.is_paced(pace.endpoint_id):
             return
-        self._told_by_id[pace.endpoint_id] = _Told(pace, now)
+        heard_at = now - pace.age_seconds
+        self._told_by_id[pace.endpoint_id] = _Told(pace, heard_at)
         if pace.requests:
-            limit = _Limit(pace.requests, pace.is_firm, pace.reason, now, now)
+            limit = _Limit(pace.requests, pace.is_firm, pace.reason, heard_at, heard_at)
             self._limit_by_id[pace.endpoint_id] = limit
         else:
             self._limit_by_id.pop(pace.endpoint_id, None)
@@ -284,13 +286,7 @@
         while the other nodes use all of it.
         """
         limits = tuple(
-            PaceLimit(
-                endpoint_id,
-                limit.requests,
-                limit.is_firm,
-                limit.reason,
-                now - limit.heard_at,
-            )
+            self._pace_of(endpoint_id, limit, now)
             for endpoint_id, limit in self.limits(now).items()
         )
         ended = tuple(
@@ -321,6 +317,11 @@
             elif limit is not None:
                 self._end(endpoint_id, ENDED, told_at)
 
+    @staticmethod
+    def _pace_of(endpoint_id, limit, now):
+        age = now - limit.heard_at
+        return PaceLimit(endpoint_id, limit.requests, limit.is_firm, limit.reason, age)
+
     def _heard_at(self, endpoint_id):
         limit = self._limit_by_id.get(endpoint_id)
         if limit is not None:
@@ -329,6 +330,17 @@
         ended_at = self._ended_at_by_id.get(endpoint_id, float("-inf"))
         return ended_at if told is None else max(ended_at, told.at)
 
+    def limits_for(self, endpoints, now):
+        """Return the limits that order these endpoints, by id.
+
+        There are none if most of the endpoints are late: each slot is needed then.
+        """
+        limits = self.limits(now)
+        if not limits:
+            return limits
+        late = sum(self._is_late(e.endpoint_id, now) for e in endpoints)
+        return limits if 2 * late <= len(endpoints) else {}
+
     def firm_limits(self, endpoints, now):
         """Return the limits that hold even if a request is refused because of them.
 
@@ -340,7 +352,7 @@
         limits = self.limits(now)
         firm = {i: limit for i, limit in limits.items() if limit.is_firm}
         count = sum(
-            e.endpoint_id in limits or now - self._late_at(e.endpoint_id) < LATE_SECONDS
+            e.endpoint_id in limits or self._is_late(e.endpoint_id, now)
             for e in endpoints
         )
         return firm if 2 * count <= len(endpoints) else {}
@@ -362,8 +374,13 @@
             for endpoint_id, limit in self.limits(now).items()
         }
 
-    def _late_at(self, endpoint_id):
-        return self._late_at_by_id.get(endpoint_id, float("-inf"))
+    def _is_late(self, endpoint_id, now):
+        late_at = self._late_at_by_id.get(endpoint_id, float("-inf"))
+        return now - late_at < LATE_SECONDS
+
+    def _are_most_late(self, endpoint_id, now):
+        ids = self._starts.ids_of(self._starts.service_of(endpoint_id))
+        return 2 * sum(self._is_late(i, now) for i in ids) > len(ids)
 
     def _limit_starts(self, endpoints, now):
         services = {endpoint.service for endpoint in endpoints}
@@ -391,10 +408,17 @@
         limit = self._limit_by_id.get(endpoint_id)
         if limit is None or now - limit.changed_at < FALL_SECONDS:
             return
+        if reason != FAILED and self._are_most_late(endpoint_id, now):
+            # The cause is common to the endpoints and not the requests at this one, nor
+            # was it when the first of them got late.
+            is_firm = limit.is_firm and limit.reason == FAILED
+            limit = limit._replace(is_firm=is_firm, heard_at=now)
+            self._limit_by_id[endpoint_id] = limit
+            return
         requests = max(MIN_REQUESTS, limit.requests * FALL_FACTOR)
         # A failure after answers in time is a repeated one.
         has_grown = limit.heard_at > limit.changed_at
-        is_unstable = limit.is_unstable or (reason == "failed" and has_grown)
+        is_unstable = limit.is_unstable or (reason == FAILED and has_grown)
         self._limit_by_id[endpoint_id] = _Limit(
             requests, True, reason, now, now, is_unstable
         )
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -131,7 +131,7 @@
         candidates = self.health.candidates(endpoints, now, excluded)
         if not candidates:
             return Full(AVOID_SECONDS, bool(endpoints))
-        limits = self._paces.limits(now)
+        limits = self._paces.limits_for(candidates, now)
         placed = self._choose_within(limits, candidates, now, spread, headroom)
         if placed is None and limits:
             firm = self._paces.firm_limits(candidates, now)
@@ -211,7 +211,7 @@
         The endpoint has at least one free slot beyond `reserve` slots.
         """
         best = None
-        limits = self._paces.limits(now)
+        limits = self._paces.limits_for(endpoints, now)
         if self.is_fleet_large:
             by_hash = sorted(
                 endpoints, key=lambda e: stable_hash(spread, e.endpoint_id)
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -118,7 +118,7 @@
         candidates = self.health.candidates(endpoints, now, excluded)
         if not candidates:
             return Full(AVOID_SECONDS, bool(endpoints))
-        limits = self._paces.limits(now)
+        limits = self._paces.limits_for(candidates, now)
         placed = self._choose_within(
             limits, candidates, node_id, now, spread, headroom, domain
         )
@@ -157,7 +157,7 @@
         The endpoint has at least one free slot beyond `reserve` slots. A late item gets
         none at endpoints where items that can still finish on time are refused.
         """
-        limits = self._paces.limits(now)
+        limits = self._paces.limits_for(endpoints, now)
         rows = [
             (
                 self._weighted_load(endpoint, domain, limits, now),
