--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from .endpoint_pace import EndpointPaces, PaceLimit, limited_slots
+from .endpoints import DEFAULT_SLOTS
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
 
@@ -145,9 +146,9 @@
         for endpoint in candidates:
             online, batch = self.counts(endpoint.endpoint_id, now)
             slots = limited_slots(endpoint, limit_by_id)
-            load = self._weighted_load(endpoint.endpoint_id, online + batch, now)
+            load = self._weighted_load(endpoint, online + batch, slots, now)
             tie = stable_hash(spread, endpoint.endpoint_id)
-            ranked.append((load / slots, tie, endpoint, online, batch, slots))
+            ranked.append((load, tie, endpoint, online, batch, slots))
         if self.is_fleet_large:
             sampled = self._choose_from_sample(ranked)
             if sampled is not None:
@@ -165,12 +166,14 @@
             return Placed(endpoint.endpoint_id)
         return self._choose_when_full(ranked, limit_by_id, headroom, now)
 
-    def _weighted_load(self, endpoint_id, count, now):
-        ratio = self.health.pace_ratio(endpoint_id)
+    def _weighted_load(self, endpoint, count, limited, now):
+        ratio = self.health.pace_ratio(endpoint.endpoint_id)
         if not self._paces.has_figures:
-            return count * ratio
-        # The request itself counts, so that the speed matters at idle endpoints too.
-        return (count + 1) * ratio * self._paces.figure_factor(endpoint_id, now)
+            return count * ratio / limited
+        # The request itself counts, so that the speed matters at idle endpoints too,
+        # but not more at a low limit: an idle endpoint could not raise it.
+        ratio *= self._paces.figure_factor(endpoint.endpoint_id, now)
+        return count * ratio / limited + ratio / (endpoint.slots or DEFAULT_SLOTS)
 
     def _choose_from_sample(self, ranked):
         """Return the least loaded of a few endpoints, or None if all are full.
@@ -227,8 +230,7 @@
             reserved = min(reserve, slots - 1) if is_limited else reserve
             if online + batch + reserved >= slots:
                 continue
-            count = online + batch
-            load = self._weighted_load(endpoint.endpoint_id, count, now) / slots
+            load = self._weighted_load(endpoint, online + batch, slots, now)
             load += (
                 (endpoint.failure_domain != self._failure_domain)
                 * SIMILAR_LOAD_REQUESTS
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -215,16 +215,20 @@
 
     def _weighted_load(self, endpoint, domain, limit_by_id, now):
         count = sum(self.counts(endpoint.endpoint_id))
+        slots = endpoint.slots or DEFAULT_SLOTS
         ratio = self.health.pace_ratio(endpoint.endpoint_id)
+        added = 0.0
         if self._paces.has_figures:
             # The request itself counts: the speed matters at idle endpoints too.
-            count += 1
             ratio *= self._paces.figure_factor(endpoint.endpoint_id, now)
-        load = count * ratio / limited_slots(endpoint, limit_by_id)
+            added += ratio
         if endpoint.failure_domain != domain:
-            # Not more at a low limit: an idle endpoint could not raise it.
-            load += LOCAL_PREFERENCE_REQUESTS / (endpoint.slots or DEFAULT_SLOTS)
-        return load
+            added += LOCAL_PREFERENCE_REQUESTS
+        if endpoint.endpoint_id not in limit_by_id:
+            return (count * ratio + added) / slots
+        # What is added counts no more at a low limit: an idle endpoint could not raise
+        # it.
+        return count * ratio / limited_slots(endpoint, limit_by_id) + added / slots
 
     def _has_batch_slot(self, endpoint, reserve, limit_by_id):
         if endpoint.endpoint_id in limit_by_id:
