--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -127,6 +127,14 @@
     def note_list(self, endpoints, now, unix_seconds):
         """Note the list of endpoints, read at the wall clock time `unix_seconds`."""
         self._limit_starts(self._starts.note_list(endpoints, now, unix_seconds), now)
+        self.forget_unlisted(endpoints)
+
+    def forget_unlisted(self, endpoints):
+        """Drop what is known of endpoints that are not listed, if these are many.
+
+        Those that were listed lately are kept: an entry that returns unchanged after an
+        outage of the store is no start.
+        """
         if self._starts.must_forget(len(endpoints)):
             self._forget({endpoint.endpoint_id for endpoint in endpoints})
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -244,6 +244,7 @@
                 self._pacing.note_list(endpoints, now)
                 return self._directory.replace(endpoints, now)
             case EndpointChanged(endpoint_id, None):
+                self._pacing.paces.forget_unlisted(self._directory.endpoints())
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
                 self._pacing.note_endpoint(endpoint, now)
--- a/tests/features/gateway/endpoint_pace.feature
+++ b/tests/features/gateway/endpoint_pace.feature
@@ -148,6 +148,20 @@
   Scenario: No answer or failure leaves an available endpoint without a request
     Then for any order of answers and failures each endpoint may run 1 to 8 requests
 
+  # With the slots that are kept free of batch, a limit of 1 would leave no item, and no
+  # answer that raises it.
+  Scenario: A service that only runs batch raises its limits as well
+    Then with a limit of 1 an endpoint gets one batch item, by a scheduler and by a node
+
+  # A scheduler that learned of a failure from one node is lost; its successor has no
+  # answers of the endpoint yet.
+  Scenario: Nodes tell a new scheduler the limits that the previous one told them
+    Given three coordinators of a large fleet with pacing that have listed 4 endpoints
+    When one reports a failure to the scheduler, which then places its request there
+    Then the scheduler and that node have the same limit
+    And another scheduler has it once that node has reported to it
+    And answers that are reported to it raise the limit
+
   Scenario: Messages of releases without pace have none
     Then a report, a state and a placement keep their pace on the wire
     And without pacing they have the same bytes as in the earlier release
--- a/tests/features/steps/endpoint_pace_rule_steps.py
+++ b/tests/features/steps/endpoint_pace_rule_steps.py
@@ -11,13 +11,19 @@
     BROKEN,
     DONE,
     BeginRequest,
+    CollectLoadReports,
     EndpointChanged,
     EndpointResult,
     EndpointsListed,
+    FindSchedulers,
     GetStatus,
     LoadReport,
+    LoadReportReceived,
+    PeerStatesReceived,
     PlaceRequest,
+    Publish,
     RequestEnded,
+    Schedule,
 )
 from sequoiaglade_gateway.pace_messages import FirstEventObserved
 from sequoiaglade_gateway.peers.codec import (
@@ -33,7 +39,9 @@
 
 from sequoiaglade_decisions.gateway import (
     Endpoint,
+    EndpointLoads,
     EndpointPaces,
+    GroupScheduler,
     NodeState,
     PaceLimit,
     Scheduled,
@@ -180,6 +188,107 @@
             assert 1 <= slots <= SLOTS, slots
 
 
+@then("with a limit of 1 an endpoint gets one batch item, by a scheduler and by a node")
+def check_batch(context):
+    paces = EndpointPaces(is_on=True)
+    paces.note_list(_listed(), 0.0, LISTED_AT)
+    for now in (1.0, 2.0):
+        paces.note_failure("e0", now)
+    endpoints = _listed()[:1]
+    scheduler = GroupScheduler(paces)
+    scheduler.report("n", (1, 1), {}, 3.0)
+    found = [
+        scheduler.choose_for_batch(endpoints, "n", 3.0, 1, spread) for spread in "ab"
+    ]
+    assert found == ["e0", None], found
+    loads = EndpointLoads(paces=paces)
+    assert loads.choose_for_batch(endpoints, 3.0, 1, "a") == "e0"
+    loads.begin("e0", True)
+    assert loads.choose_for_batch(endpoints, 3.0, 1, "b") is None
+
+
+@given("three coordinators of a large fleet with pacing that have listed 4 endpoints")
+def given_coordinators(context):
+    context.now = 20.0
+    names = ("a", "b", "c")
+    context.coordinators = {name: _make_coordinator(context, name) for name in names}
+    states = [NodeState(name, 1, 1, peer_address=ADDRESS) for name in names]
+    states += [
+        NodeState(f"n{number}", 1, 1, peer_address=ADDRESS, cores=0.1)
+        for number in range(60)
+    ]
+    for name, coordinator in context.coordinators.items():
+        others = [state for state in states if state.node_id != name]
+        coordinator.on_receive(PeerStatesReceived(others))
+        # The placement of this node's own requests follows the size of the fleet.
+        coordinator.on_receive(Publish(0, 0, (), True))
+    status = context.coordinators["a"].on_receive(GetStatus())
+    (first,) = set(status["scheduler_by_group"].values())
+    context.first = context.coordinators[first]
+    context.asking, context.second = (
+        context.coordinators[name] for name in names if name != first
+    )
+
+
+def _schedule(context, scheduler, excluded):
+    """Place a request of the asking node; return its endpoint's id."""
+    asking = context.asking.on_receive
+    query = asking(FindSchedulers(SERVICE, "r"))
+    place = PlaceRequest(SERVICE, "r", frozenset(excluded))
+    # Placements and reports pass through their encoding, as between nodes.
+    report = decode_report(encode_report(query.report))
+    request = Schedule(report, place, query.group, query.group_count)
+    scheduled, _ = scheduler.on_receive(request)
+    placed = decode_placement(encode_placement(scheduled))
+    asking(BeginRequest(place, placed.endpoint_id, placed.has_permit, placed.pace))
+    return placed.endpoint_id
+
+
+def _report_to(context, scheduler):
+    ((_, report),) = context.asking.on_receive(CollectLoadReports())
+    report = decode_report(encode_report(report))
+    scheduler.on_receive(LoadReportReceived(report))
+
+
+def _limit(coordinator):
+    status = coordinator.on_receive(GetStatus())
+    limit = status["pace_limit_by_endpoint"].get("e0")
+    return limit and (limit["requests"], limit["is_firm"], limit["reason"])
+
+
+@when("one reports a failure to the scheduler, which then places its request there")
+def report_failure(context):
+    others = ("e1", "e2", "e3")
+    assert _schedule(context, context.first, others) == "e0"
+    context.asking.on_receive(RequestEnded("e0", False, BROKEN))
+    _report_to(context, context.first)
+    context.now += 0.6
+    assert _schedule(context, context.first, others) == "e0"
+
+
+@then("the scheduler and that node have the same limit")
+def check_told(context):
+    nodes = (context.first, context.asking, context.second)
+    limits = [_limit(node) for node in nodes]
+    assert limits == [(2.0, True, "failed"), (2.0, True, "failed"), None], limits
+
+
+@then("another scheduler has it once that node has reported to it")
+def check_continued(context):
+    context.now += 0.2
+    _report_to(context, context.second)
+    assert _limit(context.second) == (2.0, True, "failed")
+
+
+@then("answers that are reported to it raise the limit")
+def check_raised(context):
+    context.now += 0.2
+    tell = context.asking.on_receive
+    tell(FirstEventObserved("e0", 0.06, 0.2))
+    _report_to(context, context.second)
+    assert _limit(context.second) == (3.0, True, "failed"), _limit(context.second)
+
+
 @then("a report, a state and a placement keep their pace on the wire")
 def check_wire(context):
     paces = (PaceLimit("e-1", 2.5, True, "late", 0.25),)
@@ -216,21 +325,26 @@
 @given("a coordinator with pacing that has listed 4 endpoints")
 def given_coordinator(context):
     context.now = 20.0
+    context.coordinator = _make_coordinator(context, "a")
+
+
+def _make_coordinator(context, node_id):
     context.counts = []
     node_settings = GatewaySettings(
-        node_id="a",
+        node_id=node_id,
         failure_domain="d",
         listen=dict.fromkeys(Listeners.model_fields, ADDRESS),
         store={"address": ADDRESS},
         endpoint_pacing=True,
     )
-    context.coordinator = Coordinator(
+    coordinator = Coordinator(
         node_settings,
         1,
         clock=lambda: context.now,
         count=lambda event, outcome: context.counts.append((event, outcome)),
     )
-    context.coordinator.on_receive(EndpointsListed(_listed()))
+    coordinator.on_receive(EndpointsListed(_listed()))
+    return coordinator
 
 
 @when("a new endpoint is listed, answers 6 requests in time, and fails")
