--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -33,6 +33,7 @@
     TakePermit,
 )
 from .crash_blame import CrashBlame
+from .endpoint_pacing import FleetPacing
 from .evacuation_messages import (
     EvacuationChanged,
     EvacuationsListed,
@@ -76,6 +77,7 @@
     RequestEnded,
     Schedule,
 )
+from .pace_messages import FirstEventObserved, WorkTimeNamed
 from .reach import FleetReach
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
@@ -111,13 +113,14 @@
 
     use_daemon_thread = True
 
-    def __init__(self, settings, incarnation, clock=time.monotonic):
+    def __init__(self, settings, incarnation, clock=time.monotonic, count=None):
         super().__init__()
         self._settings = settings
         self._clock = clock
         self._log = structlog.get_logger()
         self._directory = EndpointDirectory(settings.drain_milliseconds / 1000)
-        self._loads = EndpointLoads(settings.failure_domain)
+        self._pacing = FleetPacing(settings.endpoint_pacing, count)
+        self._loads = EndpointLoads(settings.failure_domain, self._pacing.paces)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
         self._reach = FleetReach(self._directory, self._nodes)
@@ -145,6 +148,7 @@
             self._nodes,
             self._loads,
             self._quotas,
+            self._pacing.paces,
         )
         self._limits = FleetRequestLimits(
             settings,
@@ -154,7 +158,9 @@
             self._scheduling,
             self._quota_share,
         )
-        self._evacuations = FleetEvacuations(settings, self._directory, self._nodes)
+        self._evacuations = FleetEvacuations(
+            settings, self._directory, self._nodes, self._pacing.note_return
+        )
         self._followers = FleetStoreFollowers(lambda: self._state, self._nodes)
         self._keepers = FleetTokenKeepers(
             lambda: self._state, self._nodes, self._limits.is_settled, self._quota_share
@@ -185,6 +191,7 @@
             case FindTokenKeepers(workspace):
                 return self._keepers.find(workspace, now)
             case CollectLoadReports():
+                self._pacing.log_changes(now)
                 return self._scheduling.collect_reports(now)
             case LoadReportReceived(report):
                 return self._receive_report(report, now)
@@ -206,10 +213,15 @@
                 return self._find_endpoint(endpoint_id, now)
             case FindForwarders() | FindAnyEndpoint() | ConnectionTried():
                 return self._reach.handle(message, now)
+            case FirstEventObserved() | WorkTimeNamed():
+                return self._pacing.handle(message, now, self._loads, self._scheduling)
             case EndpointSilent(endpoint_id):
+                self._pacing.paces.note_silence(endpoint_id, now)
                 self._scheduling.note_end(endpoint_id, messages.SILENT)
                 return self._loads.health.note_silence(endpoint_id, now)
             case EventIntervalObserved(endpoint_id, seconds):
+                ratio = self._loads.health.interval_ratio(seconds)
+                self._pacing.paces.note_interval(endpoint_id, ratio, now)
                 self._scheduling.note_end(endpoint_id, "", seconds)
                 return self._loads.health.note_pace(endpoint_id, seconds)
             case (
@@ -239,6 +251,7 @@
             case ConfigurationChanged(configuration):
                 return self._configure(configuration, now)
             case EndpointsListed(endpoints):
+                self._pacing.note_list(endpoints, now)
                 self._directory.replace(endpoints, now)
                 return self._evacuations.note_endpoints_listed(now)
             case (
@@ -249,8 +262,10 @@
             ):
                 return self._evacuations.handle(message, now)
             case EndpointChanged(endpoint_id, None):
+                self._pacing.paces.forget_unlisted(self._directory.endpoints())
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
+                self._pacing.note_endpoint(endpoint, now)
                 return self._directory.put(endpoint, now)
             case EndpointListReachable(True):
                 return self._directory.note_recovery(now)
@@ -348,6 +363,8 @@
         endpoint = self._directory.get(message.endpoint_id, now)
         if endpoint is None or not endpoint.accepts_requests:
             return None
+        if message.pace is not None:
+            self._pacing.paces.note_told(message.pace, now)
         self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
@@ -378,10 +395,12 @@
         self._scheduling.note_begin()
         in_flight = sum(self._loads.counts(endpoint_id, now))
         endpoint = self._find_endpoint(endpoint_id, now)
-        return InFlightRequest(endpoint, preempts, in_flight)
+        is_paced = self._pacing.paces.is_paced(endpoint_id)
+        return InFlightRequest(endpoint, preempts, in_flight, is_paced=is_paced)
 
     def _end(self, message, now):
         endpoint_id = message.endpoint_id
+        self._pacing.note_end(message, now, self._loads, self._scheduling)
         self._loads.end(endpoint_id, message.is_batch)
         self._scheduling.note_end(endpoint_id, message.outcome)
         match message.outcome:
@@ -402,7 +421,8 @@
         return endpoint._replace(request_limit=self._limits.find(endpoint))
 
     def _note_failure(self, endpoint_id, now):
-        self._loads.health.note_failure(endpoint_id, now)
+        is_limited = self._pacing.paces.is_limited(endpoint_id)
+        self._loads.health.note_failure(endpoint_id, now, is_limited)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
 
     def _configure(self, configuration, now):
@@ -457,6 +477,7 @@
             is_store_reachable=message.is_store_reachable,
             request_limits=self._limits.notices(now),
             is_cut_off=self._reach.is_cut_off,
+            paces=() if is_large else self._pacing.paces.shared(now),
         )
         self._state = self._blame.add_to(state, now)
 
@@ -480,6 +501,7 @@
             )
             self._blame.receive(state, now)
             self._limits.receive(state, now)
+            self._pacing.paces.adopt(state.paces, now)
         return new_states
 
     def _batch_share(self, message, now):
@@ -508,6 +530,7 @@
             },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
             "request_limit_by_endpoint": self._limits.limited(),
+            "pace_limit_by_endpoint": self._pacing.paces.status(now),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
             "is_cut_off": self._reach.is_cut_off,
