--- a/tests/features/steps/gateway_evacuation_sending_steps.py
+++ b/tests/features/steps/gateway_evacuation_sending_steps.py
@@ -3,7 +3,6 @@
 import itertools
 import socket
 import threading
-import time
 from types import SimpleNamespace
 
 from behave import given, then, when
