--- a/tests/features/steps/gateway_hunt_change_steps.py
+++ b/tests/features/steps/gateway_hunt_change_steps.py
@@ -15,7 +15,7 @@
     Probe,
 )
 from emulator.hunt.records import Disturbance
-from emulator.runner import ReceivedRequest
+from emulator.runner_plan import ReceivedRequest
 
 # The first change replaces a key and adds a route, the second one removes it.
 CHANGED_AT, REMOVED_AT = 3.0, 5.0
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -7,7 +7,7 @@
 from emulator.hunt.checks import Evidence, find_broken_rules
 from emulator.hunt.days import EVENT_COUNT, draw_day
 from emulator.hunt.records import Attempt, Disturbance, Job, JobRead, OnlineRequest
-from emulator.runner import Crash, ReceivedRequest
+from emulator.runner_plan import Crash, ReceivedRequest
 
 EVENTS = tuple((number, "v1") for number in range(1, EVENT_COUNT + 1))
 OUTPUT = "\n".join(f"piece-{number}" for number, _ in EVENTS)
--- a/tests/features/steps/gateway_hunt_unframed_steps.py
+++ b/tests/features/steps/gateway_hunt_unframed_steps.py
@@ -1,7 +1,7 @@
 """Steps that add responses without a length to the records of a day."""
 
 from behave import when
-from emulator.runner import ReceivedRequest
+from emulator.runner_plan import ReceivedRequest
 from emulator.unframed import UnframedCall
 
 
