--- a/tests/features/steps/gateway_hunt_steps.py
+++ b/tests/features/steps/gateway_hunt_steps.py
@@ -9,7 +9,7 @@
 
 from behave import then, when
 from emulator.hunt.days import draw_day
-from emulator.hunt.later_kinds import LATER_KINDS
+from emulator.hunt.later_kinds import LATER_KINDS, NEWEST_KINDS
 
 ROOT = Path(__file__).resolve().parent.parent.parent.parent
 HUNT_TIMEOUT_SECONDS = 240
@@ -91,3 +91,27 @@
     old = {kind for seed in range(100) for kind in draw_day(seed).kinds}
     kinds = {kind for day in paired for kind in day.kinds}
     assert kinds == old | context.later, kinds
+
+
+@then(
+    "all days of seeds {first:d} to {last:d} have a newest kind of fault, each of them "
+    "alone"
+)
+def check_newest(context, first, last):
+    context.days = [draw_day(seed) for seed in range(first, last + 1)]
+    newest = {kind.__name__ for kind in NEWEST_KINDS}
+    assert all(newest & set(day.kinds) for day in context.days)
+    alone = {day.kinds[0] for day in context.days if len(day.faults) == 1}
+    assert alone == newest, alone
+
+
+@then(
+    'some of them are beside each other newest, later and first kind but "{excluded}"'
+)
+def check_beside(context, excluded):
+    old = {kind for seed in range(100) for kind in draw_day(seed).kinds}
+    later = {kind.__name__ for kind in (*LATER_KINDS, *NEWEST_KINDS)}
+    paired = {
+        kind for day in context.days if len(day.faults) == 2 for kind in day.kinds
+    }
+    assert paired == (old | later) - {excluded}, paired
