--- a/tests/features/steps/paced_calls.py
+++ b/tests/features/steps/paced_calls.py
@@ -28,7 +28,11 @@
 
 def send_evenly(context, route, rate, seconds, nodes=None):
     """Send requests of a route by turns at `nodes`, or at all; keep them in `sent`."""
-    fleet = context.gateways
+    context.sent = send_paced(context.gateways, route, rate, seconds, nodes)
+
+
+def send_paced(fleet, route, rate, seconds, nodes=None, **options):
+    """Send requests as `send_evenly` does, with options of the fleet; return them."""
     nodes = nodes or range(len(fleet.nodes))
     began_at = time.monotonic()
 
@@ -36,11 +40,12 @@
         time.sleep(max(0.0, began_at + number / rate - time.monotonic()))
         sent_at = time.monotonic()
         node, request_id = nodes[number % len(nodes)], uuid.uuid4().hex[:16]
-        answer = fleet.send(f"/{route}/{number}", node, request_id=request_id)
+        path = f"/{route}/{number}"
+        answer = fleet.send(path, node, request_id=request_id, **options)
         return Sent(request_id, node, sent_at, time.monotonic(), answer)
 
     with ThreadPoolExecutor(CALLERS) as pool:
-        context.sent = list(pool.map(send, range(rate * seconds)))
+        return list(pool.map(send, range(rate * seconds)))
 
 
 def wait_until_met(context):
