--- a/tests/features/steps/gateway_evacuation_steps.py
+++ b/tests/features/steps/gateway_evacuation_steps.py
@@ -37,7 +37,7 @@
     'and "{other}"'
 )
 def given_slow(context, gateways, count, one, other):
-    plans = [SLOW._replace(domain=domain) for domain in (one, other)]
+    plans = [SLOW._replace(failure_domain=domain) for domain in (one, other)]
     _start(context, gateways, [plan for plan in plans for _ in range(count)])
 
 
@@ -45,13 +45,13 @@
     '{gateways:d} gateways, and 1 runner in each of the domains "{one}" and "{other}"'
 )
 def given_runners(context, gateways, one, other):
-    plans = [RunnerPlan(domain=domain) for domain in (one, other)]
+    plans = [RunnerPlan(failure_domain=domain) for domain in (one, other)]
     _start(context, gateways, plans, has_entrances=gateways > 2)
 
 
 @given('{gateways:d} gateways, and runners in "{domains}", the second of which breaks')
 def given_breaking(context, gateways, domains):
-    plans = [RunnerPlan(domain=domain) for domain in names_in(domains)]
+    plans = [RunnerPlan(failure_domain=domain) for domain in names_in(domains)]
     plans[1] = plans[1]._replace(breaks_after=2)
     _start(context, gateways, plans)
 
