--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
+from .cold_endpoints import ColdEndpoints, ColdState, Evidence
 from .configuration_sources import ConfigurationSources
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import Endpoint, EndpointDirectory
@@ -25,13 +26,19 @@
 from .part_evidence import Blame, PartCrash, SoundPart
 from .peer_acks import PeerAcks
 from .permits import (
+    COLD_PERMIT_SECONDS,
+    COLD_SETTLING_SECONDS,
+    PERMIT_USE_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
+    ColdBound,
     DeniedPermits,
     Permit,
     PermitLevels,
+    PermitSource,
     SettledShare,
     granter_share,
+    named_rate,
     permit_granters,
 )
 from .placement import DEFAULT_SLOTS, EndpointLoads, Full, Placed
@@ -94,11 +101,14 @@
 )
 
 __all__ = [
+    "COLD_PERMIT_SECONDS",
+    "COLD_SETTLING_SECONDS",
     "COMPLETE_SHARE",
     "DEFAULT_SLOTS",
     "GUARD_SECONDS",
     "KEEPERS",
     "OWN_BYTES",
+    "PERMIT_USE_SECONDS",
     "POLL_SECONDS",
     "PROTOCOL_REVISION",
     "RESERVE_SLOTS",
@@ -111,6 +121,9 @@
     "AttemptCounts",
     "Batch",
     "Blame",
+    "ColdBound",
+    "ColdEndpoints",
+    "ColdState",
     "ConfigurationSources",
     "ContactStep",
     "DeniedPermits",
@@ -120,6 +133,7 @@
     "EndpointLoads",
     "EndpointReach",
     "EndsKnowledge",
+    "Evidence",
     "Event",
     "EventSplitter",
     "ExceededBound",
@@ -152,6 +166,7 @@
     "PartCrash",
     "Permit",
     "PermitLevels",
+    "PermitSource",
     "Placed",
     "PromptParts",
     "Quarantine",
@@ -201,6 +216,7 @@
     "may_know_ends",
     "move_headroom",
     "missing_part",
+    "named_rate",
     "next_step",
     "only_version",
     "page_bytes_max",
--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
@@ -0,0 +1,245 @@
+"""Which endpoints are cold, by their entries, their responses and failed connections.
+
+Load pattern: an endpoint starts again under the same id while requests arrive at many
+times the rate that it takes at first. Its new entry may reach a node seconds later, or
+an outdated list after a newer one; other nodes may know of the start before.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from .permits import ColdBound
+
+# A list that may be outdated is by some seconds, as the platform's documentation has
+# it. An entry that arrives later than this after a failure was written after it.
+REWRITE_SECONDS = 5.0
+# Reports of ended requests arrive within this time.
+REPORT_SECONDS = 1.0
+# What is known of an endpoint that the list no longer has is dropped after this time.
+RETENTION_SECONDS = 600.0
+
+
+class Evidence(Enum):
+    """By what an endpoint counts as cold."""
+
+    ENTRY = "entry"
+    RESPONSE = "response"
+    FAILURE = "failed connection"
+    PEER = "peer"
+
+
+class ColdState(NamedTuple):
+    """A cold endpoint: its bound, for how many more seconds, and by which evidence."""
+
+    bound: ColdBound
+    seconds: float
+    evidence: Evidence
+
+
+class _Row(NamedTuple):
+    """What is known of an endpoint; times are those until which it counts as cold.
+
+    `born`, `revision` and `entry_seconds` are those of its newest entry; `born` is -1
+    before the first one. The presumption since `failed_at` has no end before the next
+    response.
+    """
+
+    noted_at: float
+    born: int = 0
+    revision: int = 0
+    entry_seconds: float = 0.0
+    entry_until: float = 0.0
+    response_until: float = 0.0
+    peer_until: float = 0.0
+    failed_at: float | None = None
+    presumed_until: float | None = None
+
+
+class ColdEndpoints:
+    """The endpoints that count as cold, for services that have a rate for these.
+
+    An entry counts from its arrival, which is later than its writing. Of two entries
+    the one with the later start is newer, then the one with the later revision; older
+    and known ones change nothing, and where a revision is unknown (0) only a longer
+    time counts.
+
+    >>> from sequoiaglade_decisions.gateway import Endpoint, Service
+    >>> cold = ColdEndpoints(overshoot=1.5, slack=5.0)
+    >>> cold.configure({"s": Service("s", cold_seconds=30.0, cold_rate=8.5)})
+    >>> entry = Endpoint("e-1", "s", "", "d", 8, born=7, cold_seconds=20.0, revision=3)
+    >>> cold.note_entry(entry, now=100.0)
+    >>> cold.find(entry, now=105.0).seconds, cold.find(entry, now=120.0)
+    (15.0, None)
+
+    An endpoint that broke a connection is presumed to have started again: it is cold
+    for its service's time from its next response.
+
+    >>> cold.note_failure("e-1", now=130.0)
+    >>> cold.find(entry, now=190.0).seconds
+    30.0
+    >>> cold.note_response(entry, None, sent_at=190.0, now=191.0)
+    >>> cold.find(entry, now=201.0).seconds, cold.find(entry, now=221.0)
+    (20.0, None)
+    """
+
+    def __init__(self, overshoot, slack):
+        self._overshoot = overshoot
+        self._slack = slack
+        self._service_by_name = {}
+        self._row_by_id = {}
+
+    def configure(self, service_by_name):
+        """Set the services by name; those without a cold rate have no cold endpoints.
+
+        What is known of endpoints holds for later configurations as well.
+        """
+        self._service_by_name = dict(service_by_name)
+
+    def find(self, endpoint, now):
+        """Return the `ColdState` of an `Endpoint`, or None if it is warm."""
+        service = self._service(endpoint)
+        row = self._row_by_id.get(endpoint.endpoint_id)
+        if service is None or row is None:
+            return None
+        bound = self.bound(service.cold_rate)
+        ends = [
+            (row.entry_until, Evidence.ENTRY),
+            (row.response_until, Evidence.RESPONSE),
+            (row.peer_until, Evidence.PEER),
+            (self._presumed_until(row, service, bound, now), Evidence.FAILURE),
+        ]
+        until, evidence = max(ends, key=lambda end: end[0])
+        return ColdState(bound, until - now, evidence) if until > now else None
+
+    def bound(self, rate):
+        """Return the `ColdBound` of a rate."""
+        return ColdBound(rate, self._overshoot, self._slack)
+
+    def note_entry(self, endpoint, now):
+        """Record the entry of an `Endpoint` as it arrives."""
+        endpoint_id = endpoint.endpoint_id
+        row = self._row_by_id.get(endpoint_id, _Row(now, born=-1))
+        seconds = endpoint.cold_seconds
+        until = now + seconds if seconds else 0.0
+        match _compare(endpoint, row):
+            case _Age.OLDER:
+                return
+            case _Age.UNKNOWN:
+                if seconds != row.entry_seconds and until > row.entry_until:
+                    self._row_by_id[endpoint_id] = row._replace(entry_until=until)
+                return
+            case _Age.NEW_START:
+                row = _Row(now)
+            case _Age.REWRITTEN:
+                # A lagging entry may have been written before the failure.
+                failed_at = row.failed_at
+                if failed_at is not None and now - failed_at >= REWRITE_SECONDS:
+                    row = row._replace(failed_at=None, presumed_until=None)
+            case _Age.FIRST:
+                pass
+        self._row_by_id[endpoint_id] = row._replace(
+            noted_at=now,
+            born=endpoint.born,
+            revision=endpoint.revision,
+            entry_seconds=seconds,
+            entry_until=until,
+        )
+
+    def note_failure(self, endpoint_id, now):
+        """Record that an endpoint refused or broke a connection."""
+        row = self._row_by_id.get(endpoint_id, _Row(now, born=-1))
+        row = row._replace(noted_at=now, failed_at=now, presumed_until=None)
+        self._row_by_id[endpoint_id] = row
+
+    def note_response(self, endpoint, seconds, sent_at, now):
+        """Record a response to a request that was sent at a time.
+
+        `seconds` is how much longer the endpoint is cold, None if it doesn't tell.
+
+        >>> from sequoiaglade_decisions.gateway import Endpoint, Service
+        >>> cold = ColdEndpoints(overshoot=1.5, slack=5.0)
+        >>> cold.configure({"s": Service("s", cold_seconds=30.0, cold_rate=8.5)})
+        >>> endpoint = Endpoint("e-1", "s", "", "d", 8, cold_seconds=20.0)
+        >>> cold.note_entry(endpoint, now=0.0)
+        >>> cold.note_response(endpoint, 25.0, sent_at=0.9, now=1.0)
+        >>> cold.find(endpoint, now=2.0).evidence.value
+        'response'
+        >>> cold.note_response(endpoint, 0.0, sent_at=2.0, now=2.1)
+        >>> cold.find(endpoint, now=2.2)
+        """
+        endpoint_id = endpoint.endpoint_id
+        row = self._row_by_id.get(endpoint_id, _Row(now, born=-1))
+        is_after_failure = row.failed_at is not None and sent_at >= row.failed_at
+        if seconds is not None:
+            if row.noted_at <= sent_at:
+                row = row._replace(entry_until=0.0, peer_until=0.0)
+            if is_after_failure:
+                row = row._replace(failed_at=None, presumed_until=None)
+            until = now + seconds if seconds else 0.0
+            row = row._replace(response_until=until, noted_at=now)
+        elif is_after_failure and row.presumed_until is None:
+            service = self._service(endpoint)
+            cold_seconds = service.cold_seconds if service else 0.0
+            row = row._replace(presumed_until=now + cold_seconds)
+        else:
+            return
+        self._row_by_id[endpoint_id] = row
+
+    def note_reported_answer(self, endpoint, now):
+        """Record that a node reported an answer, at an unknown time just before."""
+        self.note_response(endpoint, None, now - REPORT_SECONDS, now)
+
+    def note_told(self, endpoint, born, seconds, now):
+        """Record that a peer takes an endpoint for cold; return whether to believe it.
+
+        `born` is the start of the endpoint that the peer knows of.
+        """
+        row = self._row_by_id.get(endpoint.endpoint_id, _Row(now, born=-1))
+        if born and born < row.born:
+            return False
+        until = max(row.peer_until, now + seconds)
+        row = row._replace(peer_until=until, noted_at=now)
+        self._row_by_id[endpoint.endpoint_id] = row
+        return True
+
+    def keep_only(self, endpoint_ids, now):
+        """Forget other endpoints of which nothing was noted for long."""
+        self._row_by_id = {
+            i: row
+            for i, row in self._row_by_id.items()
+            if i in endpoint_ids or now - row.noted_at <= RETENTION_SECONDS
+        }
+
+    def _service(self, endpoint):
+        service = self._service_by_name.get(endpoint.service)
+        return service if service is not None and service.cold_rate > 0 else None
+
+    def _presumed_until(self, row, service, bound, now):
+        if row.failed_at is None:
+            return 0.0
+        if row.presumed_until is not None:
+            return row.presumed_until
+        if bound.counts[0] < 1:
+            # The bound allows no request, so that there will be no response.
+            return row.failed_at + service.cold_seconds
+        return now + service.cold_seconds
+
+
+class _Age(Enum):
+    OLDER = "older"
+    UNKNOWN = "unknown"
+    REWRITTEN = "rewritten"
+    NEW_START = "new start"
+    FIRST = "first"
+
+
+def _compare(endpoint, row):
+    """Return the `_Age` of an entry compared with the newest one of a row."""
+    if row.born == -1:
+        return _Age.FIRST
+    if endpoint.born and row.born and endpoint.born != row.born:
+        return _Age.NEW_START if endpoint.born > row.born else _Age.OLDER
+    if not endpoint.revision or not row.revision:
+        return _Age.UNKNOWN
+    is_later = endpoint.revision > row.revision
+    return _Age.REWRITTEN if is_later else _Age.OLDER
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoints.py
@@ -19,7 +19,9 @@
     `is_leaving` what the endpoint itself announced to this node. `request_limit` is how
     many requests a second it takes from all nodes together, None without a limit.
     `cold_seconds` is how much longer it is cold, counted from when its entry was
-    written, 0 if it is not. `is_evacuated` is whether its failure domain is.
+    written, 0 if it is not; in a request's endpoint it is what this node knows now.
+    `is_evacuated` is whether its failure domain is. `revision` is that of the entry's
+    last change in the platform's store, 0 if unknown.
     """
 
     endpoint_id: str
@@ -34,6 +36,7 @@
     request_limit: float | None = None
     cold_seconds: float = 0.0
     is_evacuated: bool = False
+    revision: int = 0
 
     @property
     def accepts_requests(self):
--- a/packages/decisions/sequoiaglade_decisions/gateway/permits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/permits.py
@@ -1,11 +1,14 @@
 """Permits for requests to endpoints that limit the requests a second that they take.
 
 Load pattern: an endpoint names a limit of a few requests a second, or of a fraction of
-one, for all nodes together; each of 3 to 400 nodes has requests for it. Nodes start,
-leave, fall silent and are cut off from each other.
+one, for all nodes together, or is cold and takes only its service's cold rate; each of
+3 to 400 nodes has requests for it. Nodes start, leave, fall silent and are cut off from
+each other.
 """
 
+import math
 from collections import deque
+from enum import Enum
 from typing import NamedTuple
 
 from .hashing import stable_hash
@@ -14,8 +17,8 @@
 # troughs. In four seconds an endpoint then gets at most one request more than five
 # times its limit.
 BURST_SECONDS = 1.0
-# A batch item needs the permits of this time, and one more.
-ITEM_RESERVE_SECONDS = 0.5
+# A batch item leaves this part of the permits that can be kept beyond one.
+ITEM_RESERVE_FRACTION = 0.5
 # Permits for an endpoint with a lower limit, or one of 0: without any request no
 # response could tell that the limit has ended.
 RATE_MIN = 0.2
@@ -32,6 +35,17 @@
 RETRY_SECONDS_MAX = 1.0
 # Tolerance of sums of fractions.
 ROUNDING = 1e-9
+# The time over which the requests to a cold endpoint are bounded.
+COLD_WINDOW_SECONDS = 1.0
+# A permit for a cold endpoint is used within this time of the question for it, or not
+# at all: a granter answers within 0.15 s, and the rest is for the connection.
+PERMIT_USE_SECONDS = 0.25
+# Requests that reach an endpoint in one window had their permits within this time.
+COLD_PERMIT_SECONDS = COLD_WINDOW_SECONDS + PERMIT_USE_SECONDS
+# A part of a cold endpoint's rate that has grown holds after this time, when what
+# another granter gave before has left the window. Nodes look at their part once in a
+# round of gossip, which takes up to a second.
+COLD_SETTLING_SECONDS = COLD_PERMIT_SECONDS + 1.0
 
 
 class Permit(NamedTuple):
@@ -93,78 +107,173 @@
         return self._rows[0][1]
 
 
+class PermitSource(Enum):
+    """Why an endpoint needs permits."""
+
+    NAMED = "named limit"
+    COLD = "cold"
+
+
+class PermitRate(NamedTuple):
+    """How a granter gives the permits of one source for an endpoint.
+
+    `rate` is in permits a second, `capacity` how many unused ones are kept at most;
+    below one, none is given.
+    """
+
+    rate: float
+    capacity: float
+
+
+def named_rate(limit, share):
+    """Return the `PermitRate` of a granter with a share of a limit that is named.
+
+    >>> named_rate(10.0, share=0.5)
+    PermitRate(rate=5.0, capacity=11.0)
+    """
+    return PermitRate(max(limit, RATE_MIN) * share, 1.0 + limit * BURST_SECONDS)
+
+
+class ColdBound(NamedTuple):
+    """The requests that a cold endpoint may get from all nodes together.
+
+    That is `rate` in the mean, and at most `rate` x `overshoot` + `slack` in any one
+    second.
+
+    >>> ColdBound(8.5, 1.5, 5.0).counts
+    (13, 4)
+
+    Where there is no room for two granters, the second one gives less or nothing.
+
+    >>> ColdBound(8.5, 1.0, 0.0).counts, ColdBound(0.5, 1.0, 0.0).counts
+    ((8, 0), (0, 0))
+    """
+
+    rate: float
+    overshoot: float
+    slack: float
+
+    @property
+    def most(self):
+        """The most requests in any one second."""
+        return math.floor(self.rate * self.overshoot + self.slack + ROUNDING)
+
+    @property
+    def counts(self):
+        """The most permits of the first and of the second granter.
+
+        They hold in any `COLD_PERMIT_SECONDS`, whose permits may be used in one second.
+        The first granter gets what the whole rate needs, and else four fifths.
+        """
+        needed = math.ceil(self.rate * COLD_PERMIT_SECONDS - ROUNDING)
+        first = math.floor(self.most / (1.0 + SECOND_GRANTER_SHARE))
+        first = min(self.most, max(first, needed))
+        return first, self.most - first
+
+    def granter_rate(self, rank, share):
+        """Return the `PermitRate` of the granter of a rank, 0 for the first one.
+
+        `share` is the part of the known nodes that it reaches. Each part of a split
+        fleet has its granters, whose counts add up to at most those of one fleet.
+
+        >>> ColdBound(8.5, 1.5, 5.0).granter_rate(0, share=1.0)
+        PermitRate(rate=8.5, capacity=3.375)
+        >>> ColdBound(8.5, 1.5, 5.0).granter_rate(1, share=1.0)
+        PermitRate(rate=2.125, capacity=2.34375)
+        >>> ColdBound(1.0, 1.0, 0.0).granter_rate(0, share=1.0)
+        PermitRate(rate=0.8, capacity=1.0)
+        >>> ColdBound(1.0, 1.0, 0.0).granter_rate(0, share=0.5)
+        PermitRate(rate=0.0, capacity=0.0)
+        """
+        count = math.floor(self.counts[rank] * share + ROUNDING)
+        if count < 1:
+            return PermitRate(0.0, 0.0)
+        part = 1.0 if rank == 0 else SECOND_GRANTER_SHARE
+        rate = min(self.rate * part * share, count / COLD_PERMIT_SECONDS)
+        # The n-th permit of the time follows the first of a full level by at least
+        # (n - capacity) / rate, which is the whole time for n = count + 1.
+        capacity = count + 1.0 - rate * COLD_PERMIT_SECONDS
+        return PermitRate(rate, min(capacity, 1.0 + self.rate * BURST_SECONDS))
+
+
 class _Level(NamedTuple):
     permits: float
     at: float
 
 
 class PermitLevels:
-    """The permits that this node may grant, by endpoint.
+    """The permits that this node may grant, by endpoint and source.
 
     One node grants all permits for an endpoint, so that the sum over the fleet keeps to
     the limit however many nodes there are, and however little each of them sends. Each
     level starts at one permit, so that a change of the granting node adds no more. In a
     partition each part has a granter, with its share of the known nodes as its part of
-    the limit.
+    the limit. An endpoint with rates of several sources needs a permit of each.
 
     >>> levels = PermitLevels()
-    >>> levels.grant("e-1", limit=2.0, share=1.0, now=0.0)
+    >>> rates = {PermitSource.NAMED: named_rate(2.0, share=1.0)}
+    >>> levels.grant("e-1", rates, now=0.0)
     Permit(is_granted=True, retry_seconds=0.0)
-    >>> levels.grant("e-1", limit=2.0, share=1.0, now=0.0)
+    >>> levels.grant("e-1", rates, now=0.0)
     Permit(is_granted=False, retry_seconds=0.5)
-    >>> levels.grant("e-1", limit=2.0, share=1.0, now=0.5).is_granted
+    >>> levels.grant("e-1", rates, now=0.5).is_granted
     True
 
     A batch item gets what online requests leave: it needs a higher level.
 
-    >>> levels.grant("e-1", limit=2.0, share=1.0, now=1.0, is_batch=True).is_granted
+    >>> levels.grant("e-1", rates, now=1.0, is_batch=True).is_granted
     False
-    >>> levels.grant("e-1", limit=2.0, share=1.0, now=1.5, is_batch=True).is_granted
+    >>> levels.grant("e-1", rates, now=1.5, is_batch=True).is_granted
     True
     """
 
     def __init__(self):
-        self._level_by_id = {}
+        self._level_by_key = {}
 
-    def grant(self, endpoint_id, limit, share, now, is_batch=False):
-        """Take a permit for an endpoint; return the `Permit`.
+    def grant(self, endpoint_id, rate_by_source, now, is_batch=False):
+        """Take a permit of each source for an endpoint; return the `Permit`.
 
-        `share` is the fraction of the known nodes that this node reaches.
+        `rate_by_source` has the `PermitRate` of this node by `PermitSource`.
         """
-        seconds = self.seconds_until(endpoint_id, limit, share, now, is_batch)
+        seconds = self.seconds_until(endpoint_id, rate_by_source, now, is_batch)
         if seconds > 0.0:
             return Permit(False, seconds)
-        permits = self._level_by_id[endpoint_id].permits
-        self._level_by_id[endpoint_id] = _Level(max(0.0, permits - 1.0), now)
+        for source in rate_by_source:
+            permits = self._level_by_key[endpoint_id, source].permits
+            level = _Level(max(0.0, permits - 1.0), now)
+            self._level_by_key[endpoint_id, source] = level
         return Permit(True)
 
-    def seconds_until(self, endpoint_id, limit, share, now, is_batch=False):
+    def seconds_until(self, endpoint_id, rate_by_source, now, is_batch=False):
         """Return in how many seconds a permit may be taken, 0 if now."""
-        rate = max(limit, RATE_MIN) * share
-        capacity = permit_capacity(limit)
-        level = self._level_by_id.get(endpoint_id, _Level(1.0, now))
-        permits = min(capacity, level.permits + rate * (now - level.at))
-        self._level_by_id[endpoint_id] = _Level(permits, now)
-        reserve = limit * ITEM_RESERVE_SECONDS if is_batch else 0.0
-        missing = 1.0 + reserve - permits
-        return missing / rate if missing > ROUNDING else 0.0
+        times = [
+            self._seconds_until((endpoint_id, source), rate, now, is_batch)
+            for source, rate in rate_by_source.items()
+        ]
+        return max(times, default=0.0)
+
+    def _seconds_until(self, key, rate, now, is_batch):
+        level = self._level_by_key.get(key, _Level(1.0, now))
+        permits = level.permits + rate.rate * (now - level.at)
+        permits = min(rate.capacity, permits)
+        self._level_by_key[key] = _Level(permits, now)
+        needed = 1.0
+        if is_batch:
+            needed += max(0.0, rate.capacity - 1.0) * ITEM_RESERVE_FRACTION
+        missing = needed - permits
+        if missing <= ROUNDING:
+            return 0.0
+        return missing / rate.rate if rate.rate else RETRY_SECONDS_MAX
 
     def keep_only(self, endpoint_ids):
         """Forget the levels of all other endpoints."""
-        self._level_by_id = {
-            i: level for i, level in self._level_by_id.items() if i in endpoint_ids
+        self._level_by_key = {
+            key: level
+            for key, level in self._level_by_key.items()
+            if key[0] in endpoint_ids
         }
 
 
-def permit_capacity(limit):
-    """Return how many permits for an endpoint are kept at most.
-
-    >>> permit_capacity(0.5), permit_capacity(10.0)
-    (1.5, 11.0)
-    """
-    return 1.0 + limit * BURST_SECONDS
-
-
 class DeniedPermits:
     """Endpoints for which this node was denied permits, until it may ask again.
 
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -30,12 +30,14 @@
 class Placed(NamedTuple):
     """The endpoint for a request; `preempts` if a batch item there must stop first.
 
-    `has_permit` is whether a permit for an endpoint with a limit was taken already.
+    `has_permit` is whether a permit for an endpoint with a limit was taken already,
+    `has_cold_permit` whether one for a cold endpoint was.
     """
 
     endpoint_id: str
     preempts: bool = False
     has_permit: bool = False
+    has_cold_permit: bool = False
 
 
 class Full(NamedTuple):
@@ -71,8 +73,8 @@
     >>> endpoints = [Endpoint("a", "s", "", "d", 8), Endpoint("b", "s", "", "d", 8)]
     >>> loads.begin("a", is_batch=False)
     >>> loads.begin("a", is_batch=False)
-    >>> loads.choose(endpoints, now=0.0, spread="")
-    Placed(endpoint_id='b', preempts=False, has_permit=False)
+    >>> loads.choose(endpoints, now=0.0, spread="").endpoint_id
+    'b'
     """
 
     def __init__(self, failure_domain=""):
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -19,12 +19,14 @@
 class Scheduled(NamedTuple):
     """The endpoint for a request, and the node that must stop a batch item there.
 
-    `has_permit` is whether a permit for an endpoint with a limit was taken already.
+    `has_permit` is whether a permit for an endpoint with a limit was taken already,
+    `has_cold_permit` whether one for a cold endpoint was.
     """
 
     endpoint_id: str
     preempted_node: str | None = None
     has_permit: bool = False
+    has_cold_permit: bool = False
 
 
 class _Report(NamedTuple):
@@ -47,8 +49,8 @@
     >>> endpoints = [Endpoint("a", "s", "", "d", 8), Endpoint("b", "s", "", "d", 8)]
     >>> scheduler.report("n-1", (1, 1), {"a": (3, 0)}, now=0.0)
     >>> scheduler.report("n-2", (1, 1), {}, now=0.0)
-    >>> scheduler.choose(endpoints, "n-2", now=0.0, spread="")
-    Scheduled(endpoint_id='b', preempted_node=None, has_permit=False)
+    >>> scheduler.choose(endpoints, "n-2", now=0.0, spread="").endpoint_id
+    'b'
     """
 
     def __init__(self):
--- a/packages/gateway/sequoiaglade_gateway/access_messages.py
+++ b/packages/gateway/sequoiaglade_gateway/access_messages.py
@@ -25,22 +25,53 @@
     endpoint_id: str
 
 
+class ColdNotice(NamedTuple):
+    """Why a node needs a permit for a cold endpoint.
+
+    It takes the endpoint for cold for `seconds` more, in which it gets `rate` requests
+    a second from all nodes together. `is_limited` is whether the endpoint names a limit
+    as well.
+    """
+
+    rate: float
+    seconds: float
+    is_limited: bool = False
+
+
 class PermitGranters(NamedTuple):
     """The nodes that grant the permits for an endpoint, in the order to ask them.
 
     `candidates` are pairs of node id and peer address, which is None for the node
-    itself. `notice` is the `LimitNotice` of the endpoint with its age.
+    itself. `notice` is the `LimitNotice` of the endpoint with its age. `cold` is a
+    `ColdNotice`, None if the endpoint is warm. For an endpoint that is only cold,
+    `notice` has its rate as a limit, to which granters of earlier releases keep.
     """
 
     candidates: list
     notice: Any
+    cold: ColdNotice | None = None
 
 
 class TakePermit(NamedTuple):
-    """Asks this node, as the granter, for a permit; the reply is a `Permit`."""
+    """Asks this node, as the granter, for a permit; the reply is a `Permit`.
+
+    `notice` and `cold` are as in `PermitGranters`.
+    """
 
     notice: Any
     is_batch: bool
+    cold: ColdNotice | None = None
+
+
+class ColdResponse(NamedTuple):
+    """A response to a request that was sent at a time.
+
+    `seconds` is how much longer the endpoint is cold, None if it doesn't tell.
+    """
+
+    endpoint_id: str
+    seconds: float | None
+    sent_at: float
 
 
 class PermitDenied(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -60,6 +60,7 @@
     endpoint: Any
     attempt: Attempt
     service: str
+    permit_until: float | None = None
 
 
 class ItemRunner(OwnedThread):
@@ -211,7 +212,9 @@
             return False
         endpoint_id = placed.endpoint.endpoint_id
         attempt = ItemAttempt(self._parts, job, item.item_id, service, endpoint_id)
-        run = _ItemRun(job, progress, placed.endpoint, attempt, service)
+        run = _ItemRun(
+            job, progress, placed.endpoint, attempt, service, placed.permit_until
+        )
         with self._lock:
             self._run_by_attempt[run.attempt] = run
         self._log.info(
@@ -221,6 +224,7 @@
             endpoint_id=endpoint_id,
             endpoint_version=placed.endpoint.version,
             request_limit=placed.endpoint.request_limit,
+            cold_seconds=round(placed.endpoint.cold_seconds, 3),
             in_flight=placed.in_flight,
             after_event=progress.last_event_id,
         )
@@ -383,7 +387,13 @@
             run.progress.last_event_id,
         )
         return EndpointRequest(
-            run.endpoint, "POST", item.path, headers, item.body, item.item_id
+            run.endpoint,
+            "POST",
+            item.path,
+            headers,
+            item.body,
+            item.item_id,
+            run.permit_until,
         )
 
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -23,6 +23,7 @@
 
 from . import messages
 from .access_messages import (
+    ColdResponse,
     ConnectionTried,
     FindAnyEndpoint,
     FindEndpoint,
@@ -192,6 +193,7 @@
                 | FindPermitGranters()
                 | TakePermit()
                 | PermitDenied()
+                | ColdResponse()
             ):
                 return self._limits.handle(message, now)
             case FindEndpoint(endpoint_id):
@@ -231,10 +233,12 @@
             case ConfigurationChanged(configuration):
                 return self._configure(configuration, now)
             case EndpointsListed(endpoints):
+                self._limits.cold.note_entries(endpoints, now)
                 return self._directory.replace(endpoints, now)
             case EndpointChanged(endpoint_id, None):
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
+                self._limits.cold.note_entries([endpoint], now)
                 return self._directory.put(endpoint, now)
             case EndpointListReachable(True):
                 return self._directory.note_recovery(now)
@@ -335,11 +339,15 @@
         self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
-        return placed._replace(has_permit=message.has_permit)
+        return placed._replace(
+            has_permit=message.has_permit, has_cold_permit=message.has_cold_permit
+        )
 
     def _receive_report(self, report, now):
         self._scheduling.receive_report(report, now)
         if report.node_id != self._settings.node_id:
+            for result in report.results:
+                self._limits.note_result(result.endpoint_id, result.outcome, now)
             incarnation, _ = report.number
             share = self._quota_share(now)
             self._quotas.update_peer(
@@ -383,15 +391,17 @@
         endpoint = self._directory.get(endpoint_id, now)
         if endpoint is None:
             return None
-        return endpoint._replace(request_limit=self._limits.find(endpoint))
+        return self._limits.describe(endpoint, now)
 
     def _note_failure(self, endpoint_id, now):
         self._loads.health.note_failure(endpoint_id, now)
+        self._limits.cold.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
 
     def _configure(self, configuration, now):
         self._active_configuration = (configuration.version, now)
         self._state = self._state._replace(configuration_version=configuration.version)
+        self._limits.cold.configure(configuration.service_by_name)
         self._quotas.configure(
             {
                 w.name: (w.rate, w.burst)
@@ -492,6 +502,9 @@
             },
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
             "request_limit_by_endpoint": self._limits.limited(),
+            "cold_endpoints": self._limits.cold.status(
+                self._directory.endpoints(), now
+            ),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
             "is_cut_off": self._reach.is_cut_off,
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -12,6 +12,7 @@
 
 from .body_buffer import BodyBuffer
 from .bounded_reads import BoundedResponse
+from .cold_endpoints import is_permit_over, note_cold_response
 from .endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS
 from .forwarding import ForwardError
 from .leaving import note_leaving
@@ -119,6 +120,10 @@
     if not attempt.may_send():
         _close(connection, None, attempt)
         return CallFault(Fault.NOT_SENT, "the request is not to be sent any more")
+    if is_permit_over(request):
+        _close(connection, None, attempt)
+        parts.metrics.count("cold permit", "expired")
+        return CallFault(Fault.NO_PATH, "the permit for the cold endpoint is over")
     connection.sock = PatientSocket(connection.sock, patience)
     bounded = BoundedResponse(request, attempt, bounds, parts.response_memory)
     bounded.install(connection)
@@ -146,6 +151,7 @@
         response = connection.getresponse()
         head = parts.dialect.read_head(response.headers)
         note_request_limit(parts, request, head, sent_at)
+        note_cold_response(parts, request, head, sent_at)
         return _read_head(connection, response, head, request, parts, attempt, bounded)
     except ForwardError as error:
         _close(connection, response, attempt)
--- a/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
@@ -20,7 +20,11 @@
 
 
 class EndpointRequest(NamedTuple):
-    """An `Endpoint` and the request as it is sent there."""
+    """An `Endpoint` and the request as it is sent there.
+
+    It needs a permit if the endpoint is cold, and is not sent after `permit_until`, a
+    monotonic time.
+    """
 
     endpoint: Any
     method: str
@@ -28,6 +32,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     request_id: str
+    permit_until: float | None = None
 
     @property
     def address(self):
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from sequoiaglade_protocol import fleet_pb2
 
 from ..access_messages import FindEndpoint
+from ..cold_endpoints import is_permit_over, note_cold_response
 from ..endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS, EndpointRequest
 from ..leaving import note_leaving
 from ..request_limits import note_request_limit
@@ -83,7 +84,14 @@
     def _run(self, endpoint, request, context):
         """Yield the pieces of the response; return the `ForwardEnd`."""
         seconds = request.timeout_ms / MS_PER_SECOND
-        end_at = time.monotonic() + seconds
+        began_at = time.monotonic()
+        end_at = began_at + seconds
+        permit_until = None
+        if request.permit_left_ms:
+            permit_until = began_at + request.permit_left_ms / MS_PER_SECOND
+        sent = EndpointRequest(
+            endpoint, "", "", [], b"", request.request_id, permit_until
+        )
         host, _, port = endpoint.address.rpartition(":")
         try:
             sock = create_connection(
@@ -100,6 +108,9 @@
             # The thread that waits for the endpoint notices when the peer gives up.
             if not context.add_callback(lambda: _shut_down(sock)):
                 return _end(fleet_pb2.ForwardEnd.BROKEN, "the peer gave up")
+            if is_permit_over(sent):
+                reason = "the permit for the cold endpoint is over"
+                return _end(fleet_pb2.ForwardEnd.NOT_FORWARDED, reason)
             try:
                 sent_at = time.monotonic()
                 sock.settimeout(max(end_at - sent_at, 0.01))
@@ -142,6 +153,7 @@
         if facts.is_leaving:
             note_leaving(self._parts, sent, facts, status)
         note_request_limit(self._parts, sent, facts, sent_at)
+        note_cold_response(self._parts, sent, facts, sent_at)
 
 
 def _refusal(endpoint, request):
@@ -152,6 +164,8 @@
         return "the endpoint is leaving"
     if endpoint.request_limit is not None and not request.has_permit:
         return "the endpoint has a limit, and no permit was taken"
+    if endpoint.cold_seconds and not request.permit_left_ms:
+        return "the endpoint is cold, and no permit was taken"
     return None
 
 
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -191,6 +191,7 @@
     place: PlaceRequest
     endpoint_id: str
     has_permit: bool = False
+    has_cold_permit: bool = False
 
 
 class CollectLoadReports(NamedTuple):
@@ -212,13 +213,16 @@
 
     `preempts` asks the sender to stop a batch item of this node there. `in_flight` is
     the number of requests at the endpoint. `has_permit` is whether a permit for an
-    endpoint with a limit was taken already.
+    endpoint with a limit was taken already, `has_cold_permit` whether one for a cold
+    endpoint was. That one is not used after the monotonic time `permit_until`.
     """
 
     endpoint: Any
     preempts: bool
     in_flight: int
     has_permit: bool = False
+    has_cold_permit: bool = False
+    permit_until: float | None = None
 
 
 class RequestEnded(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -214,7 +214,7 @@
         self._is_admitted = True
         if placed.preempts:
             self._parts.batch.preempt(placed.endpoint.endpoint_id)
-        outcome = self._send(placed.endpoint)
+        outcome = self._send(placed.endpoint, placed.permit_until)
         if isinstance(outcome, CallFault):
             self._excluded = self._excluded | {placed.endpoint.endpoint_id}
             self.end_attempt(outcome)
@@ -260,7 +260,7 @@
             return False
         return self._has_moved and full.has_endpoints
 
-    def _send(self, endpoint):
+    def _send(self, endpoint, permit_until):
         request = self.request
         self._sent_after_event = self.last_event_id
         seconds_left = request.end_at - time.monotonic()
@@ -278,6 +278,7 @@
             headers,
             request.body,
             request.call.request_id,
+            permit_until,
         )
         patience = AttemptPatience(
             self._parts,
@@ -296,6 +297,7 @@
             endpoint_version=endpoint.version,
             endpoint_is_leaving=endpoint.is_leaving,
             request_limit=endpoint.request_limit,
+            cold_seconds=round(endpoint.cold_seconds, 3),
             after_event=self.last_event_id,
             resumes=request.call.resumes or None,
             in_flight=self._in_flight.in_flight,
--- a/packages/gateway/sequoiaglade_gateway/online/silence.py
+++ b/packages/gateway/sequoiaglade_gateway/online/silence.py
@@ -32,6 +32,7 @@
     def __init__(self, parts):
         self._parts = parts
         self._place = None
+        self._request = None
 
     def __enter__(self):
         return self
@@ -49,13 +50,14 @@
         """Reserve a place for a `PlaceRequest`; return whether there is one."""
         placed = self._parts.placer.place(request)
         if isinstance(placed, InFlightRequest):
-            self._place = placed
+            self._place, self._request = placed, request
         return self._place is not None
 
     def take(self):
         """Return the reserved `InFlightRequest`, now the caller's, or None.
 
-        It is released if its endpoint accepts no requests any more.
+        It is released if its endpoint accepts no requests any more, or is cold and
+        there is no permit now: the one that was taken before is too old.
         """
         if self._place is None:
             return None
@@ -63,8 +65,12 @@
         if not self._parts.coordinator.ask(AcceptsRequests(endpoint_id)):
             self._release()
             return None
-        place, self._place = self._place, None
-        return place
+        renewed = self._parts.placer.renew_permit(self._place, self._request)
+        if renewed is None:
+            self._release()
+            return None
+        self._place = None
+        return renewed
 
     def _release(self):
         place, self._place = self._place, None
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -1,6 +1,7 @@
 """Client for the calls to peers."""
 
 import threading
+import time
 
 import grpc
 import structlog
@@ -15,7 +16,7 @@
     decode_placement,
     decode_results,
     encode_job,
-    encode_notice,
+    encode_permit_request,
     encode_report,
     encode_schedule_request,
     encode_summary,
@@ -142,11 +143,9 @@
         reply = self._call(address, "Schedule", request, SCHEDULE_SECONDS, True)
         return reply and decode_placement(reply)
 
-    def take_permit(self, address, notice, is_batch):
+    def take_permit(self, address, notice, is_batch, cold=None):
         """Ask a peer for a permit; return the `Permit`, None without an answer."""
-        request = fleet_pb2.PermitRequest(
-            notice=encode_notice(notice), is_batch=is_batch
-        )
+        request = encode_permit_request(notice, is_batch, cold)
         reply = self._call(address, "TakePermit", request, SCHEDULE_SECONDS)
         return None if reply is None else decode_permit(reply)
 
@@ -162,6 +161,7 @@
             data=data,
             timeout_ms=int(seconds * MS_PER_SECOND),
             has_permit=request.endpoint.request_limit is not None,
+            permit_left_ms=_permit_left_ms(request),
         )
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
         return stub.Forward(message, timeout=seconds)
@@ -279,3 +279,11 @@
             if channel is None:
                 channel = self._channel_by_address[address] = open_channel(address)
             return channel
+
+
+def _permit_left_ms(request):
+    if request.permit_until is None:
+        return 0
+    left = request.permit_until - time.monotonic()
+    # 0 would state that there is no permit; one of a millisecond is not used either.
+    return max(1, int(left * MS_PER_SECOND))
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -16,6 +16,7 @@
 )
 from sequoiaglade_protocol import fleet_pb2
 
+from ..access_messages import ColdNotice, TakePermit
 from ..messages import (
     EndpointResult,
     LoadReport,
@@ -168,6 +169,32 @@
     )
 
 
+def encode_permit_request(notice, is_batch, cold):
+    """Return the message that asks for a permit; `cold` is a `ColdNotice` or None.
+
+    >>> notice = LimitNotice("e-1", 5, 8.5, 0.0)
+    >>> cold = ColdNotice(8.5, 12.5)
+    >>> decode_permit_request(encode_permit_request(notice, True, cold)).cold
+    ColdNotice(rate=8.5, seconds=12.5, is_limited=False)
+    >>> decode_permit_request(encode_permit_request(notice, True, None)).cold
+    """
+    message = fleet_pb2.PermitRequest(notice=encode_notice(notice), is_batch=is_batch)
+    if cold is not None:
+        message.cold.rate = cold.rate
+        message.cold.left_ms = int(cold.seconds * 1000)
+        message.cold.is_limited = cold.is_limited
+    return message
+
+
+def decode_permit_request(message):
+    """Return the `TakePermit` of a message."""
+    cold = None
+    if message.HasField("cold"):
+        row = message.cold
+        cold = ColdNotice(row.rate, row.left_ms / 1000, row.is_limited)
+    return TakePermit(decode_notice(message.notice), message.is_batch, cold)
+
+
 def encode_permit(permit):
     """Return the message for a `Permit`."""
     return fleet_pb2.PermitReply(**permit._asdict())
@@ -293,9 +320,12 @@
                 retry_after=retry_after,
                 has_endpoints=has_endpoints,
             )
-        case Scheduled(endpoint_id, _, has_permit):
+        case Scheduled(endpoint_id, _, has_permit, has_cold_permit):
             return fleet_pb2.ScheduleReply(
-                is_quota_checked=True, endpoint_id=endpoint_id, has_permit=has_permit
+                is_quota_checked=True,
+                endpoint_id=endpoint_id,
+                has_permit=has_permit,
+                has_cold_permit=has_cold_permit,
             )
 
 
@@ -304,8 +334,8 @@
 
     Return None if the scheduler runs a release that does not check quotas.
 
-    >>> decode_placement(encode_placement(Scheduled("e-1")))
-    Placed(endpoint_id='e-1', preempts=False, has_permit=False)
+    >>> decode_placement(encode_placement(Scheduled("e-1"))) == Placed("e-1")
+    True
     >>> decode_placement(encode_placement(QuotaExceeded(0.5, share=1.0)))
     QuotaExceeded(retry_after=0.5, share=1.0)
     >>> decode_placement(fleet_pb2.ScheduleReply(endpoint_id="e-1"))
@@ -315,7 +345,11 @@
     if message.is_quota_exceeded:
         return QuotaExceeded(message.retry_after, message.quota_share)
     if message.endpoint_id:
-        return Placed(message.endpoint_id, has_permit=message.has_permit)
+        return Placed(
+            message.endpoint_id,
+            has_permit=message.has_permit,
+            has_cold_permit=message.has_cold_permit,
+        )
     return Full(message.retry_after, message.has_endpoints)
 
 
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -7,7 +7,7 @@
 
 from ..forwarding import FORWARDS_MAX
 from .codec import (
-    decode_notice,
+    decode_permit_request,
     decode_report,
     decode_schedule_request,
     decode_summary,
@@ -126,8 +126,7 @@
         return fleet_pb2.ReportReply()
 
     def TakePermit(self, request, context):  # noqa: N802
-        notice = decode_notice(request.notice)
-        return encode_permit(self._placer.grant_permit(notice, request.is_batch))
+        return encode_permit(self._placer.grant_permit(decode_permit_request(request)))
 
     def Forward(self, request, context):  # noqa: N802
         return self._forwarder.forward(request, context)
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -4,10 +4,21 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import Full, Permit, Placed, Scheduled
+from sequoiaglade_decisions.gateway import (
+    PERMIT_USE_SECONDS,
+    Full,
+    Permit,
+    Placed,
+    Scheduled,
+)
 from sequoiaglade_node.threads import OwnedThread
 
-from .access_messages import FindPermitGranters, PermitDenied, TakePermit
+from .access_messages import (
+    FindEndpoint,
+    FindPermitGranters,
+    PermitDenied,
+    TakePermit,
+)
 from .messages import (
     STOPPED,
     BeginRequest,
@@ -52,11 +63,13 @@
         item.
         """
         while True:
+            asked_at = time.monotonic()
             placed = self._place(place)
-            if not isinstance(placed, InFlightRequest) or self._is_permitted(
-                placed, place
-            ):
+            if not isinstance(placed, InFlightRequest):
                 return placed
+            permitted = self._permit(placed, place, asked_at)
+            if permitted is not None:
+                return permitted
             endpoint_id = placed.endpoint.endpoint_id
             ended = RequestEnded(endpoint_id, place.is_batch, STOPPED)
             self._parts.coordinator.tell(ended)
@@ -64,42 +77,73 @@
             excluded = place.excluded | {endpoint_id}
             place = place._replace(excluded=excluded, workspace=None)
 
-    def grant_permit(self, notice, is_batch):
-        """Return the `Permit` for a node's request, as the granter for an endpoint."""
-        return self._parts.coordinator.ask(TakePermit(notice, is_batch))
+    def grant_permit(self, take):
+        """Return the `Permit` for a `TakePermit`, as the granter for an endpoint."""
+        return self._parts.coordinator.ask(take)
 
-    def _is_permitted(self, placed, place):
-        if placed.has_permit or placed.endpoint.request_limit is None:
-            return True
+    def renew_permit(self, placed, place):
+        """Return an `InFlightRequest` that was placed some time ago with a new permit.
+
+        Return None if its endpoint is cold and no permit is given.
+        """
+        if self._parts.settings.cold_starts is None:
+            return placed
         endpoint_id = placed.endpoint.endpoint_id
+        endpoint = self._parts.coordinator.ask(FindEndpoint(endpoint_id))
+        if endpoint is None or not endpoint.cold_seconds:
+            return placed._replace(permit_until=None)
+        placed = placed._replace(endpoint=endpoint, has_cold_permit=False)
+        return self._permit(placed, place, time.monotonic())
+
+    def _permit(self, placed, place, asked_at):
+        """Return an `InFlightRequest` as permitted, or None if a permit is denied."""
+        endpoint = placed.endpoint
+        is_named = endpoint.request_limit is not None and not placed.has_permit
+        is_cold = endpoint.cold_seconds > 0 and not placed.has_cold_permit
+        until = None
+        if endpoint.cold_seconds > 0 or placed.has_cold_permit:
+            until = asked_at + PERMIT_USE_SECONDS
+        if not (is_named or is_cold):
+            if placed.has_cold_permit:
+                self._parts.metrics.count("cold permit", "granted")
+            return placed._replace(permit_until=until)
+        endpoint_id = endpoint.endpoint_id
         granters = self._parts.coordinator.ask(FindPermitGranters(endpoint_id))
         if granters is None:
-            return True
+            return placed
+        if until is not None:
+            until = time.monotonic() + PERMIT_USE_SECONDS
         permit = self._ask_granters(granters, place.is_batch)
-        self._parts.metrics.count(
-            "permit", "granted" if permit.is_granted else "denied"
-        )
+        outcome = "granted" if permit.is_granted else "denied"
+        if granters.cold is None or granters.cold.is_limited:
+            self._parts.metrics.count("permit", outcome)
+        if granters.cold is not None:
+            self._parts.metrics.count("cold permit", outcome)
         if permit.is_granted:
-            return True
+            return placed._replace(permit_until=until)
         denied = PermitDenied(endpoint_id, place.is_batch, permit)
         self._parts.coordinator.tell(denied)
         self._log.info(
             "permit denied",
             request_id=place.spread,
             endpoint_id=endpoint_id,
-            limit=placed.endpoint.request_limit,
+            limit=endpoint.request_limit,
+            cold_seconds=round(endpoint.cold_seconds, 3),
             granters=[node_id for node_id, _ in granters.candidates],
             retry_seconds=round(permit.retry_seconds, 3),
         )
-        return False
+        return None
 
     def _ask_granters(self, granters, is_batch):
         for node_id, address in granters.candidates:
             if address is None:
-                return self.grant_permit(granters.notice, is_batch)
+                take = TakePermit(granters.notice, is_batch, granters.cold)
+                return self.grant_permit(take)
             if self._is_unresponsive(node_id):
                 continue
-            permit = self._client.take_permit(address, granters.notice, is_batch)
+            permit = self._client.take_permit(
+                address, granters.notice, is_batch, granters.cold
+            )
             if permit is not None:
                 return permit
             self._note_unresponsive(node_id)
@@ -127,8 +171,10 @@
         for _ in range(SCHEDULER_ASKS_MAX):
             placement = self._ask_schedulers(query, place)
             match placement:
-                case Placed(endpoint_id, _, has_permit):
-                    begin = BeginRequest(place, endpoint_id, has_permit)
+                case Placed(endpoint_id, _, has_permit, has_cold_permit):
+                    begin = BeginRequest(
+                        place, endpoint_id, has_permit, has_cold_permit
+                    )
                     running = coordinator.ask(begin)
                     if running is not None:
                         return running
@@ -178,8 +224,8 @@
             return self._client.schedule(address, query, place)
         request = Schedule(query.report, place, query.group, query.group_count)
         match self.schedule(request):
-            case Scheduled(endpoint_id, _, has_permit):
-                return Placed(endpoint_id, has_permit=has_permit)
+            case Scheduled(endpoint_id, _, has_permit, has_cold_permit):
+                return Placed(endpoint_id, False, has_permit, has_cold_permit)
             case refusal:
                 return refusal
 
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -1,20 +1,31 @@
-"""Limits of requests a second that endpoints name, and permits for requests to them."""
+"""Limits of endpoints' requests a second, and the permits for requests to them.
+
+Endpoints name limits in their responses, and cold ones take their service's cold rate.
+"""
 
 import structlog
 
 from sequoiaglade_decisions.gateway import (
+    COLD_PERMIT_SECONDS,
+    COLD_SETTLING_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
     DeniedPermits,
+    LimitNotice,
     Permit,
     PermitLevels,
+    PermitSource,
     RequestLimits,
     SettledShare,
     granter_share,
+    named_rate,
     permit_granters,
 )
 
+from . import messages
 from .access_messages import (
+    ColdNotice,
+    ColdResponse,
     FindPermitGranters,
     PermitDenied,
     PermitGranters,
@@ -22,6 +33,7 @@
     TakePermit,
 )
 from .clocks import boot_seconds
+from .cold_endpoints import FleetColdEndpoints
 
 # A longer time between two gossip rounds shows that the process was suspended: other
 # nodes grant permits by then.
@@ -63,6 +75,7 @@
 class FleetRequestLimits:
     """The coordinator's `RequestLimits`, and the permits that it grants or was denied.
 
+    `cold` has the cold endpoints, which need permits as well.
     One node grants the permits for an endpoint: in a large fleet the first scheduler of
     its group, which needs no call for that, else the first of `permit_granters`.
     `share` returns the fraction of the known nodes that are live. `boot_clock` also
@@ -89,6 +102,10 @@
         self._started_at = None
         self._active_at = None
         self._settled_share = SettledShare()
+        self._settled_cold_share = SettledShare()
+        # Parts of this node's rank among the granters of cold endpoints, by id.
+        self._settled_part_by_id = {}
+        self.cold = FleetColdEndpoints(settings.cold_starts)
         self._limits = RequestLimits()
         self._levels = PermitLevels()
         self._denied = DeniedPermits()
@@ -101,8 +118,13 @@
                 return self._limits.note_response(*message, now)
             case FindPermitGranters(endpoint_id):
                 return self._find_granters(endpoint_id, now)
-            case TakePermit(notice, is_batch):
-                return self._take(notice, is_batch, now)
+            case TakePermit(notice, is_batch, cold):
+                return self._take(notice, is_batch, cold, now)
+            case ColdResponse(endpoint_id, seconds, sent_at):
+                endpoint = self._directory.get(endpoint_id, now)
+                if endpoint is not None:
+                    self.cold.note_response(endpoint, seconds, sent_at, now)
+                return None
             case PermitDenied(endpoint_id, is_batch, permit):
                 return self._denied.note(endpoint_id, permit, is_batch, now)
 
@@ -110,46 +132,81 @@
         """Return the limit of an `Endpoint`, or None."""
         return self._limits.find(endpoint.endpoint_id, endpoint.born)
 
+    def describe(self, endpoint, now):
+        """Return an `Endpoint` with its limit, and with its cold time as known now."""
+        state = self.cold.find(endpoint, now)
+        return endpoint._replace(
+            request_limit=self.find(endpoint),
+            cold_seconds=0.0 if state is None else state.seconds,
+        )
+
+    def note_result(self, endpoint_id, outcome, now):
+        """Record the outcome of a request that a peer reported."""
+        endpoint = self._directory.get(endpoint_id, now)
+        match outcome:
+            case messages.NOT_SENT | messages.BROKEN:
+                self.cold.note_failure(endpoint_id, now)
+            case messages.DONE if endpoint is not None:
+                self.cold.note_reported_answer(endpoint, now)
+
     def open(self, endpoints, is_batch, now):
-        """Return the endpoints without a limit, or for which a permit may be asked."""
+        """Return the endpoints that need no permit, or one that may be asked for."""
         return [
             endpoint
             for endpoint in endpoints
-            if self.find(endpoint) is None
+            if not self._needs_permit(endpoint, now)
             or self._denied.until(endpoint.endpoint_id, is_batch, now) is None
         ]
 
+    def _needs_permit(self, endpoint, now):
+        is_limited = self.find(endpoint) is not None
+        return is_limited or self.cold.find(endpoint, now) is not None
+
     def seconds_until_open(self, endpoints, now):
         """Return in how many seconds a permit for one of `endpoints` may be asked."""
         times = [self._denied.until(e.endpoint_id, False, now) for e in endpoints]
         return min((until - now for until in times if until is not None), default=0.0)
 
     def grantable(self, endpoints, is_batch, now):
-        """Return the endpoints without a limit, and those with a permit left here."""
-        share = None
+        """Return the endpoints that need no permit, and those with one left here."""
+        granters = None
         rows = []
         for endpoint in endpoints:
-            limit = self.find(endpoint)
-            if limit is not None:
+            if self._needs_permit(endpoint, now):
                 # All limited endpoints of a group have the same granters.
-                if share is None:
-                    share = self._share_of(endpoint, now)
-                seconds = share and self._levels.seconds_until(
-                    endpoint.endpoint_id, limit, share, now, is_batch
-                )
-                if not share or seconds:
+                if granters is None:
+                    granters = self._granter_ids(endpoint, now)
+                rates = self._rates(endpoint, granters, now)
+                if not rates or self._levels.seconds_until(
+                    endpoint.endpoint_id, rates, now, is_batch
+                ):
                     continue
             rows.append(endpoint)
         return rows
 
+    def seconds_until_cold(self, endpoints, now):
+        """Return in how many seconds this node can grant a permit for a cold endpoint.
+
+        It is None if none of `endpoints` is cold.
+        """
+        cold = [e for e in endpoints if self.cold.find(e, now) is not None]
+        times = []
+        for endpoint in cold:
+            rates = self._rates(endpoint, self._granter_ids(endpoint, now), now)
+            seconds = NOT_GRANTER.retry_seconds
+            if rates:
+                seconds = self._levels.seconds_until(endpoint.endpoint_id, rates, now)
+            times.append(seconds)
+        return min(times, default=None)
+
     def take_own(self, endpoint_id, now):
-        """Take a permit that `grantable` has found; return whether one was needed."""
+        """Take the permits that `grantable` has found; return their sources."""
         endpoint = self._directory.get(endpoint_id, now)
-        limit = self.find(endpoint)
-        if limit is None:
-            return False
-        self._levels.grant(endpoint_id, limit, self._share_of(endpoint, now), now)
-        return True
+        if not self._needs_permit(endpoint, now):
+            return frozenset()
+        rates = self._rates(endpoint, self._granter_ids(endpoint, now), now)
+        self._levels.grant(endpoint_id, rates, now)
+        return frozenset(rates)
 
     def limited(self):
         """Return the limits of the known endpoints by id."""
@@ -157,8 +214,17 @@
 
     def notices(self, now):
         """Return the notices to gossip."""
-        self._levels.keep_only(self.limited())
+        endpoints = self._directory.endpoints()
+        self.cold.keep_only(endpoints, now)
+        cold = [e for e in endpoints if self.cold.find(e, now) is not None]
+        cold_ids = {e.endpoint_id for e in cold}
+        self._levels.keep_only({*self.limited(), *cold_ids})
+        self._settled_part_by_id = {
+            i: part for i, part in self._settled_part_by_id.items() if i in cold_ids
+        }
         self._update_share(now)
+        for endpoint in cold:
+            self._cold_part(endpoint, self._granter_ids(endpoint, now), now)
         return self._limits.notices(now)
 
     def receive(self, state, now):
@@ -173,35 +239,67 @@
 
     def _find_granters(self, endpoint_id, now):
         endpoint = self._directory.get(endpoint_id, now)
-        if endpoint is None or self.find(endpoint) is None:
+        if endpoint is None or not self._needs_permit(endpoint, now):
             return None
         candidates = []
         for node_id in self._granter_ids(endpoint, now):
             state = self._nodes.state(node_id)
             candidates.append((node_id, state and state.peer_address))
-        return PermitGranters(candidates, self._limits.notice(endpoint_id, now))
+        state = self.cold.find(endpoint, now)
+        is_limited = self.find(endpoint) is not None
+        cold = state and ColdNotice(state.bound.rate, state.seconds, is_limited)
+        if is_limited:
+            notice = self._limits.notice(endpoint_id, now)
+        else:
+            notice = LimitNotice(endpoint_id, endpoint.born, cold.rate, 0.0)
+        return PermitGranters(candidates, notice, cold)
 
-    def _take(self, notice, is_batch, now):
-        self._limits.receive([notice], now)
+    def _take(self, notice, is_batch, cold, now):
+        if cold is None or cold.is_limited:
+            self._limits.receive([notice], now)
         endpoint_id = notice.endpoint_id
         endpoint = self._directory.get(endpoint_id, now)
         if endpoint is None:
             return NOT_GRANTER
-        limit = self.find(endpoint)
-        if limit is None:
+        told = cold and self.cold.find_told(endpoint, notice.born, cold, now)
+        if told is None and not self._needs_permit(endpoint, now):
             return Permit(True)
-        share = self._share_of(endpoint, now)
-        if not share:
+        rates = self._rates(endpoint, self._granter_ids(endpoint, now), now, told)
+        if not rates:
             return NOT_GRANTER
-        return self._levels.grant(endpoint_id, limit, share, now, is_batch)
+        return self._levels.grant(endpoint_id, rates, now, is_batch)
+
+    def _rates(self, endpoint, granters, now, told=None):
+        """Return the `PermitRate` of this node for an endpoint by `PermitSource`.
 
-    def _share_of(self, endpoint, now):
-        """Return the part of an endpoint's limit that this node may grant."""
+        It is empty if this node grants nothing. `told` is the `ColdState` of an
+        endpoint that only the asking node takes for cold.
+        """
         share = self._update_share(now)
-        if not self.is_settled(now):
-            return 0.0
-        granters = self._granter_ids(endpoint, now)
-        return share * granter_share(self._settings.node_id, granters)
+        part = granter_share(self._settings.node_id, granters)
+        if not (part and share and self.is_settled(now)):
+            return {}
+        rates = {}
+        limit = self.find(endpoint)
+        if limit is not None:
+            rates[PermitSource.NAMED] = named_rate(limit, share * part)
+        state = told or self.cold.find(endpoint, now)
+        if state is not None:
+            part = self._cold_part(endpoint, granters, now)
+            if not part or not self.is_settled(now, COLD_PERMIT_SECONDS):
+                return {}
+            rank = 0 if part == 1.0 else 1
+            share = self._settled_cold_share.update(share, now, COLD_SETTLING_SECONDS)
+            rates[PermitSource.COLD] = state.bound.granter_rate(rank, share)
+        return rates
+
+    def _cold_part(self, endpoint, granters, now):
+        """Return the smallest part of this node's late ranks for a cold endpoint."""
+        part = granter_share(self._settings.node_id, granters)
+        settled = self._settled_part_by_id.setdefault(
+            endpoint.endpoint_id, SettledShare()
+        )
+        return settled.update(part, now, COLD_SETTLING_SECONDS)
 
     def _granter_ids(self, endpoint, now):
         states = self._nodes.possible_granters(now, self._settling_seconds)
@@ -218,16 +316,22 @@
         if self._active_at is None or boot_at - self._active_at > SUSPENSION_SECONDS:
             self._started_at = now
         self._active_at = boot_at
-        return self._settled_share.update(share, now, self._settling_seconds)
+        share = self._settled_share.update(share, now, self._settling_seconds)
+        self._settled_cold_share.update(share, now, COLD_SETTLING_SECONDS)
+        return share
 
     @property
     def _settling_seconds(self):
         return SETTLING_SECONDS_LARGE if self._nodes.is_large else SETTLING_SECONDS
 
-    def is_settled(self, now):
-        """Return whether the nodes that decided in its absence know this one."""
+    def is_settled(self, now, more_seconds=0.0):
+        """Return whether the nodes that decided in its absence know this one.
+
+        With `more_seconds`, for that long.
+        """
         is_alone = not self._nodes.known(now) and not self._has_other_seeds()
-        return is_alone or now - self._started_at >= self._settling_seconds
+        seconds = self._settling_seconds + more_seconds
+        return is_alone or now - self._started_at >= seconds
 
     def _has_other_seeds(self):
         return any(s != self._settings.listen.peer for s in self._settings.seeds)
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -8,6 +8,7 @@
     RESERVE_SLOTS,
     Full,
     GroupScheduler,
+    PermitSource,
     Scheduled,
     eligible_nodes,
     group_count,
@@ -91,6 +92,7 @@
             if group_of(endpoint.endpoint_id, request.group_count) == request.group
             and endpoint.endpoint_id not in place.excluded
         ]
+        listed = endpoints
         endpoints = limits.grantable(endpoints, place.is_batch, now)
         node_id = request.report.node_id
         requester = self._nodes.state(node_id) or self._get_own_state()
@@ -106,9 +108,13 @@
                 domain,
             )
             if isinstance(placement, Full):
+                if not endpoints:
+                    # The nodes need not ask for permits that this one has not left.
+                    seconds = limits.seconds_until_cold(listed, now)
+                    if seconds is not None:
+                        return Full(max(seconds, placement.retry_after), True)
                 return placement
-            has_permit = limits.take_own(placement.endpoint_id, now)
-            return placement._replace(has_permit=has_permit)
+            return _with_permits(placement, limits, now)
         endpoint_id = self._scheduler.choose_for_batch(
             endpoints,
             node_id,
@@ -120,8 +126,7 @@
         )
         if endpoint_id is None:
             return Full(BATCH_RETRY_SECONDS, bool(endpoints))
-        has_permit = limits.take_own(endpoint_id, now)
-        return Scheduled(endpoint_id, has_permit=has_permit)
+        return _with_permits(Scheduled(endpoint_id), limits, now)
 
     def receive_report(self, report, now):
         """Update loads and health from a node's `LoadReport`."""
@@ -216,3 +221,11 @@
         endpoints = self._directory.listed_ready(service, now)
         slots = sum(endpoint.slots or DEFAULT_SLOTS for endpoint in endpoints)
         return group_count(slots, min(state_by_id[i].cores for i in eligible))
+
+
+def _with_permits(placement, limits, now):
+    sources = limits.take_own(placement.endpoint_id, now)
+    return placement._replace(
+        has_permit=PermitSource.NAMED in sources,
+        has_cold_permit=PermitSource.COLD in sources,
+    )
--- a/tests/features/steps/permit_simulation.py
+++ b/tests/features/steps/permit_simulation.py
@@ -10,8 +10,10 @@
     DeniedPermits,
     Permit,
     PermitLevels,
+    PermitSource,
     SettledShare,
     granter_share,
+    named_rate,
     permit_granters,
 )
 
@@ -97,7 +99,8 @@
         share *= is_settled * granter_share(self.node_id, self.granters(now))
         if not share:
             return Permit(False, 0.3)
-        return self.levels.grant(ENDPOINT, limit, share, now)
+        rates = {PermitSource.NAMED: named_rate(limit, share)}
+        return self.levels.grant(ENDPOINT, rates, now)
 
 
 class PermitFleet:
--- a/tests/features/steps/quota_fleet.py
+++ b/tests/features/steps/quota_fleet.py
@@ -21,12 +21,12 @@
     RequestEnded,
 )
 from sequoiaglade_gateway.peers.codec import (
-    decode_notice,
+    decode_permit_request,
     decode_placement,
     decode_report,
     decode_schedule_request,
     decode_state,
-    encode_notice,
+    encode_permit_request,
     encode_placement,
     encode_report,
     encode_schedule_request,
@@ -114,7 +114,9 @@
         self._lost_addresses = set()
         workspace = SimpleNamespace(name="w", rate=rate, burst=burst)
         self.configuration = SimpleNamespace(
-            version=1, workspace_by_name={workspace.name: workspace}
+            version=1,
+            workspace_by_name={workspace.name: workspace},
+            service_by_name={},
         )
         self.endpoints = [
             Endpoint(f"e{number}", SERVICE, "", f"d{number % 4}", 8)
@@ -173,12 +175,12 @@
         placement = self.node_by_address[address].placer.schedule(request)
         return decode_placement(encode_placement(placement))
 
-    def take_permit(self, address, notice, is_batch):
+    def take_permit(self, address, notice, is_batch, cold=None):
         """Ask the node at an address, as `PeerClient.take_permit` does."""
         if self.is_lost(address):
             return None
-        told = decode_notice(encode_notice(notice))
-        return self.node_by_address[address].placer.grant_permit(told, is_batch)
+        take = decode_permit_request(encode_permit_request(notice, is_batch, cold))
+        return self.node_by_address[address].placer.grant_permit(take)
 
     def _schedulers(self):
         ids = self.nodes[0].ask(GetStatus())["scheduler_by_group"].values()
