--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
-from .cold_endpoints import ColdEndpoints, ColdState, Evidence
+from .cold_endpoints import ColdEndpoints, ColdReport, ColdState, Evidence
 from .configuration_sources import ConfigurationSources
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import Endpoint, EndpointDirectory
@@ -27,11 +27,11 @@
 from .peer_acks import PeerAcks
 from .permits import (
     COLD_PERMIT_SECONDS,
-    COLD_SETTLING_SECONDS,
     PERMIT_USE_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
     ColdBound,
+    ColdRanks,
     DeniedPermits,
     Permit,
     PermitLevels,
@@ -102,7 +102,6 @@
 
 __all__ = [
     "COLD_PERMIT_SECONDS",
-    "COLD_SETTLING_SECONDS",
     "COMPLETE_SHARE",
     "DEFAULT_SLOTS",
     "GUARD_SECONDS",
@@ -123,6 +122,8 @@
     "Blame",
     "ColdBound",
     "ColdEndpoints",
+    "ColdRanks",
+    "ColdReport",
     "ColdState",
     "ConfigurationSources",
     "ContactStep",
--- a/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
@@ -15,6 +15,11 @@
 REWRITE_SECONDS = 5.0
 # Reports of ended requests arrive within this time.
 REPORT_SECONDS = 1.0
+# Messages between nodes are late by less than this, with the gossip of small fleets.
+MESSAGE_SECONDS = 1.0
+# Granters tell of their cold endpoints in each round of gossip. What they told holds
+# for several rounds of a large fleet, so that it ends soon after they know better.
+GOSSIP_SECONDS = 10.0
 # What is known of an endpoint that the list no longer has is dropped after this time.
 RETENTION_SECONDS = 600.0
 
@@ -29,28 +34,43 @@
 
 
 class ColdState(NamedTuple):
-    """A cold endpoint: its bound, for how many more seconds, and by which evidence."""
+    """A cold endpoint: its bound, for how many more seconds, and by which evidence.
+
+    What peers told counts only where this node has no evidence of its own. It is
+    hearsay if only the granter's gossip told it, which is not passed on.
+    """
 
     bound: ColdBound
     seconds: float
     evidence: Evidence
+    is_hearsay: bool = False
+
+
+class ColdReport(NamedTuple):
+    """A cold endpoint as nodes tell each other: its start and the seconds left."""
+
+    endpoint_id: str
+    born: int
+    seconds: float
 
 
 class _Row(NamedTuple):
     """What is known of an endpoint; times are those until which it counts as cold.
 
-    `born`, `revision` and `entry_seconds` are those of its newest entry; `born` is -1
-    before the first one. The presumption since `failed_at` has no end before the next
-    response.
+    `born`, `revision` and `entry_seconds` are those of its newest entry, which arrived
+    at `entry_at`; `born` is -1 before the first one. The presumption since `failed_at`
+    has no end before the next response.
     """
 
     noted_at: float
     born: int = 0
     revision: int = 0
+    entry_at: float = 0.0
     entry_seconds: float = 0.0
     entry_until: float = 0.0
     response_until: float = 0.0
-    peer_until: float = 0.0
+    told_until: float = 0.0
+    gossip_until: float = 0.0
     failed_at: float | None = None
     presumed_until: float | None = None
 
@@ -105,11 +125,15 @@
         ends = [
             (row.entry_until, Evidence.ENTRY),
             (row.response_until, Evidence.RESPONSE),
-            (row.peer_until, Evidence.PEER),
             (self._presumed_until(row, service, bound, now), Evidence.FAILURE),
         ]
         until, evidence = max(ends, key=lambda end: end[0])
-        return ColdState(bound, until - now, evidence) if until > now else None
+        if until <= now:
+            until, evidence = max(row.told_until, row.gossip_until), Evidence.PEER
+        if until <= now:
+            return None
+        is_hearsay = evidence is Evidence.PEER and row.told_until <= now
+        return ColdState(bound, until - now, evidence, is_hearsay)
 
     def bound(self, rate):
         """Return the `ColdBound` of a rate."""
@@ -126,7 +150,9 @@
                 return
             case _Age.UNKNOWN:
                 if seconds != row.entry_seconds and until > row.entry_until:
-                    self._row_by_id[endpoint_id] = row._replace(entry_until=until)
+                    row = row._replace(entry_seconds=seconds, entry_until=until)
+                revision = row.revision or endpoint.revision
+                self._row_by_id[endpoint_id] = row._replace(revision=revision)
                 return
             case _Age.NEW_START:
                 row = _Row(now)
@@ -135,10 +161,15 @@
                 failed_at = row.failed_at
                 if failed_at is not None and now - failed_at >= REWRITE_SECONDS:
                     row = row._replace(failed_at=None, presumed_until=None)
+                # Peers that know of a later failure tell it again.
+                told_until = min(row.told_until, now + REWRITE_SECONDS)
+                gossip_until = min(row.gossip_until, now + REWRITE_SECONDS)
+                row = row._replace(told_until=told_until, gossip_until=gossip_until)
             case _Age.FIRST:
                 pass
         self._row_by_id[endpoint_id] = row._replace(
             noted_at=now,
+            entry_at=now,
             born=endpoint.born,
             revision=endpoint.revision,
             entry_seconds=seconds,
@@ -171,8 +202,8 @@
         row = self._row_by_id.get(endpoint_id, _Row(now, born=-1))
         is_after_failure = row.failed_at is not None and sent_at >= row.failed_at
         if seconds is not None:
-            if row.noted_at <= sent_at:
-                row = row._replace(entry_until=0.0, peer_until=0.0)
+            if row.entry_at <= sent_at:
+                row = row._replace(entry_until=0.0, told_until=0.0, gossip_until=0.0)
             if is_after_failure:
                 row = row._replace(failed_at=None, presumed_until=None)
             until = now + seconds if seconds else 0.0
@@ -189,19 +220,31 @@
         """Record that a node reported an answer, at an unknown time just before."""
         self.note_response(endpoint, None, now - REPORT_SECONDS, now)
 
-    def note_told(self, endpoint, born, seconds, now):
+    def note_told(self, endpoint, born, seconds, now, is_hearsay=False):
         """Record that a peer takes an endpoint for cold; return whether to believe it.
 
-        `born` is the start of the endpoint that the peer knows of.
+        `born` is the start of the endpoint that the peer knows of. With `is_hearsay`
+        it knows that from other peers only, and it is not recorded.
         """
         row = self._row_by_id.get(endpoint.endpoint_id, _Row(now, born=-1))
         if born and born < row.born:
             return False
-        until = max(row.peer_until, now + seconds)
-        row = row._replace(peer_until=until, noted_at=now)
-        self._row_by_id[endpoint.endpoint_id] = row
+        # What two nodes tell each other in turn must not grow with each message's age.
+        if not is_hearsay and now + seconds > row.told_until + MESSAGE_SECONDS:
+            row = row._replace(told_until=now + seconds, noted_at=now)
+            self._row_by_id[endpoint.endpoint_id] = row
         return True
 
+    def receive(self, report, endpoint, now):
+        """Record the `ColdReport` of a peer's state of an `Endpoint`."""
+        row = self._row_by_id.get(endpoint.endpoint_id, _Row(now, born=-1))
+        if report.born and report.born < row.born:
+            return
+        until = now + min(report.seconds, GOSSIP_SECONDS)
+        if until > row.gossip_until:
+            row = row._replace(gossip_until=until, noted_at=now)
+            self._row_by_id[endpoint.endpoint_id] = row
+
     def keep_only(self, endpoint_ids, now):
         """Forget other endpoints of which nothing was noted for long."""
         self._row_by_id = {
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -48,6 +48,7 @@
     `cores` is the node's processor capacity. `request_limits` are the notices of
     `RequestLimits`. `is_cut_off` is whether the node reaches no endpoint itself.
     `protocol_revision` is that of its release, 0 for those that do not tell it.
+    `cold_endpoints` has the `ColdReport` of those for which the node grants permits.
     """
 
     node_id: str
@@ -74,6 +75,7 @@
     request_limits: tuple = ()
     is_cut_off: bool = False
     protocol_revision: int = 0
+    cold_endpoints: tuple = ()
 
 
 class NodeTable:
--- a/packages/decisions/sequoiaglade_decisions/gateway/permits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/permits.py
@@ -196,6 +196,44 @@
         return PermitRate(rate, min(capacity, 1.0 + self.rate * BURST_SECONDS))
 
 
+class ColdRanks:
+    """This node's rank and share as a granter of cold endpoints, once they settled.
+
+    Permits that another granter gave may be used together with those of its successor,
+    so that a higher rank or a greater share holds after `COLD_SETTLING_SECONDS`.
+
+    >>> ranks = ColdRanks()
+    >>> ranks.update("e-1", part=0.25, share=1.0, now=0.0)
+    (1, 1.0)
+    >>> [ranks.update("e-1", 1.0, 0.5, now)[0] for now in (1.0, 2.2, 2.3)]
+    [1, 1, 0]
+    """
+
+    def __init__(self):
+        self._settled_by_id = {}
+
+    def update(self, endpoint_id, part, share, now):
+        """Record this node's `granter_share` and share; return those that hold.
+
+        The result is the pair of its rank, 0 for the first granter, and its share,
+        which is 0 while it is no granter.
+        """
+        if endpoint_id not in self._settled_by_id:
+            self._settled_by_id[endpoint_id] = SettledShare(), SettledShare()
+        parts, shares = self._settled_by_id[endpoint_id]
+        part = parts.update(part, now, COLD_SETTLING_SECONDS)
+        share = shares.update(share, now, COLD_SETTLING_SECONDS)
+        return (0 if part == 1.0 else 1), (share if part else 0.0)
+
+    def keep_only(self, endpoint_ids):
+        """Forget all other endpoints."""
+        self._settled_by_id = {
+            i: settled
+            for i, settled in self._settled_by_id.items()
+            if i in endpoint_ids
+        }
+
+
 class _Level(NamedTuple):
     permits: float
     at: float
--- a/packages/gateway/sequoiaglade_gateway/access_messages.py
+++ b/packages/gateway/sequoiaglade_gateway/access_messages.py
@@ -30,12 +30,13 @@
 
     It takes the endpoint for cold for `seconds` more, in which it gets `rate` requests
     a second from all nodes together. `is_limited` is whether the endpoint names a limit
-    as well.
+    as well, `is_hearsay` whether the node knows it from a peer only.
     """
 
     rate: float
     seconds: float
     is_limited: bool = False
+    is_hearsay: bool = False
 
 
 class PermitGranters(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
+++ b/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
@@ -89,13 +89,20 @@
         It is None if a later start is known here, and not to be cold. The peer's rate
         is used while this node's configuration has none.
         """
-        is_credible = self._cold.note_told(endpoint, born, notice.seconds, now)
+        is_credible = self._cold.note_told(
+            endpoint, born, notice.seconds, now, notice.is_hearsay
+        )
         state = self.find(endpoint, now)
         if state is not None or not is_credible:
             return state
         bound = self._cold.bound(notice.rate)
         return ColdState(bound, notice.seconds, Evidence.PEER)
 
+    def receive(self, report, endpoint, now):
+        """Record a peer's `ColdReport` of an endpoint."""
+        self._cold.receive(report, endpoint, now)
+        self.find(endpoint, now)
+
     def keep_only(self, endpoints, now):
         """Forget other endpoints after a while, and log those that are warm again."""
         self._cold.keep_only({e.endpoint_id for e in endpoints}, now)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -450,6 +450,7 @@
             jobs=message.jobs,
             is_store_reachable=message.is_store_reachable,
             request_limits=self._limits.notices(now),
+            cold_endpoints=self._limits.cold_reports(now),
             is_cut_off=self._reach.is_cut_off,
         )
         self._state = self._blame.add_to(state, now)
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -1,6 +1,7 @@
 """Encoding of states, reports and jobs as messages of the protocol between nodes."""
 
 from sequoiaglade_decisions.gateway import (
+    ColdReport,
     Full,
     Item,
     JobSpec,
@@ -77,6 +78,7 @@
             for key, fingerprint in state.survived_breaks
         ],
         request_limits=map(encode_notice, state.request_limits),
+        cold_endpoints=map(_encode_cold, state.cold_endpoints),
         is_cut_off=state.is_cut_off,
         protocol_revision=state.protocol_revision,
     )
@@ -93,6 +95,7 @@
     >>> state = state._replace(survived_breaks=(("e-2/6", "g"),))
     >>> notices = (LimitNotice("e-1", 5, 2.5, 0.25), LimitNotice("e-2", 6, None, 1.5))
     >>> state = state._replace(request_limits=notices, is_cut_off=True)
+    >>> state = state._replace(cold_endpoints=(ColdReport("e-1", 5, 2.5),))
     >>> state = state._replace(protocol_revision=1)
     >>> decode_state(encode_state(state)) == state
     True
@@ -143,6 +146,7 @@
             (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
         ),
         request_limits=tuple(map(decode_notice, message.request_limits)),
+        cold_endpoints=tuple(map(_decode_cold, message.cold_endpoints)),
         is_cut_off=message.is_cut_off,
         protocol_revision=message.protocol_revision,
     )
@@ -169,20 +173,34 @@
     )
 
 
+def _encode_cold(report):
+    return fleet_pb2.ColdEndpoint(
+        endpoint_id=report.endpoint_id,
+        born=report.born,
+        left_ms=int(report.seconds * MS_PER_SECOND),
+    )
+
+
+def _decode_cold(message):
+    seconds = message.left_ms / MS_PER_SECOND
+    return ColdReport(message.endpoint_id, message.born, seconds)
+
+
 def encode_permit_request(notice, is_batch, cold):
     """Return the message that asks for a permit; `cold` is a `ColdNotice` or None.
 
     >>> notice = LimitNotice("e-1", 5, 8.5, 0.0)
-    >>> cold = ColdNotice(8.5, 12.5)
-    >>> decode_permit_request(encode_permit_request(notice, True, cold)).cold
-    ColdNotice(rate=8.5, seconds=12.5, is_limited=False)
+    >>> cold = ColdNotice(8.5, 12.5, is_hearsay=True)
+    >>> decode_permit_request(encode_permit_request(notice, True, cold)).cold == cold
+    True
     >>> decode_permit_request(encode_permit_request(notice, True, None)).cold
     """
     message = fleet_pb2.PermitRequest(notice=encode_notice(notice), is_batch=is_batch)
     if cold is not None:
         message.cold.rate = cold.rate
-        message.cold.left_ms = int(cold.seconds * 1000)
+        message.cold.left_ms = int(cold.seconds * MS_PER_SECOND)
         message.cold.is_limited = cold.is_limited
+        message.cold.is_hearsay = cold.is_hearsay
     return message
 
 
@@ -191,7 +209,8 @@
     cold = None
     if message.HasField("cold"):
         row = message.cold
-        cold = ColdNotice(row.rate, row.left_ms / 1000, row.is_limited)
+        seconds = row.left_ms / MS_PER_SECOND
+        cold = ColdNotice(row.rate, seconds, row.is_limited, row.is_hearsay)
     return TakePermit(decode_notice(message.notice), message.is_batch, cold)
 
 
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -7,10 +7,12 @@
 
 from sequoiaglade_decisions.gateway import (
     COLD_PERMIT_SECONDS,
-    COLD_SETTLING_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
+    ColdRanks,
+    ColdReport,
     DeniedPermits,
+    Evidence,
     LimitNotice,
     Permit,
     PermitLevels,
@@ -102,9 +104,7 @@
         self._started_at = None
         self._active_at = None
         self._settled_share = SettledShare()
-        self._settled_cold_share = SettledShare()
-        # Parts of this node's rank among the granters of cold endpoints, by id.
-        self._settled_part_by_id = {}
+        self._ranks = ColdRanks()
         self.cold = FleetColdEndpoints(settings.cold_starts)
         self._limits = RequestLimits()
         self._levels = PermitLevels()
@@ -219,16 +219,36 @@
         cold = [e for e in endpoints if self.cold.find(e, now) is not None]
         cold_ids = {e.endpoint_id for e in cold}
         self._levels.keep_only({*self.limited(), *cold_ids})
-        self._settled_part_by_id = {
-            i: part for i, part in self._settled_part_by_id.items() if i in cold_ids
-        }
-        self._update_share(now)
+        self._ranks.keep_only(cold_ids)
+        share = self._update_share(now)
         for endpoint in cold:
-            self._cold_part(endpoint, self._granter_ids(endpoint, now), now)
+            granters = self._granter_ids(endpoint, now)
+            part = granter_share(self._settings.node_id, granters)
+            self._ranks.update(endpoint.endpoint_id, part, share, now)
         return self._limits.notices(now)
 
+    def cold_reports(self, now):
+        """Return the `ColdReport`s of cold endpoints whose first granter this node is.
+
+        Nodes that read no list, or an outdated one, learn of them by these.
+        """
+        reports = []
+        for endpoint in self._directory.endpoints():
+            state = self.cold.find(endpoint, now)
+            if state is None or state.is_hearsay:
+                continue
+            granters = self._granter_ids(endpoint, now)
+            if granters[:1] == [self._settings.node_id]:
+                seconds = state.seconds
+                reports.append(ColdReport(endpoint.endpoint_id, endpoint.born, seconds))
+        return tuple(reports)
+
     def receive(self, state, now):
         """Merge the notices of a peer's state, and log those that change a limit."""
+        for report in state.cold_endpoints:
+            endpoint = self._directory.get(report.endpoint_id, now)
+            if endpoint is not None:
+                self.cold.receive(report, endpoint, now)
         for notice in self._limits.receive(state.request_limits, now):
             self._log.info(
                 "request limit told by peer",
@@ -247,7 +267,12 @@
             candidates.append((node_id, state and state.peer_address))
         state = self.cold.find(endpoint, now)
         is_limited = self.find(endpoint) is not None
-        cold = state and ColdNotice(state.bound.rate, state.seconds, is_limited)
+        cold = state and ColdNotice(
+            state.bound.rate,
+            state.seconds,
+            is_limited,
+            is_hearsay=state.evidence is Evidence.PEER,
+        )
         if is_limited:
             notice = self._limits.notice(endpoint_id, now)
         else:
@@ -285,22 +310,12 @@
             rates[PermitSource.NAMED] = named_rate(limit, share * part)
         state = told or self.cold.find(endpoint, now)
         if state is not None:
-            part = self._cold_part(endpoint, granters, now)
-            if not part or not self.is_settled(now, COLD_PERMIT_SECONDS):
+            rank, share = self._ranks.update(endpoint.endpoint_id, part, share, now)
+            if not share or not self.is_settled(now, COLD_PERMIT_SECONDS):
                 return {}
-            rank = 0 if part == 1.0 else 1
-            share = self._settled_cold_share.update(share, now, COLD_SETTLING_SECONDS)
             rates[PermitSource.COLD] = state.bound.granter_rate(rank, share)
         return rates
 
-    def _cold_part(self, endpoint, granters, now):
-        """Return the smallest part of this node's late ranks for a cold endpoint."""
-        part = granter_share(self._settings.node_id, granters)
-        settled = self._settled_part_by_id.setdefault(
-            endpoint.endpoint_id, SettledShare()
-        )
-        return settled.update(part, now, COLD_SETTLING_SECONDS)
-
     def _granter_ids(self, endpoint, now):
         states = self._nodes.possible_granters(now, self._settling_seconds)
         own = self._get_own_state()
@@ -316,9 +331,7 @@
         if self._active_at is None or boot_at - self._active_at > SUSPENSION_SECONDS:
             self._started_at = now
         self._active_at = boot_at
-        share = self._settled_share.update(share, now, self._settling_seconds)
-        self._settled_cold_share.update(share, now, COLD_SETTLING_SECONDS)
-        return share
+        return self._settled_share.update(share, now, self._settling_seconds)
 
     @property
     def _settling_seconds(self):
--- a/tests/features/steps/quiet_runner_steps.py
+++ b/tests/features/steps/quiet_runner_steps.py
@@ -267,6 +267,7 @@
     ):
         parts = mock.Mock()
         parts.placer.place.return_value = placed
+        parts.placer.renew_permit.side_effect = lambda placed, request: placed
         with ReservedPlace(parts) as reserved:
             assert reserved.reserve(None) is (placed is place)
             if is_taken:
