Confirm that an endpoint has started again before others are told

Cause: a node whose links to all endpoints were cut presumed that all had started again, and the granter passed that on, so that the whole fleet would have kept to the cold rate. A presumption is now told once another endpoint has answered directly within a second, and ends when a request that was running before ends well.

--- a/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
@@ -13,8 +13,11 @@
 # A list that may be outdated is by some seconds, as the platform's documentation has
 # it. An entry that arrives later than this after a failure was written after it.
 REWRITE_SECONDS = 5.0
-# Reports of ended requests arrive within this time.
+# Ends of requests are reported, or noted, within this time.
 REPORT_SECONDS = 1.0
+# An endpoint's answer within this time after another one failed shows that the failure
+# was not that of the node's links; a node under load gets one in a fraction of it.
+CONFIRM_SECONDS = 1.0
 # Messages between nodes are late by less than this, with the gossip of small fleets.
 MESSAGE_SECONDS = 1.0
 # Granters tell of their cold endpoints in each round of gossip. What they told holds
@@ -37,13 +40,17 @@
     """A cold endpoint: its bound, for how many more seconds, and by which evidence.
 
     What peers told counts only where this node has no evidence of its own. It is
-    hearsay if only the granter's gossip told it, which is not passed on.
+    hearsay if only the granter's gossip told it, or if it is a presumption that is not
+    confirmed by an answer of another endpoint: a node that is cut off from all
+    endpoints presumes that all have started again. Hearsay is not passed on.
+    `is_pending` is whether it is presumed and no response has come since.
     """
 
     bound: ColdBound
     seconds: float
     evidence: Evidence
     is_hearsay: bool = False
+    is_pending: bool = False
 
 
 class ColdReport(NamedTuple):
@@ -58,8 +65,8 @@
     """What is known of an endpoint; times are those until which it counts as cold.
 
     `born`, `revision` and `entry_seconds` are those of its newest entry, which arrived
-    at `entry_at`; `born` is -1 before the first one. The presumption since `failed_at`
-    has no end before the next response.
+    at `entry_at`; `born` is -1 before the first one. The presumption has no end before
+    the next response to a request that was sent after the last failure, at `failed_at`.
     """
 
     noted_at: float
@@ -71,8 +78,10 @@
     response_until: float = 0.0
     told_until: float = 0.0
     gossip_until: float = 0.0
+    failed_since: float | None = None
     failed_at: float | None = None
     presumed_until: float | None = None
+    is_confirmed: bool = False
 
 
 class ColdEndpoints:
@@ -107,6 +116,8 @@
         self._slack = slack
         self._service_by_name = {}
         self._row_by_id = {}
+        # Failed endpoints whose presumption is not confirmed yet.
+        self._unconfirmed_ids = set()
 
     def configure(self, service_by_name):
         """Set the services by name; those without a cold rate have no cold endpoints.
@@ -121,6 +132,10 @@
         row = self._row_by_id.get(endpoint.endpoint_id)
         if service is None or row is None:
             return None
+        told_until = max(row.told_until, row.gossip_until)
+        known_until = max(row.entry_until, row.response_until, told_until)
+        if row.failed_at is None and known_until <= now:
+            return None
         bound = self.bound(service.cold_rate)
         ends = [
             (row.entry_until, Evidence.ENTRY),
@@ -129,11 +144,16 @@
         ]
         until, evidence = max(ends, key=lambda end: end[0])
         if until <= now:
-            until, evidence = max(row.told_until, row.gossip_until), Evidence.PEER
+            until, evidence = told_until, Evidence.PEER
         if until <= now:
             return None
-        is_hearsay = evidence is Evidence.PEER and row.told_until <= now
-        return ColdState(bound, until - now, evidence, is_hearsay)
+        is_pending = row.failed_at is not None and row.presumed_until is None
+        match evidence:
+            case Evidence.FAILURE:
+                is_hearsay = not row.is_confirmed
+            case _:
+                is_hearsay = evidence is Evidence.PEER and row.told_until <= now
+        return ColdState(bound, until - now, evidence, is_hearsay, is_pending)
 
     def bound(self, rate):
         """Return the `ColdBound` of a rate."""
@@ -160,7 +180,12 @@
                 # A lagging entry may have been written before the failure.
                 failed_at = row.failed_at
                 if failed_at is not None and now - failed_at >= REWRITE_SECONDS:
-                    row = row._replace(failed_at=None, presumed_until=None)
+                    row = row._replace(
+                        failed_since=None,
+                        failed_at=None,
+                        presumed_until=None,
+                        is_confirmed=False,
+                    )
                 # Peers that know of a later failure tell it again.
                 told_until = min(row.told_until, now + REWRITE_SECONDS)
                 gossip_until = min(row.gossip_until, now + REWRITE_SECONDS)
@@ -179,8 +204,27 @@
     def note_failure(self, endpoint_id, now):
         """Record that an endpoint refused or broke a connection."""
         row = self._row_by_id.get(endpoint_id, _Row(now, born=-1))
-        row = row._replace(noted_at=now, failed_at=now, presumed_until=None)
-        self._row_by_id[endpoint_id] = row
+        since = now if row.failed_since is None else row.failed_since
+        self._row_by_id[endpoint_id] = row._replace(
+            noted_at=now, failed_since=since, failed_at=now, presumed_until=None
+        )
+        if not row.is_confirmed:
+            self._unconfirmed_ids.add(endpoint_id)
+
+    def note_own_answer(self, endpoint_id, sent_at, now):
+        """Record that an endpoint answered a request of this node on its own way.
+
+        It confirms the presumptions on other endpoints that failed just before.
+        """
+        for failed_id in list(self._unconfirmed_ids):
+            row = self._row_by_id.get(failed_id)
+            if row is None or row.failed_at is None:
+                self._unconfirmed_ids.discard(failed_id)
+            elif now - row.failed_at > CONFIRM_SECONDS:
+                self._unconfirmed_ids.discard(failed_id)
+            elif failed_id != endpoint_id and sent_at >= row.failed_at:
+                self._unconfirmed_ids.discard(failed_id)
+                self._row_by_id[failed_id] = row._replace(is_confirmed=True)
 
     def note_response(self, endpoint, seconds, sent_at, now):
         """Record a response to a request that was sent at a time.
@@ -205,7 +249,12 @@
             if row.entry_at <= sent_at:
                 row = row._replace(entry_until=0.0, told_until=0.0, gossip_until=0.0)
             if is_after_failure:
-                row = row._replace(failed_at=None, presumed_until=None)
+                row = row._replace(
+                    failed_since=None,
+                    failed_at=None,
+                    presumed_until=None,
+                    is_confirmed=False,
+                )
             until = now + seconds if seconds else 0.0
             row = row._replace(response_until=until, noted_at=now)
         elif is_after_failure and row.presumed_until is None:
@@ -220,6 +269,34 @@
         """Record that a node reported an answer, at an unknown time just before."""
         self.note_response(endpoint, None, now - REPORT_SECONDS, now)
 
+    def note_done(self, endpoint_id, sent_at, now):
+        """Record that a request ended well just before that was sent at a time.
+
+        If it was sent before the failures and ended after them, the endpoint has not
+        started again: the failures were those of the way to it, or of a request.
+
+        >>> from sequoiaglade_decisions.gateway import Endpoint, Service
+        >>> cold = ColdEndpoints(overshoot=1.5, slack=5.0)
+        >>> cold.configure({"s": Service("s", cold_seconds=30.0, cold_rate=8.5)})
+        >>> cold.note_failure("e-1", now=10.0)
+        >>> cold.note_done("e-1", sent_at=11.0, now=12.0)
+        >>> endpoint = Endpoint("e-1", "s", "", "d", 8)
+        >>> cold.find(endpoint, now=12.0).evidence.value
+        'failed connection'
+        >>> cold.note_done("e-1", sent_at=9.0, now=12.0)
+        >>> cold.find(endpoint, now=12.0)
+        """
+        row = self._row_by_id.get(endpoint_id)
+        if row is None or row.failed_at is None:
+            return
+        if sent_at < row.failed_since and now - row.failed_at > REPORT_SECONDS:
+            self._row_by_id[endpoint_id] = row._replace(
+                failed_since=None,
+                failed_at=None,
+                presumed_until=None,
+                is_confirmed=False,
+            )
+
     def note_told(self, endpoint, born, seconds, now, is_hearsay=False):
         """Record that a peer takes an endpoint for cold; return whether to believe it.
 
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -48,7 +48,7 @@
     `cores` is the node's processor capacity. `request_limits` are the notices of
     `RequestLimits`. `is_cut_off` is whether the node reaches no endpoint itself.
     `protocol_revision` is that of its release, 0 for those that do not tell it.
-    `cold_endpoints` has the `ColdReport` of those for which the node grants permits.
+    `cold_endpoints` has the `ColdReport`s that the node tells.
     """
 
     node_id: str
--- a/packages/gateway/sequoiaglade_gateway/access_messages.py
+++ b/packages/gateway/sequoiaglade_gateway/access_messages.py
@@ -30,7 +30,7 @@
 
     It takes the endpoint for cold for `seconds` more, in which it gets `rate` requests
     a second from all nodes together. `is_limited` is whether the endpoint names a limit
-    as well, `is_hearsay` whether the node knows it from a peer only.
+    as well, `is_hearsay` whether the node presumes it or knows it from a peer only.
     """
 
     rate: float
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -260,12 +260,14 @@
             if item_outcome is ItemOutcome.DONE and is_whole:
                 self._registry.record_run(time.monotonic() - started_at)
         finally:
-            self._end_run(run, route, item_outcome, outcome, reason)
+            self._end_run(run, route, item_outcome, outcome, reason, started_at)
 
-    def _end_run(self, run, route, item_outcome, outcome, reason):
+    def _end_run(self, run, route, item_outcome, outcome, reason, sent_at=None):
         item_id = run.progress.item.item_id
         endpoint_id = run.endpoint.endpoint_id
-        self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
+        self._parts.coordinator.tell(
+            RequestEnded(endpoint_id, True, outcome, sent_at=sent_at)
+        )
         if item_outcome is ItemOutcome.DONE:
             # Crashes under items blame no part, but their results clear parts.
             headers = run.progress.item.headers
--- a/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
+++ b/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
@@ -83,6 +83,14 @@
         """Record that a node reported an answer."""
         self._cold.note_reported_answer(endpoint, now)
 
+    def note_own_answer(self, endpoint_id, sent_at, now):
+        """Record that an endpoint answered a request of this node on its own way."""
+        self._cold.note_own_answer(endpoint_id, sent_at, now)
+
+    def note_done(self, endpoint_id, sent_at, now):
+        """Record that a request ended well that was sent at a time."""
+        self._cold.note_done(endpoint_id, sent_at, now)
+
     def find_told(self, endpoint, born, notice, now):
         """Return the `ColdState` of an endpoint that a peer takes for cold.
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -161,7 +161,9 @@
                 return self._blame.is_quarantined(fingerprint, now)
             case FindPartRefusal():
                 return self._blame.find_part_refusal(message, now)
-            case EndpointAnswered():
+            case EndpointAnswered(endpoint_id, _, sent_at):
+                if not self._reach.is_cut_off:
+                    self._limits.cold.note_own_answer(endpoint_id, sent_at, now)
                 return self._blame.note_endpoint_answer(message)
             case PartsAnswered():
                 return self._blame.note_answer(message, now)
@@ -347,7 +349,7 @@
         self._scheduling.receive_report(report, now)
         if report.node_id != self._settings.node_id:
             for result in report.results:
-                self._limits.note_result(result.endpoint_id, result.outcome, now)
+                self._limits.note_result(result, now)
             incarnation, _ = report.number
             share = self._quota_share(now)
             self._quotas.update_peer(
@@ -375,10 +377,13 @@
     def _end(self, message, now):
         endpoint_id = message.endpoint_id
         self._loads.end(endpoint_id, message.is_batch)
-        self._scheduling.note_end(endpoint_id, message.outcome)
+        run_seconds = 0.0 if message.sent_at is None else now - message.sent_at
+        self._scheduling.note_end(endpoint_id, message.outcome, run_seconds=run_seconds)
         match message.outcome:
             case messages.DONE:
                 self._loads.health.note_success(endpoint_id)
+                if message.sent_at is not None:
+                    self._limits.cold.note_done(endpoint_id, message.sent_at, now)
             case messages.NOT_SENT:
                 self._note_failure(endpoint_id, now)
             case messages.REFUSED:
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -90,11 +90,13 @@
 
     `outcome` is one of the constants below, or empty if only the interval is reported.
     `pause_seconds` is the mean interval between the events of its stream, or 0.
+    `run_seconds` is how long before its end it was sent, 0 if unknown.
     """
 
     endpoint_id: str
     outcome: str
     pause_seconds: float = 0.0
+    run_seconds: float = 0.0
 
 
 class LoadReport(NamedTuple):
@@ -231,6 +233,7 @@
     `fingerprint` identifies a request that may have crashed the endpoint, `parts` are
     those of its prompt if one of them may have, and `service` its service. `has_begun`
     is whether events of this endpoint had arrived, `has_events` whether events of any.
+    `sent_at` is the monotonic time at which it was sent, None if unknown.
     """
 
     endpoint_id: str
@@ -241,6 +244,7 @@
     parts: tuple[str, ...] = ()
     has_begun: bool = False
     has_events: bool = False
+    sent_at: float | None = None
 
 
 class AcceptsRequests(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -74,6 +74,7 @@
         self._is_answered = False
         self._counts = AttemptCounts(0, 0)
         self._placement_seconds = 0.0
+        self._sent_at = None
         self._log = structlog.get_logger()
         self.last_event_id = request.call.last_event_id
         # The last event before the current attempt.
@@ -166,7 +167,12 @@
         outcome = _outcome_of(fault, attempt.is_aborted)
         # An endpoint that is only silent may go on: the request did not crash it.
         is_crash = outcome == BROKEN and fault.fault is Fault.BROKEN
-        ended = RequestEnded(in_flight_request.endpoint.endpoint_id, False, outcome)
+        ended = RequestEnded(
+            in_flight_request.endpoint.endpoint_id,
+            False,
+            outcome,
+            sent_at=self._sent_at,
+        )
         if is_crash:
             ended = ended._replace(
                 fingerprint=self.request.fingerprint,
@@ -315,7 +321,7 @@
                 endpoint.version,
                 call.stream_id,
             )
-        sent_at = time.monotonic()
+        self._sent_at = sent_at = time.monotonic()
         with self._parts.preemptor.watching(endpoint.endpoint_id):
             answer = open_call(
                 endpoint_request,
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -283,7 +283,9 @@
         (message.incarnation, message.number),
         _decode_loads(message.loads),
         tuple(
-            EndpointResult(row.endpoint_id, row.outcome, row.pause_seconds)
+            EndpointResult(
+                row.endpoint_id, row.outcome, row.pause_seconds, row.run_seconds
+            )
             for row in message.results
         ),
         _decode_admitted(message.admitted),
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -111,7 +111,7 @@
         granters = self._parts.coordinator.ask(FindPermitGranters(endpoint_id))
         if granters is None:
             return placed
-        if until is not None:
+        if until is not None or granters.cold is not None:
             until = time.monotonic() + PERMIT_USE_SECONDS
         permit = self._ask_granters(granters, place.is_batch)
         outcome = "granted" if permit.is_granted else "denied"
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -140,13 +140,16 @@
             cold_seconds=0.0 if state is None else state.seconds,
         )
 
-    def note_result(self, endpoint_id, outcome, now):
-        """Record the outcome of a request that a peer reported."""
+    def note_result(self, result, now):
+        """Record an `EndpointResult` that a peer reported."""
+        endpoint_id = result.endpoint_id
         endpoint = self._directory.get(endpoint_id, now)
-        match outcome:
+        match result.outcome:
             case messages.NOT_SENT | messages.BROKEN:
                 self.cold.note_failure(endpoint_id, now)
             case messages.DONE if endpoint is not None:
+                if result.run_seconds:
+                    self.cold.note_done(endpoint_id, now - result.run_seconds, now)
                 self.cold.note_reported_answer(endpoint, now)
 
     def open(self, endpoints, is_batch, now):
@@ -184,21 +187,6 @@
             rows.append(endpoint)
         return rows
 
-    def seconds_until_cold(self, endpoints, now):
-        """Return in how many seconds this node can grant a permit for a cold endpoint.
-
-        It is None if none of `endpoints` is cold.
-        """
-        cold = [e for e in endpoints if self.cold.find(e, now) is not None]
-        times = []
-        for endpoint in cold:
-            rates = self._rates(endpoint, self._granter_ids(endpoint, now), now)
-            seconds = NOT_GRANTER.retry_seconds
-            if rates:
-                seconds = self._levels.seconds_until(endpoint.endpoint_id, rates, now)
-            times.append(seconds)
-        return min(times, default=None)
-
     def take_own(self, endpoint_id, now):
         """Take the permits that `grantable` has found; return their sources."""
         endpoint = self._directory.get(endpoint_id, now)
@@ -230,7 +218,10 @@
     def cold_reports(self, now):
         """Return the `ColdReport`s of cold endpoints whose first granter this node is.
 
-        Nodes that read no list, or an outdated one, learn of them by these.
+        Nodes that read no list, or an outdated one, learn of them by these. In a small
+        fleet each node reports those that it has just seen fail: others that had no
+        request there would not know. In a large fleet schedulers are told so in load
+        reports.
         """
         reports = []
         for endpoint in self._directory.endpoints():
@@ -238,7 +229,8 @@
             if state is None or state.is_hearsay:
                 continue
             granters = self._granter_ids(endpoint, now)
-            if granters[:1] == [self._settings.node_id]:
+            is_first = granters[:1] == [self._settings.node_id]
+            if is_first or (state.is_pending and not self._nodes.is_large):
                 seconds = state.seconds
                 reports.append(ColdReport(endpoint.endpoint_id, endpoint.born, seconds))
         return tuple(reports)
@@ -271,7 +263,7 @@
             state.bound.rate,
             state.seconds,
             is_limited,
-            is_hearsay=state.evidence is Evidence.PEER,
+            is_hearsay=state.is_hearsay or state.evidence is Evidence.PEER,
         )
         if is_limited:
             notice = self._limits.notice(endpoint_id, now)
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -92,7 +92,6 @@
             if group_of(endpoint.endpoint_id, request.group_count) == request.group
             and endpoint.endpoint_id not in place.excluded
         ]
-        listed = endpoints
         endpoints = limits.grantable(endpoints, place.is_batch, now)
         node_id = request.report.node_id
         requester = self._nodes.state(node_id) or self._get_own_state()
@@ -108,11 +107,6 @@
                 domain,
             )
             if isinstance(placement, Full):
-                if not endpoints:
-                    # The nodes need not ask for permits that this one has not left.
-                    seconds = limits.seconds_until_cold(listed, now)
-                    if seconds is not None:
-                        return Full(max(seconds, placement.retry_after), True)
                 return placement
             return _with_permits(placement, limits, now)
         endpoint_id = self._scheduler.choose_for_batch(
@@ -151,11 +145,11 @@
         """Note that a request was sent to an endpoint; a report is due."""
         self._has_changes = True
 
-    def note_end(self, endpoint_id, outcome, pause_seconds=0.0):
+    def note_end(self, endpoint_id, outcome, pause_seconds=0.0, run_seconds=0.0):
         """Note how a request ended, or that it waits, for the next report."""
         if self._nodes.is_large:
             self._has_changes = True
-            result = EndpointResult(endpoint_id, outcome, pause_seconds)
+            result = EndpointResult(endpoint_id, outcome, pause_seconds, run_seconds)
             self._results = [*self._results[-MAX_RESULTS:], result]
 
     def collect_reports(self, now):
--- a/tests/features/gateway/cold_endpoints.feature
+++ b/tests/features/gateway/cold_endpoints.feature
@@ -47,6 +47,25 @@
     And after 12 s nothing happens
     Then it is cold for another 18 s by its failed connection
 
+  Scenario Outline: After failures a request that was sent <age> s before ends well
+    Given an endpoint whose entry is cold for 0 s, born 7, of revision 3
+    When after 10 s a connection to it fails
+    And after 2 s a connection to it fails
+    And after <pause> s a request ends well that was sent <age> s before
+    Then it is cold for another <left> s by its failed connection
+
+    Examples: only one that was running all the time shows that there was no new start
+      | pause | age | left |
+      | 1.5   | 4   | 0    |
+      | 1.5   | 3   | 30   |
+      | 0.2   | 4   | 30   |
+
+  Scenario: A node that is cut off from the endpoints presumes that all have restarted
+    Given a fleet of 3 nodes and 4 endpoints, none of them cold
+    When at a node other than the granter a connection to each endpoint fails
+    And callers send 60 requests a second for 5 seconds to the fleet
+    Then that node takes the endpoints for cold, and the others take them for warm
+
   Scenario: The times that nodes tell each other do not grow
     Given an endpoint whose entry is cold for 0 s, born 7, of revision 3
     When after 10 s a peer tells that it is cold for 20 s
--- a/tests/features/steps/cold_endpoint_steps.py
+++ b/tests/features/steps/cold_endpoint_steps.py
@@ -99,6 +99,12 @@
     assert context.cold.note_told(context.entry, 7, seconds, context.now)
 
 
+@when("after {pause:g} s a request ends well that was sent {age:g} s before")
+def end_well(context, pause, age):
+    context.now += pause
+    context.cold.note_done("e-1", context.now - age, context.now)
+
+
 @when("after {pause:g} s nothing happens")
 def wait(context, pause):
     context.now += pause
@@ -121,6 +127,35 @@
     )
 
 
+@given("a fleet of 3 nodes and 4 endpoints, none of them cold")
+def given_none_cold(context):
+    context.quota_fleet = QuotaFleet(
+        3, 0, 0, endpoint_count=4, cold=(COLD_ID, BOUND), knowing_count=0
+    )
+    context.quota_fleet.play(10, 4.0)
+
+
+@when("at a node other than the granter a connection to each endpoint fails")
+def fail_all(context):
+    fleet = context.quota_fleet
+    granter = fleet.granter(COLD_ID)
+    context.cut_node = next(node for node in fleet.nodes if node is not granter)
+    for endpoint in fleet.endpoints:
+        fleet.fail_at(context.cut_node, endpoint.endpoint_id)
+
+
+@then("that node takes the endpoints for cold, and the others take them for warm")
+def check_only_one(context):
+    fleet = context.quota_fleet
+    cold = {
+        node.settings.node_id: set(node.ask(GetStatus())["cold_endpoints"])
+        for node in fleet.nodes
+    }
+    own = cold.pop(context.cut_node.settings.node_id)
+    assert own == {e.endpoint_id for e in fleet.endpoints}, own
+    assert not any(cold.values()), cold
+
+
 @then("after {seconds:g} seconds the endpoint gets no more than it takes")
 def check_one_knows(context, seconds):
     times = context.quota_fleet.sent_at_by_id[COLD_ID]
--- a/tests/features/steps/quota_fleet.py
+++ b/tests/features/steps/quota_fleet.py
@@ -8,7 +8,9 @@
 from sequoiaglade_gateway.access_messages import RequestLimitNamed
 from sequoiaglade_gateway.coordinator import Coordinator
 from sequoiaglade_gateway.messages import (
+    BROKEN,
     DONE,
+    BeginRequest,
     CollectLoadReports,
     ConfigurationChanged,
     EndpointsListed,
@@ -230,6 +232,11 @@
         """Let a node read the entry of the cold endpoint."""
         node.ask(EndpointsListed(self._cold_endpoints))
 
+    def fail_at(self, node, endpoint_id):
+        """Let a request of a node break its connection to an endpoint."""
+        node.ask(BeginRequest(PlaceRequest(SERVICE, endpoint_id), endpoint_id))
+        node.tell(RequestEnded(endpoint_id, False, BROKEN))
+
     def send_at(self, node):
         """Send a request at a node; it ends at once."""
         self._send_request(node)
