--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
+from .cold_endpoints import ColdEndpoints, ColdReport, ColdState, Evidence
 from .configuration_sources import ConfigurationSources
 from .endpoint_pace import EndpointPaces, PaceChange, PaceLimit
 from .endpoint_reach import EndpointReach, forwarding_nodes
@@ -27,13 +28,19 @@
 from .part_evidence import Blame, PartCrash, SoundPart
 from .peer_acks import PeerAcks
 from .permits import (
+    COLD_PERMIT_SECONDS,
+    PERMIT_USE_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
+    ColdBound,
+    ColdRanks,
     DeniedPermits,
     Permit,
     PermitLevels,
+    PermitSource,
     SettledShare,
     granter_share,
+    named_rate,
     permit_granters,
 )
 from .placement import EndpointLoads, Full, Placed
@@ -96,11 +103,13 @@
 )
 
 __all__ = [
+    "COLD_PERMIT_SECONDS",
     "COMPLETE_SHARE",
     "DEFAULT_SLOTS",
     "GUARD_SECONDS",
     "KEEPERS",
     "OWN_BYTES",
+    "PERMIT_USE_SECONDS",
     "POLL_SECONDS",
     "PROTOCOL_REVISION",
     "RESERVE_SLOTS",
@@ -113,6 +122,11 @@
     "AttemptCounts",
     "Batch",
     "Blame",
+    "ColdBound",
+    "ColdEndpoints",
+    "ColdRanks",
+    "ColdReport",
+    "ColdState",
     "ConfigurationSources",
     "ContactStep",
     "DeniedPermits",
@@ -125,6 +139,7 @@
     "EndsKnowledge",
     "EvacuationChanges",
     "Evacuations",
+    "Evidence",
     "Event",
     "EventSplitter",
     "ExceededBound",
@@ -159,6 +174,7 @@
     "PartCrash",
     "Permit",
     "PermitLevels",
+    "PermitSource",
     "Placed",
     "PromptParts",
     "Quarantine",
@@ -208,6 +224,7 @@
     "may_know_ends",
     "move_headroom",
     "missing_part",
+    "named_rate",
     "next_step",
     "only_version",
     "page_bytes_max",
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -49,6 +49,7 @@
     `RequestLimits`. `is_cut_off` is whether the node reaches no endpoint itself.
     `protocol_revision` is that of its release, 0 for those that do not tell it. `paces`
     are the limits of endpoints that have started or recovered, in a small fleet.
+    `cold_endpoints` has the `ColdReport`s that the node tells.
     """
 
     node_id: str
@@ -76,6 +77,7 @@
     is_cut_off: bool = False
     protocol_revision: int = 0
     paces: tuple = ()
+    cold_endpoints: tuple = ()
 
 
 class NodeTable:
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -61,6 +61,7 @@
     endpoint: Any
     attempt: Attempt
     service: str
+    permit_until: float | None = None
 
 
 class ItemRunner(OwnedThread):
@@ -224,7 +225,9 @@
             return False
         endpoint_id = placed.endpoint.endpoint_id
         attempt = ItemAttempt(self._parts, job, item.item_id, service, placed.endpoint)
-        run = _ItemRun(job, progress, placed.endpoint, attempt, service)
+        run = _ItemRun(
+            job, progress, placed.endpoint, attempt, service, placed.permit_until
+        )
         with self._lock:
             self._run_by_attempt[run.attempt] = run
         self._log.info(
@@ -234,6 +237,7 @@
             endpoint_id=endpoint_id,
             endpoint_version=placed.endpoint.version,
             request_limit=placed.endpoint.request_limit,
+            cold_seconds=round(placed.endpoint.cold_seconds, 3),
             in_flight=placed.in_flight,
             after_event=progress.last_event_id,
         )
@@ -269,12 +273,14 @@
             if item_outcome is ItemOutcome.DONE and is_whole:
                 self._registry.record_run(time.monotonic() - started_at)
         finally:
-            self._end_run(run, route, item_outcome, outcome, reason)
+            self._end_run(run, route, item_outcome, outcome, reason, started_at)
 
-    def _end_run(self, run, route, item_outcome, outcome, reason):
+    def _end_run(self, run, route, item_outcome, outcome, reason, sent_at=None):
         item_id = run.progress.item.item_id
         endpoint_id = run.endpoint.endpoint_id
-        self._parts.coordinator.tell(RequestEnded(endpoint_id, True, outcome))
+        self._parts.coordinator.tell(
+            RequestEnded(endpoint_id, True, outcome, sent_at=sent_at)
+        )
         if item_outcome is ItemOutcome.DONE:
             # Crashes under items blame no part, but their results clear parts.
             headers = run.progress.item.headers
@@ -396,7 +402,13 @@
             run.progress.last_event_id,
         )
         return EndpointRequest(
-            run.endpoint, "POST", item.path, headers, item.body, item.item_id
+            run.endpoint,
+            "POST",
+            item.path,
+            headers,
+            item.body,
+            item.item_id,
+            run.permit_until,
         )
 
 
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -23,6 +23,7 @@
 
 from . import messages
 from .access_messages import (
+    ColdResponse,
     ConnectionTried,
     FindAnyEndpoint,
     FindEndpoint,
@@ -174,7 +175,9 @@
                 return self._blame.is_quarantined(fingerprint, now)
             case FindPartRefusal():
                 return self._blame.find_part_refusal(message, now)
-            case EndpointAnswered():
+            case EndpointAnswered(endpoint_id, _, sent_at):
+                if not self._reach.is_cut_off:
+                    self._limits.cold.note_own_answer(endpoint_id, sent_at, now)
                 return self._blame.note_endpoint_answer(message)
             case PartsAnswered():
                 return self._blame.note_answer(message, now)
@@ -207,6 +210,7 @@
                 | FindPermitGranters()
                 | TakePermit()
                 | PermitDenied()
+                | ColdResponse()
             ):
                 return self._limits.handle(message, now)
             case FindEndpoint(endpoint_id):
@@ -252,6 +256,7 @@
                 return self._configure(configuration, now)
             case EndpointsListed(endpoints):
                 self._pacing.note_list(endpoints, now)
+                self._limits.cold.note_entries(endpoints, now)
                 self._directory.replace(endpoints, now)
                 return self._evacuations.note_endpoints_listed(now)
             case (
@@ -266,6 +271,7 @@
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
                 self._pacing.note_endpoint(endpoint, now)
+                self._limits.cold.note_entries([endpoint], now)
                 return self._directory.put(endpoint, now)
             case EndpointListReachable(True):
                 return self._directory.note_recovery(now)
@@ -368,11 +374,15 @@
         self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
-        return placed._replace(has_permit=message.has_permit)
+        return placed._replace(
+            has_permit=message.has_permit, has_cold_permit=message.has_cold_permit
+        )
 
     def _receive_report(self, report, now):
         self._scheduling.receive_report(report, now)
         if report.node_id != self._settings.node_id:
+            for result in report.results:
+                self._limits.note_result(result, now)
             incarnation, _ = report.number
             share = self._quota_share(now)
             self._quotas.update_peer(
@@ -402,10 +412,13 @@
         endpoint_id = message.endpoint_id
         self._pacing.note_end(message, now, self._loads, self._scheduling)
         self._loads.end(endpoint_id, message.is_batch)
-        self._scheduling.note_end(endpoint_id, message.outcome)
+        run_seconds = 0.0 if message.sent_at is None else now - message.sent_at
+        self._scheduling.note_end(endpoint_id, message.outcome, run_seconds=run_seconds)
         match message.outcome:
             case messages.DONE:
                 self._loads.health.note_success(endpoint_id)
+                if message.sent_at is not None:
+                    self._limits.cold.note_done(endpoint_id, message.sent_at, now)
             case messages.NOT_SENT:
                 self._note_failure(endpoint_id, now)
             case messages.REFUSED:
@@ -418,16 +431,18 @@
         endpoint = self._directory.get(endpoint_id, now)
         if endpoint is None:
             return None
-        return endpoint._replace(request_limit=self._limits.find(endpoint))
+        return self._limits.describe(endpoint, now)
 
     def _note_failure(self, endpoint_id, now):
         is_limited = self._pacing.paces.is_limited(endpoint_id)
         self._loads.health.note_failure(endpoint_id, now, is_limited)
+        self._limits.cold.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
 
     def _configure(self, configuration, now):
         self._active_configuration = (configuration.version, now)
         self._state = self._state._replace(configuration_version=configuration.version)
+        self._limits.cold.configure(configuration.service_by_name)
         self._quotas.configure(
             {
                 w.name: (w.rate, w.burst)
@@ -476,6 +491,7 @@
             jobs=message.jobs,
             is_store_reachable=message.is_store_reachable,
             request_limits=self._limits.notices(now),
+            cold_endpoints=self._limits.cold_reports(now),
             is_cut_off=self._reach.is_cut_off,
             paces=() if is_large else self._pacing.paces.shared(now),
         )
@@ -531,6 +547,9 @@
             "endpoints": [e._asdict() for e in self._directory.endpoints()],
             "request_limit_by_endpoint": self._limits.limited(),
             "pace_limit_by_endpoint": self._pacing.paces.status(now),
+            "cold_endpoints": self._limits.cold.status(
+                self._directory.endpoints(), now
+            ),
             "in_flight_by_endpoint": self._loads.own(),
             "scheduler_by_group": self._scheduling.schedulers(now),
             "is_cut_off": self._reach.is_cut_off,
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -93,6 +93,7 @@
     `lateness` is the time to its first event as a multiple of what callers need, or 0,
     `answer_seconds` this time. `work_percent` is how long work takes at the endpoint in
     per cent of the usual time, as it stated `work_age_seconds` ago, or 0.
+    `run_seconds` is how long before its end it was sent, 0 if unknown.
     """
 
     endpoint_id: str
@@ -102,6 +103,7 @@
     answer_seconds: float = 0.0
     work_percent: float = 0.0
     work_age_seconds: float = 0.0
+    run_seconds: float = 0.0
 
 
 class LoadReport(NamedTuple):
@@ -201,6 +203,7 @@
     place: PlaceRequest
     endpoint_id: str
     has_permit: bool = False
+    has_cold_permit: bool = False
     pace: PaceLimit | None = None
 
 
@@ -223,14 +226,17 @@
 
     `preempts` asks the sender to stop a batch item of this node there. `in_flight` is
     the number of requests at the endpoint. `has_permit` is whether a permit for an
-    endpoint with a limit was taken already. `is_paced` asks the sender for a
-    `FirstEventObserved`.
+    endpoint with a limit was taken already, `has_cold_permit` whether one for a cold
+    endpoint was. That one is not used after the monotonic time `permit_until`.
+    `is_paced` asks the sender for a `FirstEventObserved`.
     """
 
     endpoint: Any
     preempts: bool
     in_flight: int
     has_permit: bool = False
+    has_cold_permit: bool = False
+    permit_until: float | None = None
     is_paced: bool = False
 
 
@@ -240,6 +246,7 @@
     `fingerprint` identifies a request that may have crashed the endpoint, `parts` are
     those of its prompt if one of them may have, and `service` its service. `has_begun`
     is whether events of this endpoint had arrived, `has_events` whether events of any.
+    `sent_at` is the monotonic time at which it was sent, None if unknown.
     """
 
     endpoint_id: str
@@ -250,6 +257,7 @@
     parts: tuple[str, ...] = ()
     has_begun: bool = False
     has_events: bool = False
+    sent_at: float | None = None
 
 
 class AcceptsRequests(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -75,10 +75,10 @@
         self._is_answered = False
         self._counts = AttemptCounts(0, 0)
         self._placement_seconds = 0.0
+        # When the current attempt was sent, None before the first one.
+        self._sent_at = None
         self._log = structlog.get_logger()
         self.last_event_id = request.call.last_event_id
-        # When the current attempt was sent.
-        self._sent_at = 0.0
         # The last event before the current attempt.
         self._sent_after_event = self.last_event_id
         # The version that began the stream; None before its first event.
@@ -170,7 +170,12 @@
         outcome = _outcome_of(fault, attempt.is_aborted)
         # An endpoint that is only silent may go on: the request did not crash it.
         is_crash = outcome == BROKEN and fault.fault is Fault.BROKEN
-        ended = RequestEnded(in_flight_request.endpoint.endpoint_id, False, outcome)
+        ended = RequestEnded(
+            in_flight_request.endpoint.endpoint_id,
+            False,
+            outcome,
+            sent_at=self._sent_at,
+        )
         if is_crash:
             ended = ended._replace(
                 fingerprint=self.request.fingerprint,
@@ -230,7 +235,7 @@
         if placed.preempts:
             self._parts.batch.preempt(placed.endpoint.endpoint_id)
         self._attempt.note_placed(placed.endpoint, began_at)
-        outcome = self._send(placed.endpoint)
+        outcome = self._send(placed.endpoint, placed.permit_until)
         if isinstance(outcome, CallFault):
             self._excluded = self._excluded | {placed.endpoint.endpoint_id}
             self.end_attempt(outcome)
@@ -276,7 +281,7 @@
             return False
         return self._has_moved and full.has_endpoints
 
-    def _send(self, endpoint):
+    def _send(self, endpoint, permit_until):
         request = self.request
         self._sent_after_event = self.last_event_id
         seconds_left = request.end_at - time.monotonic()
@@ -294,6 +299,7 @@
             headers,
             request.body,
             request.call.request_id,
+            permit_until,
         )
         patience = AttemptPatience(
             self._parts,
@@ -312,6 +318,7 @@
             endpoint_version=endpoint.version,
             endpoint_is_leaving=endpoint.is_leaving,
             request_limit=endpoint.request_limit,
+            cold_seconds=round(endpoint.cold_seconds, 3),
             after_event=self.last_event_id,
             resumes=request.call.resumes or None,
             in_flight=self._in_flight.in_flight,
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -1,6 +1,7 @@
 """Encoding of states, reports and jobs as messages of the protocol between nodes."""
 
 from sequoiaglade_decisions.gateway import (
+    ColdReport,
     Full,
     Item,
     JobSpec,
@@ -17,6 +18,7 @@
 )
 from sequoiaglade_protocol import fleet_pb2
 
+from ..access_messages import ColdNotice, TakePermit
 from ..messages import (
     EndpointResult,
     LoadReport,
@@ -77,6 +79,7 @@
             for key, fingerprint in state.survived_breaks
         ],
         request_limits=map(encode_notice, state.request_limits),
+        cold_endpoints=map(_encode_cold, state.cold_endpoints),
         is_cut_off=state.is_cut_off,
         protocol_revision=state.protocol_revision,
         paces=_encode_paces(state.paces),
@@ -95,7 +98,9 @@
     >>> notices = (LimitNotice("e-1", 5, 2.5, 0.25), LimitNotice("e-2", 6, None, 1.5))
     >>> state = state._replace(request_limits=notices, is_cut_off=True)
     >>> paces = (PaceLimit("e-1", 2.5, True, "late", 0.25),)
-    >>> state = state._replace(protocol_revision=1, paces=paces)
+    >>> state = state._replace(paces=paces)
+    >>> state = state._replace(cold_endpoints=(ColdReport("e-1", 5, 2.5),))
+    >>> state = state._replace(protocol_revision=1)
     >>> decode_state(encode_state(state)) == state
     True
 
@@ -145,6 +150,7 @@
             (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
         ),
         request_limits=tuple(map(decode_notice, message.request_limits)),
+        cold_endpoints=tuple(map(_decode_cold, message.cold_endpoints)),
         is_cut_off=message.is_cut_off,
         protocol_revision=message.protocol_revision,
         paces=tuple(map(_decode_pace, message.paces)),
@@ -172,6 +178,47 @@
     )
 
 
+def _encode_cold(report):
+    return fleet_pb2.ColdEndpoint(
+        endpoint_id=report.endpoint_id,
+        born=report.born,
+        left_ms=int(report.seconds * MS_PER_SECOND),
+    )
+
+
+def _decode_cold(message):
+    seconds = message.left_ms / MS_PER_SECOND
+    return ColdReport(message.endpoint_id, message.born, seconds)
+
+
+def encode_permit_request(notice, is_batch, cold):
+    """Return the message that asks for a permit; `cold` is a `ColdNotice` or None.
+
+    >>> notice = LimitNotice("e-1", 5, 8.5, 0.0)
+    >>> cold = ColdNotice(8.5, 12.5, is_hearsay=True)
+    >>> decode_permit_request(encode_permit_request(notice, True, cold)).cold == cold
+    True
+    >>> decode_permit_request(encode_permit_request(notice, True, None)).cold
+    """
+    message = fleet_pb2.PermitRequest(notice=encode_notice(notice), is_batch=is_batch)
+    if cold is not None:
+        message.cold.rate = cold.rate
+        message.cold.left_ms = int(cold.seconds * MS_PER_SECOND)
+        message.cold.is_limited = cold.is_limited
+        message.cold.is_hearsay = cold.is_hearsay
+    return message
+
+
+def decode_permit_request(message):
+    """Return the `TakePermit` of a message."""
+    cold = None
+    if message.HasField("cold"):
+        row = message.cold
+        seconds = row.left_ms / MS_PER_SECOND
+        cold = ColdNotice(row.rate, seconds, row.is_limited, row.is_hearsay)
+    return TakePermit(decode_notice(message.notice), message.is_batch, cold)
+
+
 def encode_permit(permit):
     """Return the message for a `Permit`."""
     return fleet_pb2.PermitReply(**permit._asdict())
@@ -250,6 +297,7 @@
                 row.answer_seconds,
                 row.work_percent,
                 row.work_age_seconds,
+                row.run_seconds,
             )
             for row in message.results
         ),
@@ -307,11 +355,12 @@
                 retry_after=retry_after,
                 has_endpoints=has_endpoints,
             )
-        case Scheduled(endpoint_id, _, has_permit, pace):
+        case Scheduled(endpoint_id, _, has_permit, has_cold_permit, pace):
             return fleet_pb2.ScheduleReply(
                 is_quota_checked=True,
                 endpoint_id=endpoint_id,
                 has_permit=has_permit,
+                has_cold_permit=has_cold_permit,
                 pace=None if pace is None else _encode_paces([pace])[0],
             )
 
@@ -321,8 +370,8 @@
 
     Return None if the scheduler runs a release that does not check quotas.
 
-    >>> decode_placement(encode_placement(Scheduled("e-1")))
-    Placed(endpoint_id='e-1', preempts=False, has_permit=False, pace=None)
+    >>> decode_placement(encode_placement(Scheduled("e-1"))) == Placed("e-1")
+    True
     >>> decode_placement(encode_placement(QuotaExceeded(0.5, share=1.0)))
     QuotaExceeded(retry_after=0.5, share=1.0)
     >>> decode_placement(fleet_pb2.ScheduleReply(endpoint_id="e-1"))
@@ -333,7 +382,12 @@
         return QuotaExceeded(message.retry_after, message.quota_share)
     if message.endpoint_id:
         pace = _decode_pace(message.pace) if message.HasField("pace") else None
-        return Placed(message.endpoint_id, has_permit=message.has_permit, pace=pace)
+        return Placed(
+            message.endpoint_id,
+            has_permit=message.has_permit,
+            has_cold_permit=message.has_cold_permit,
+            pace=pace,
+        )
     return Full(message.retry_after, message.has_endpoints)
 
 
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -8,6 +8,7 @@
     RESERVE_SLOTS,
     Full,
     GroupScheduler,
+    PermitSource,
     Scheduled,
     eligible_nodes,
     group_count,
@@ -109,9 +110,7 @@
             )
             if isinstance(placement, Full):
                 return placement
-            has_permit = limits.take_own(placement.endpoint_id, now)
-            pace = self._paces.tell(placement.endpoint_id, now)
-            return placement._replace(has_permit=has_permit, pace=pace)
+            return self._with_permits(placement, limits, now)
         endpoint_id = self._scheduler.choose_for_batch(
             endpoints,
             node_id,
@@ -123,9 +122,15 @@
         )
         if endpoint_id is None:
             return Full(BATCH_RETRY_SECONDS, bool(endpoints))
-        has_permit = limits.take_own(endpoint_id, now)
-        pace = self._paces.tell(endpoint_id, now)
-        return Scheduled(endpoint_id, has_permit=has_permit, pace=pace)
+        return self._with_permits(Scheduled(endpoint_id), limits, now)
+
+    def _with_permits(self, placement, limits, now):
+        sources = limits.take_own(placement.endpoint_id, now)
+        return placement._replace(
+            has_permit=PermitSource.NAMED in sources,
+            has_cold_permit=PermitSource.COLD in sources,
+            pace=self._paces.tell(placement.endpoint_id, now),
+        )
 
     def receive_report(self, report, now):
         """Update loads and health from a node's `LoadReport`."""
@@ -139,9 +144,12 @@
         """Note that a request was sent to an endpoint; a report is due."""
         self._has_changes = True
 
-    def note_end(self, endpoint_id, outcome, pause_seconds=0.0):
+    def note_end(self, endpoint_id, outcome, pause_seconds=0.0, run_seconds=0.0):
         """Note how a request ended, or that it waits, for the next report."""
-        self._note_result(EndpointResult(endpoint_id, outcome, pause_seconds))
+        result = EndpointResult(
+            endpoint_id, outcome, pause_seconds, run_seconds=run_seconds
+        )
+        self._note_result(result)
 
     def note_answer(self, endpoint_id, lateness, seconds):
         """Note the time to a first event for the next report."""
