Judge directories of gateways that just started by what they name together

Such a gateway may know none of the homes and name the next best instances; one that names an allowed instance beside another breaks HOME at any time.

--- a/tests/features/gateway/hunt_deployments.feature
+++ b/tests/features/gateway/hunt_deployments.feature
@@ -26,7 +26,8 @@
       | EVAC     | a request reaches an evacuated domain 8 s after its evacuation, and the store was away from 6 to 9 s after it |
       | EVAC     | a request reaches an evacuated domain 14 s after its evacuation, and the store was away from 4 to 6 s after it |
       | EVAC     | a request reaches an evacuated domain 8 s after its evacuation, and gateway 0 was killed 4 s before it |
-      | HOME     | the directory of homes in the west names the east 3.1 s into the day |
+      | HOME     | the directory of homes in the west names the east to a caller in the east 3.1 s into the day |
+      | HOME     | the directory of homes in the west names all to a caller in the west 2.9 s into the day |
       | HOME     | a request with homes in the west runs in the east                  |
       | HOME     | although gateway 0 is cut off, a request with homes in the west runs in the east |
       | HOME     | although the store is away, a request with homes in the west runs in the east |
@@ -55,7 +56,8 @@
       | a request reaches an evacuated domain 7 s after its evacuation while the emulator stands still |
       | a request reaches an evacuated domain 8 s after its evacuation, and the store was away from 4 to 6 s after it |
       | a request reaches an evacuated domain 8 s after its evacuation, and gateway 0 was killed 2 s before it |
-      | the directory of homes in the west names the east 2.9 s into the day |
+      | the directory of homes in the west names the east to a caller in the east 2.9 s into the day |
+      | the directory of homes in the west names the east to a caller in the west 2.9 s into the day |
       | a request with homes in the west runs in the west                  |
       | the directory of homes in the west names the west to a caller in the east |
       | the directory of homes in the west names the west to a caller in the west |
--- a/tests/features/steps/gateway_hunt_deployment_steps.py
+++ b/tests/features/steps/gateway_hunt_deployment_steps.py
@@ -174,9 +174,13 @@
     _lose(context, number, lost_at=lost_at)
 
 
-@when("the directory of homes in the west names the east {seconds:g} s into the day")
-def name_early(context, seconds):
-    _answer(context, WEST_HOST, "east", (0, 1), at=seconds)
+@when(
+    "the directory of homes in the west names {names} to a caller in the {region} "
+    "{seconds:g} s into the day"
+)
+def name_early(context, names, region, seconds):
+    numbers = {"all": (0, 1, 2), "the east": (0, 1)}[names]
+    _answer(context, WEST_HOST, region, numbers, at=seconds)
 
 
 @then("the time from the write to the last arrival is {seconds:g} s")
