--- a/tests/features/steps/endpoint_pace_rule_steps.py
+++ b/tests/features/steps/endpoint_pace_rule_steps.py
@@ -240,7 +240,8 @@
     request = Schedule(report, place, query.group, query.group_count)
     scheduled, _ = scheduler.on_receive(request)
     placed = decode_placement(encode_placement(scheduled))
-    asking(BeginRequest(place, placed.endpoint_id, placed.has_permit, placed.pace))
+    begin = BeginRequest(place, placed.endpoint_id, placed.has_permit, pace=placed.pace)
+    asking(begin)
     return placed.endpoint_id
 
 
