--- a/tests/features/gateway/cold_permits.feature
+++ b/tests/features/gateway/cold_permits.feature
@@ -62,3 +62,15 @@
       | change    |
       | killed    |
       | restarted |
+
+  Scenario Outline: An endpoint is cold and names a limit to <nodes> nodes
+    Given a fleet of <nodes> nodes and 4 endpoints of which one is cold at 8.5 and names a limit of 2.5
+    When a workspace sends 200 requests per second for 16 seconds
+    Then no limited endpoint gets more in 4 seconds than the rule allows
+    And no second has more requests at it than a cold endpoint takes
+    And the limited endpoints together used at least 0.5 of their limits
+
+    Examples:
+      | nodes |
+      | 3     |
+      | 20    |
--- a/tests/features/steps/cold_permit_steps.py
+++ b/tests/features/steps/cold_permit_steps.py
@@ -61,6 +61,30 @@
     )
 
 
+@given(
+    "a fleet of {nodes:d} nodes and {count:d} endpoints of which one is cold at 8.5 "
+    "and names a limit of {limit:g}"
+)
+def given_cold_and_limited(context, nodes, count, limit):
+    bound = context.bound = ColdBound(8.5, 1.5, 5.0)
+    context.quota_fleet = QuotaFleet(
+        nodes,
+        0,
+        0,
+        endpoint_count=count,
+        limits={COLD_ID: limit},
+        cold=(COLD_ID, bound),
+    )
+
+
+@then("no second has more requests at it than a cold endpoint takes")
+def check_cold_most(context):
+    times = context.quota_fleet.sent_at_by_id[COLD_ID]
+    most = max(sum(at <= u < at + WINDOW_SECONDS for u in times) for at in times)
+    bound = context.bound
+    assert most <= bound.rate * bound.overshoot + bound.slack, most
+
+
 @when("callers send {rate:d} requests a second for {seconds:d} seconds to the fleet")
 def send(context, rate, seconds):
     fleet = context.quota_fleet
