--- a/tests/features/gateway/cold_permits.feature
+++ b/tests/features/gateway/cold_permits.feature
@@ -50,3 +50,27 @@
       | 3     |
       | 20    |
       | 61    |
+
+  Scenario Outline: The granter of a cold endpoint is <change> in a fleet of 20 nodes
+    Given a fleet of 20 nodes and 4 endpoints of which one is cold at 8.5
+    When callers send 300 requests a second for 10 seconds to the fleet
+    And the node that grants the permits is <change>
+    And callers send 300 requests a second for 24 seconds to the fleet
+    Then the cold endpoint gets at least 0.4 of its rate, and no more than it takes
+
+    Examples:
+      | change    |
+      | killed    |
+      | restarted |
+
+  Scenario Outline: An endpoint is cold and names a limit to <nodes> nodes
+    Given a fleet of <nodes> nodes and 4 endpoints of which one is cold at 8.5 and names a limit of 2.5
+    When a workspace sends 200 requests per second for 16 seconds
+    Then no limited endpoint gets more in 4 seconds than the rule allows
+    And no second has more requests at it than a cold endpoint takes
+    And the limited endpoints together used at least 0.5 of their limits
+
+    Examples:
+      | nodes |
+      | 3     |
+      | 20    |
