Bound how long the directory names an instance that was killed

Messages between the nodes of a large fleet tell how long ago each relayed state was made at least. The directory leaves out peers whose states are older than StableMs and 2.5 s; a state without an age, as from older releases, counts from its arrival as before. Small fleets send no ages and keep their time-out of 1.5 s. A node whose states are all older than StableMs has lost its contact and names all live peers as before.

Rounds of large fleets now go by when a peer was asked, ask another peer for one that did not answer, and relay states for 1.6 s, the longest interval of rounds.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -6,6 +6,7 @@
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
 from .configuration_sources import ConfigurationSources
+from .directory_addresses import running_nodes
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
@@ -206,6 +207,7 @@
     "page_bytes_max",
     "permit_granters",
     "run_order",
+    "running_nodes",
     "schedulers",
     "silence_step",
     "stable_hash",
--- a/packages/decisions/sequoiaglade_decisions/gateway/gossip_targets.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/gossip_targets.py
@@ -13,11 +13,11 @@
 LOCAL_PEERS_MIN = 8
 
 
-def choose_targets(live, domain, count, acknowledged_at, random):
+def choose_targets(live, domain, count, asked_at, random):
     """Return `count` of the live peers' states, at most one of another domain.
 
-    Those that answered last the longest ago come first; `acknowledged_at` returns the
-    time by node id. `domain` is the node's own one, `random` has the methods of
+    Those that were asked last the longest ago come first; `asked_at` returns the time
+    by node id. `domain` is the node's own one, `random` has the methods of
     `random.Random`.
 
     >>> from random import Random
@@ -36,7 +36,7 @@
     """
     live = list(live)
     random.shuffle(live)
-    live.sort(key=lambda state: acknowledged_at(state.node_id))
+    live.sort(key=lambda state: asked_at(state.node_id))
     local = [state for state in live if state.failure_domain == domain]
     if len(local) < LOCAL_PEERS_MIN or len(local) == len(live):
         return live[:count]
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -76,8 +76,16 @@
     protocol_revision: int = 0
 
 
+class _Entry(NamedTuple):
+    """A peer's newest state, when it arrived and when it was made, as far as known."""
+
+    state: NodeState
+    arrived_at: float
+    made_at: float
+
+
 class NodeTable:
-    """The newest `NodeState` of each peer and the time of its arrival.
+    """The newest `NodeState` of each peer, the times of its arrival and its making.
 
     >>> table = NodeTable("a")
     >>> table.observe_state(NodeState("b", 1, 1), now=0.0)
@@ -91,30 +99,52 @@
         self._entry_by_id = {}
         self._last_heard_at = 0.0
 
-    def observe_state(self, state, now):
-        """Store a peer's state; return whether it is newer than the known one."""
+    def observe_state(self, state, now, age=0.0):
+        """Store a peer's state; return whether it is newer than the known one.
+
+        `age` is how many seconds ago it was made at least, 0 if that is unknown.
+        """
         self._last_heard_at = max(self._last_heard_at, now)
         if state.node_id == self._own_id:
             return False
         entry = self._entry_by_id.get(state.node_id)
-        if entry is not None and _version_key(entry[0]) >= _version_key(state):
+        known = entry and entry.state
+        if known is not None and _version_key(known) >= _version_key(state):
             return False
-        if entry is not None and entry[0].incarnation == state.incarnation:
+        if known is not None and known.incarnation == state.incarnation:
             # A node of an older release relays states without the fields of later ones.
-            revision = max(state.protocol_revision, entry[0].protocol_revision)
+            revision = max(state.protocol_revision, known.protocol_revision)
             state = state._replace(protocol_revision=revision)
-        self._entry_by_id[state.node_id] = (state, now)
+        self._entry_by_id[state.node_id] = _Entry(state, now, now - age)
         return True
 
     def heard_within(self, now, seconds):
         """Return the states received in the last `seconds`, to be relayed."""
-        return [s for s, at in self._entry_by_id.values() if now - at <= seconds]
+        return [
+            entry.state
+            for entry in self._entry_by_id.values()
+            if now - entry.arrived_at <= seconds
+        ]
+
+    def age(self, node_id, now):
+        """Return how many seconds ago a peer's newest state was made, at least.
+
+        It counts the time that the state was kept by nodes that relayed it, so that a
+        lost peer does not seem young again where its state arrives late.
+
+        >>> table = NodeTable("a")
+        >>> table.observe_state(NodeState("b", 1, 1), now=10.0, age=2.5)
+        True
+        >>> table.age("b", now=11.0)
+        3.5
+        """
+        return now - self._entry_by_id[node_id].made_at
 
     def heard_share(self, now):
         """Return the fraction of the retained peers whose states arrived lately."""
         known = [
             at
-            for state, at in self._entry_by_id.values()
+            for state, at, _ in self._entry_by_id.values()
             if now - at <= PEER_RETENTION_SECONDS and not state.is_gone
         ]
         heard = sum(now - at <= HEARD_SECONDS_LARGE for at in known)
@@ -152,14 +182,14 @@
     def state(self, node_id):
         """Return the newest state of a node, or None."""
         entry = self._entry_by_id.get(node_id)
-        return entry and entry[0]
+        return entry and entry.state
 
     @property
     def is_large(self):
         """Whether the fleet is too large for each node to contact all others."""
         since = self._last_heard_at - PEER_RETENTION_SECONDS
         return (
-            sum(at >= since for _, at in self._entry_by_id.values())
+            sum(entry.arrived_at >= since for entry in self._entry_by_id.values())
             > SMALL_FLEET_PEERS_MAX
         )
 
@@ -172,7 +202,7 @@
         timeout = min(timeout, within)
         return [
             state
-            for state, at in self._entry_by_id.values()
+            for state, at, _ in self._entry_by_id.values()
             if now - at <= timeout and not state.is_gone
         ]
 
@@ -190,7 +220,7 @@
         timeout = PEER_TIMEOUT_SECONDS_LARGE if self.is_large else PEER_TIMEOUT_SECONDS
         return [
             state
-            for state, at in self._entry_by_id.values()
+            for state, at, _ in self._entry_by_id.values()
             if now - at <= timeout + settling_seconds
             and not (state.is_gone or state.is_leaving)
         ]
@@ -199,7 +229,7 @@
         """Return the states of retained peers that have not left."""
         return [
             state
-            for state, at in self._entry_by_id.values()
+            for state, at, _ in self._entry_by_id.values()
             if now - at <= PEER_RETENTION_SECONDS and not state.is_gone
         ]
 
@@ -211,9 +241,13 @@
         self._entry_by_id = {
             node_id: entry
             for node_id, entry in self._entry_by_id.items()
-            if now - entry[1] <= HOLDER_RETENTION_SECONDS
+            if now - entry.arrived_at <= HOLDER_RETENTION_SECONDS
         }
-        return [s for s, _ in self._entry_by_id.values() if not s.is_gone]
+        return [
+            entry.state
+            for entry in self._entry_by_id.values()
+            if not entry.state.is_gone
+        ]
 
     def lost(self, now):
         """Return the peers that may hold jobs but are not live.
@@ -222,7 +256,7 @@
         """
         live_ids = {state.node_id for state in self.live(now)}
         return {
-            state.node_id: now - self._entry_by_id[state.node_id][1]
+            state.node_id: now - self._entry_by_id[state.node_id].arrived_at
             for state in self.possible_holders(now)
             if state.node_id not in live_ids
         }
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -19,6 +19,7 @@
     Scheduled,
     batch_allowance,
     batch_targets,
+    running_nodes,
 )
 
 from . import messages
@@ -48,6 +49,7 @@
     EndpointsListed,
     EventIntervalObserved,
     FindPartRefusal,
+    FindRunning,
     FindSchedulers,
     FindStoreFollowers,
     FindTokenKeepers,
@@ -67,6 +69,7 @@
     Published,
     QuotaExceeded,
     RequestEnded,
+    RunningNodes,
     Schedule,
 )
 from .reach import FleetReach
@@ -85,6 +88,9 @@
 
 # States of peers that arrived within this time are relayed to others.
 RELAY_MAX_AGE_SECONDS = 1.0
+# The same in a large fleet: the longest interval of a node's rounds, which includes the
+# time-out of a call, so that each state is relayed in one of them at least.
+RELAY_MAX_AGE_SECONDS_LARGE = 1.6
 # In a small fleet each node exchanges states with all others directly, so that only
 # each n-th message relays the states of others, for nodes that can't reach each other.
 MESSAGES_PER_RELAY = 8
@@ -214,12 +220,15 @@
                 return self._versions.handle(message, now)
             case Publish():
                 return self._publish(message, now)
-            case PeerStatesReceived(states):
-                return self._receive_states(states, now)
+            case PeerStatesReceived(states, age_by_id):
+                return self._receive_states(states, age_by_id, now)
             case BatchPeers(endpoint_id):
                 return self._batch_peers(endpoint_id, now)
             case LiveNodes(within):
                 return self._nodes.live(now, within)
+            case FindRunning():
+                stable_seconds = self._settings.stable_milliseconds / 1000
+                return RunningNodes(*running_nodes(self._nodes, now, stable_seconds))
             case PossibleHolders():
                 known = [s.node_id for s in self._nodes.possible_holders(now)]
                 lost, share = self._nodes.lost(now), self._nodes.heard_share(now)
@@ -406,10 +415,13 @@
             self._renew_state(message, is_large, now)
         others = []
         if is_large or self._state.sequence % MESSAGES_PER_RELAY == 0:
-            others = self._nodes.heard_within(now, RELAY_MAX_AGE_SECONDS)
+            others = self._nodes.heard_within(now, relay_seconds(is_large))
         others += self._nodes.later_starts(*message.recipient)
         is_busy = self._loads.is_busy(now)
-        return Published(self._state, others, is_busy, is_large)
+        age_by_id = {}
+        if is_large:
+            age_by_id = {s.node_id: self._nodes.age(s.node_id, now) for s in others}
+        return Published(self._state, others, is_busy, is_large, age_by_id)
 
     def _is_published(self, message, now):
         """Return whether the own state was published lately, for a reply to a peer."""
@@ -444,12 +456,13 @@
         )
         self._state = self._blame.add_to(state, now)
 
-    def _receive_states(self, states, now):
+    def _receive_states(self, states, age_by_id, now):
         """Merge states that a peer sent; return those that are new."""
         new_states = []
         self._state = self._nodes.renewed(self._state, states)
         for state in states:
-            if not self._nodes.observe_state(state, now):
+            age = age_by_id.get(state.node_id, 0.0)
+            if not self._nodes.observe_state(state, now, age):
                 continue
             new_states.append(state)
             share = self._quota_share(now)
@@ -500,3 +513,8 @@
             "rate_burst_level_by_workspace": self._quotas.levels(),
             "refused_prompt_parts": self._blame.status(now),
         }
+
+
+def relay_seconds(is_large):
+    """Return for how long states are relayed after their arrival."""
+    return RELAY_MAX_AGE_SECONDS_LARGE if is_large else RELAY_MAX_AGE_SECONDS
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -294,9 +294,13 @@
 
 
 class PeerStatesReceived(NamedTuple):
-    """Node states that a peer sent; the reply is the list of those that are new."""
+    """Node states that a peer sent; the reply is the list of those that are new.
+
+    `age_by_id` has how many seconds ago each was made at least, as far as known.
+    """
 
     states: list
+    age_by_id: dict = {}
 
 
 class Publish(NamedTuple):
@@ -316,13 +320,16 @@
     """The states to send to peers.
 
     `own` is this node's state, `others` are recent states of other nodes. `is_busy`
-    states whether a recent request found all endpoints full.
+    states whether a recent request found all endpoints full. `age_by_id` has how many
+    seconds ago each state of another node was made; it is empty in a small fleet, where
+    states are seldom relayed.
     """
 
     own: NodeState
     others: list
     is_busy: bool
     is_fleet_large: bool
+    age_by_id: dict = {}
 
 
 class BatchPeers(NamedTuple):
@@ -343,6 +350,20 @@
     within: float = float("inf")
 
 
+class FindRunning(NamedTuple):
+    """Asks which peers run, for the directory; the reply is `RunningNodes`."""
+
+
+class RunningNodes(NamedTuple):
+    """The states of peers that run and have not left, and the ids of those left out.
+
+    `left_out` are the peers that were heard of lately, but not lately enough.
+    """
+
+    states: list
+    left_out: tuple[str, ...]
+
+
 class PossibleHolders(NamedTuple):
     """Asks which peers may hold jobs; the reply is a `HolderPeers`."""
 
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -1,6 +1,7 @@
 """Gossip rounds: each node exchanges node states with a few peers."""
 
 import concurrent.futures
+import math
 import random
 
 import structlog
@@ -43,6 +44,7 @@
 SEED_PROBABILITY = 0.2
 # A peer that takes longer is contacted again in a later round.
 CALL_SECONDS = 0.4
+MS_PER_SECOND = 1000
 
 
 class Gossip(OwnedThread):
@@ -74,6 +76,7 @@
         self._is_busy = False
         self._is_large = False
         self._peer_acks = PeerAcks()
+        self._asked_at_by_id = {}
         self._messages = StateMessages()
         self._configuration_sources = ConfigurationSources()
         self._round_at = self._resumed_at = self._clock()
@@ -104,12 +107,22 @@
         self._is_busy = published.is_busy
         self._is_large = published.is_fleet_large
         states = [published.own, *published.others]
-        return fleet_pb2.FleetDigest(nodes=self._messages.encode(states))
+        digest = fleet_pb2.FleetDigest(nodes=self._messages.encode(states))
+        if published.age_by_id:
+            ages = [published.age_by_id.get(s.node_id, 0.0) for s in states]
+            # Rounded up, so that peers do not take a state for younger than it is.
+            digest.ages_ms.extend(math.ceil(age * MS_PER_SECOND) for age in ages)
+        return digest
 
     def receive_digest(self, digest):
         """Merge a peer's digest, and release jobs that another node holds as well."""
         states = self._messages.decode_new(digest.nodes)
-        new_states = self._parts.coordinator.ask(PeerStatesReceived(states))
+        age_by_id = {
+            node.node_id: age_ms / MS_PER_SECOND
+            for node, age_ms in zip(digest.nodes, digest.ages_ms)
+        }
+        received = PeerStatesReceived(states, age_by_id)
+        new_states = self._parts.coordinator.ask(received)
         for state in new_states:
             self._job_registry.note_peer_jobs(state.jobs)
             self._release_duplicate_jobs(state)
@@ -135,11 +148,15 @@
         return self._peer_acks.any_contact_since(now)
 
     def run_round(self, count=FANOUT):
-        """Exchange digests with up to `count` peers, and perhaps with a seed."""
+        """Exchange digests with up to `count` peers, and perhaps with a seed.
+
+        Return the number of them that did not answer.
+        """
         live = self._parts.coordinator.ask(LiveNodes())
         addresses = [state.peer_address for state in live]
         seeds = self._other_seeds()
-        targets = [state.peer_address for state in self._choose_targets(live, count)]
+        chosen = self._choose_targets(live, count)
+        targets = [state.peer_address for state in chosen]
         # Seeds that are not live peers are retried, to find those that restarted or are
         # partitioned from the rest.
         missing = [seed for seed in seeds if seed not in addresses]
@@ -147,9 +164,12 @@
             targets.append(random.choice(missing))
         digest = self.make_digest()
         sent_at = self._clock()
+        self._asked_at_by_id.update(dict.fromkeys([s.node_id for s in chosen], sent_at))
+        failed_count = 0
         send = lambda a: self._client.gossip(a, digest, CALL_SECONDS)  # noqa: E731
         for address, reply in zip(targets, self._pool.map(send, targets)):
             self._log_reachability(address, reply is not None)
+            failed_count += reply is None
             if reply is not None:
                 # A digest begins with its sender's own state.
                 self._peer_acks.note_ack(reply.nodes[0].node_id, sent_at, self._clock())
@@ -158,12 +178,16 @@
             del self._failing_since_by_address[address]
         if not self._is_large:
             self._client.close_unused([*addresses, *seeds])
+        return failed_count
 
     def _choose_targets(self, live, count):
-        acknowledged_at = self._peer_acks.acknowledged_at
         if self._is_large:
+            # Not by the last answer: with some peers lost, the others would be left out
+            # of all rounds until the lost ones no longer count as live.
+            asked_at = lambda i: self._asked_at_by_id.get(i, 0.0)  # noqa: E731
             domain = self._parts.settings.failure_domain
-            return choose_targets(live, domain, count, acknowledged_at, random)
+            return choose_targets(live, domain, count, asked_at, random)
+        acknowledged_at = self._peer_acks.acknowledged_at
         random.shuffle(live)
         live.sort(key=lambda state: acknowledged_at(state.node_id))
         return live[:count]
@@ -179,7 +203,10 @@
     def run_due_round(self):
         """Run a regular round and follow the changes that it brings."""
         self._detect_suspension()
-        self.run_round(LARGE_FANOUT if self._is_large else FANOUT)
+        failed_count = self.run_round(LARGE_FANOUT if self._is_large else FANOUT)
+        if failed_count and self._is_large:
+            # Otherwise too few states are relayed in time.
+            self.run_round(min(failed_count, LARGE_FANOUT))
         self._check_peers()
 
     def seconds_since_resume(self):
@@ -207,6 +234,9 @@
             lost = sorted(self._live_ids - ids)
             self._log.info("peers changed", lost=lost, met=sorted(ids - self._live_ids))
             self._live_ids = ids
+            self._asked_at_by_id = {
+                i: at for i, at in self._asked_at_by_id.items() if i in ids
+            }
             # In a large fleet the node with the lowest id looks for the jobs of lost
             # nodes from time to time.
             if lost and not self._is_large:
--- a/tests/features/steps/lost_address_steps.py
+++ b/tests/features/steps/lost_address_steps.py
@@ -39,3 +39,9 @@
     shares = [round(replay.least_share, 3) for replay in context.replays]
     print("least share of the running nodes, by seed:", shares)
     assert min(shares) >= 0.9, shares
+
+
+@then("each answer names all running nodes that count as live")
+def check_live(context):
+    counts = [replay.left_out_count for replay in context.replays]
+    assert not any(counts), counts
