--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -6,7 +6,7 @@
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
 from .configuration_sources import ConfigurationSources
-from .directory_addresses import running_nodes
+from .directory_addresses import addresses_in_regions, running_nodes
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import Endpoint, EndpointDirectory
 from .events import Event, EventSplitter
@@ -39,6 +39,7 @@
 from .prompt_parts import LASTING_SECONDS, PromptParts
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
+from .regions import RegionMap, allowed_regions, job_candidates
 from .request_limits import LimitNotice, RequestLimits
 from .response_bounds import (
     OWN_BYTES,
@@ -95,6 +96,10 @@
 )
 
 __all__ = [
+    "RegionMap",
+    "addresses_in_regions",
+    "allowed_regions",
+    "job_candidates",
     "COMPLETE_SHARE",
     "DEFAULT_SLOTS",
     "GUARD_SECONDS",
--- a/packages/decisions/sequoiaglade_decisions/gateway/directory_addresses.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/directory_addresses.py
@@ -42,3 +42,33 @@
     running_ids = {state.node_id for state in running}
     left_out = {s.node_id for s in nodes.known(now) if not s.is_leaving} - running_ids
     return running, tuple(sorted(left_out))
+
+
+def addresses_in_regions(region_by_address, homes, caller_region):
+    """Return the addresses that an answer names for a host with these homes.
+
+    `region_by_address` has the region of each running instance, None if it is unknown.
+    `homes` is empty for a host without homes, `caller_region` is None if unknown. An
+    answer is empty only if there is no address at all.
+
+    >>> region_by_address = {"a:1": "north", "b:1": "south", "c:1": "west"}
+    >>> addresses_in_regions(region_by_address, frozenset(), "north")
+    ['a:1', 'b:1', 'c:1']
+    >>> homes = frozenset({"north", "west"})
+    >>> [addresses_in_regions(region_by_address, homes, r) for r in ("west", "south")]
+    [['c:1'], ['a:1', 'c:1']]
+    >>> addresses_in_regions({"b:1": "south", "c:1": "west"}, {"north"}, "south")
+    ['b:1']
+    >>> addresses_in_regions({"b:1": "south"}, {"north"}, None)
+    ['b:1']
+    """
+    if not homes:
+        return sorted(region_by_address)
+    choices = [homes, {caller_region} - {None}]
+    if caller_region in homes:
+        choices.insert(0, {caller_region})
+    for regions in choices:
+        chosen = [a for a, region in region_by_address.items() if region in regions]
+        if chosen:
+            return sorted(chosen)
+    return sorted(region_by_address)
--- a/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
@@ -87,19 +87,24 @@
         """Record that a job is in the store and that no holder of it is known."""
         self._noted_since.setdefault(key, now)
 
-    def choose(self, accepted_by_key, keys_by_node, live_ids, now):
+    def choose(
+        self, accepted_by_key, keys_by_node, live_ids, now, candidates_by_key=None
+    ):
         """Return the keys of jobs to take over.
 
         `accepted_by_key` has the node that accepted each open job, `keys_by_node` the
         jobs that each node reports to hold, `live_ids` the nodes that may hold jobs.
+        `candidates_by_key` has the only ones of them that may hold a job with homes; it
+        has no holder while there are none.
         """
         held = set().union(*keys_by_node.values())
         unheld = set(accepted_by_key) - held
         self._unheld_since = {k: self._unheld_since.get(k, now) for k in unheld}
         chosen = []
         for key in sorted(unheld):
-            holder = job_holder(key, accepted_by_key[key], keys_by_node, live_ids)
-            if holder == self._own_id or self._is_overdue(key, live_ids, now):
+            ids = (candidates_by_key or {}).get(key, live_ids)
+            holder = job_holder(key, accepted_by_key[key], keys_by_node, ids)
+            if holder == self._own_id or self._is_overdue(key, ids, now):
                 chosen.append(key)
         self._noted_since = {
             key: since
--- a/packages/decisions/sequoiaglade_decisions/gateway/routes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/routes.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .hashing import stable_hash
+from .regions import allowed_regions
 
 
 class RouteKind(Enum):
@@ -118,10 +119,26 @@
         self.service_by_name = {service.name: service for service in services}
         self.workspace_by_name = {w.name: w for w in workspaces}
         self._workspace_by_key = {k: w for w in workspaces for k in w.keys}
+        # Whether a route or a workspace names regions.
+        self.has_homes = any(part.regions for part in (*routes, *workspaces))
         self._routes_by_host = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
 
+    def homes_of_host(self, host):
+        """Return the regions that routes of a host name, empty if none does."""
+        routes = self._routes_by_host.get(_host_name(host), ())
+        return frozenset().union(*(route.regions for route in routes))
+
+    def regions_of(self, host, path, workspace):
+        """Return the `allowed_regions` of requests of a workspace, given by its name.
+
+        A route or workspace that is not in the configuration restricts nothing.
+        """
+        return allowed_regions(
+            self.match(host, path), self.workspace_by_name.get(workspace)
+        )
+
     @property
     def has_workspaces(self):
         """Whether requests on routes that are not public need a key."""
@@ -129,8 +146,7 @@
 
     def match(self, host, path):
         """Return the `Route` with the longest prefix of `path`, or None."""
-        name = host.partition(":")[0].lower()
-        for route in self._routes_by_host.get(name, ()):
+        for route in self._routes_by_host.get(_host_name(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
@@ -143,3 +159,7 @@
     def workspace_of(self, key):
         """Return the `Workspace` that `key` belongs to, or None."""
         return self._workspace_by_key.get(key)
+
+
+def _host_name(host):
+    return host.partition(":")[0].lower()
--- a/packages/gateway/sequoiaglade_gateway/access_messages.py
+++ b/packages/gateway/sequoiaglade_gateway/access_messages.py
@@ -55,10 +55,12 @@
     """Asks which peers may forward a request to an endpoint.
 
     The reply has pairs of node id and peer address, in the order to ask them.
-    `spread` is a text by which requests are spread over them.
+    `spread` is a text by which requests are spread over them. `regions` are its
+    `allowed_regions`, None for none.
     """
 
     spread: str
+    regions: frozenset[str] | None = frozenset()
 
 
 class FindEndpoint(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/applications.py
+++ b/packages/gateway/sequoiaglade_gateway/applications.py
@@ -62,9 +62,10 @@
         self._seconds = seconds
 
     def __call__(self, environ, start_response):
-        if not self._dialect.is_directory_call(read_request(environ)):
+        call = self._dialect.read_directory_call(read_request(environ))
+        if call is None:
             return send(_not_found(), start_response)
-        addresses = self._addresses()
+        addresses = self._addresses(call)
         if not addresses:
             error = {"error": "no node takes callers now"}
             return send(json_response(503, error), start_response)
--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -16,6 +16,7 @@
 from sequoiaglade_node.threads import OwnedThread
 
 from ..messages import LiveNodes, PossibleHolders
+from ..regions import JobHomes
 from .registry import HeldJob
 
 # A node and its peers exchange their first states within this time of its start.
@@ -45,6 +46,7 @@
         self._noted_keys = queue.SimpleQueue()
         self._orphans = OrphanedJobs(parts.settings.node_id)
         self._isolation = IsolationGuard()
+        self._homes = JobHomes(parts)
         self._log = structlog.get_logger()
         self.ended_keys = set()
         self.is_leaving = False
@@ -84,14 +86,25 @@
             self._wakeup.clear()
 
     def _is_sweeper(self):
-        ids = [s.node_id for s in self._live_peers() if not s.is_leaving]
-        return all(self._parts.settings.node_id < node_id for node_id in ids)
+        peers = [s for s in self._live_peers() if not s.is_leaving]
+        if self._is_lowest(peers):
+            return True
+        # Jobs with homes are taken over there.
+        local = self._homes.peers_in_region(peers) if self._homes.has_homes else None
+        return local is not None and self._is_lowest(local)
+
+    def _is_lowest(self, peers):
+        return all(self._parts.settings.node_id < state.node_id for state in peers)
 
     def _live_peers(self):
         return self._parts.coordinator.ask(LiveNodes())
 
     def adopt_orphans(self):
         """Adopt the jobs chosen for this node; return False to try again soon."""
+        if self._parts.store_cache.configuration is None:
+            if self._parts.settings.region_by_failure_domain:
+                self._log.info("no jobs adopted before the configuration is known")
+                return False
         peers = self._parts.coordinator.ask(PossibleHolders())
         lost_seconds = peers.lost_seconds_by_id.values()
         live_count = len(peers.known_ids) - len(lost_seconds)
@@ -123,13 +136,28 @@
             if not header.is_finished and header.spec.key not in self.ended_keys
         }
         accepted_by_key = {k: h.spec.accepted_by for k, h in header_by_key.items()}
-        chosen = self._orphans.choose(accepted_by_key, keys_by_node, ids, self._clock())
-        held = self._confirmed_by_peers(
-            [header_by_key[key].spec for key in chosen], ids
+        domain_by_id = {s.node_id: s.failure_domain for s in recent_states}
+        domain_by_id[own_id] = self._parts.settings.failure_domain
+        candidates_by_key = self._homes.candidates_by_key(
+            [header.spec for header in header_by_key.values()],
+            {node_id: domain_by_id[node_id] for node_id in ids},
         )
+        self._log_stored(candidates_by_key, header_by_key, keys_by_node)
+        chosen = self._orphans.choose(
+            accepted_by_key, keys_by_node, ids, self._clock(), candidates_by_key
+        )
+        specs = [header_by_key[key].spec for key in chosen]
+        held = self._confirmed_by_peers(specs, ids, candidates_by_key)
         return all([self.adopt(header_by_key[k]) for k in chosen if k not in held])
 
-    def _confirmed_by_peers(self, specs, ids):
+    def _log_stored(self, candidates_by_key, header_by_key, keys_by_node):
+        held = set().union(*keys_by_node.values())
+        for key, candidates in candidates_by_key.items():
+            if not candidates and key not in held:
+                regions = self._homes.regions_of(header_by_key[key].spec)
+                self._homes.log_waiting(key, regions, "no node in the home regions")
+
+    def _confirmed_by_peers(self, specs, ids, candidates_by_key):
         """Return the keys of the jobs that a likely holder confirms to hold.
 
         In a large fleet a holder's gossip arrives late, so it is asked directly. A peer
@@ -138,7 +166,8 @@
         held, unresponsive_ids = set(), set()
         states = [] if not specs else self._live_peers()
         for spec in specs:
-            likely_ids = {spec.accepted_by, job_holder(spec.key, None, {}, ids)}
+            candidates = candidates_by_key.get(spec.key, ids)
+            likely_ids = {spec.accepted_by, job_holder(spec.key, None, {}, candidates)}
             for state in states:
                 if state.node_id in unresponsive_ids:
                     continue
--- a/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
@@ -10,8 +10,8 @@
 class ItemAttempt(Attempt):
     """An attempt that is aborted before it is sent if the item must not be any more.
 
-    That is if its job has ended, or if its route has changed or its endpoint begun to
-    leave since it was placed.
+    That is if its job has ended, or if its route or its homes have changed or its
+    endpoint begun to leave since it was placed.
     """
 
     def __init__(self, parts, job, item_id, service, endpoint_id):
@@ -37,7 +37,11 @@
         )
 
     def _is_accepted(self):
-        if self._parts.coordinator.ask(AcceptsRequests(self._endpoint_id)):
+        spec = self._job.batch.spec
+        regions = self._parts.store_cache.configuration.regions_of(
+            spec.host, spec.path, spec.workspace
+        )
+        if self._parts.coordinator.ask(AcceptsRequests(self._endpoint_id, regions)):
             return True
         self._log_withheld(endpoint_id=self._endpoint_id)
         self._parts.metrics.count("item send check", "endpoint leaving")
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -34,7 +34,9 @@
     PlaceRequest,
     RequestEnded,
 )
+from ..online.refusals import NO_REGION
 from ..patient_socket import FixedPatience
+from ..regions import JobHomes
 from ..version_messages import UsableVersions
 from .item_attempt import ItemAttempt
 
@@ -60,6 +62,21 @@
     endpoint: Any
     attempt: Attempt
     service: str
+    regions: frozenset[str]
+
+
+class _WaitingJob(NamedTuple):
+    """A job with its route and its `allowed_regions`."""
+
+    job: Any
+    route: Any
+    regions: frozenset[str]
+
+
+class _Start(NamedTuple):
+    """A try to start an item; `refused_regions` are those without a place for it."""
+
+    refused_regions: frozenset[str] | None = None
 
 
 class ItemRunner(OwnedThread):
@@ -71,7 +88,9 @@
         self._registry = registry
         self._run_by_attempt = {}
         self._lock = threading.Lock()
-        self._retry_at_by_service = {}
+        # By the service and the regions of the items.
+        self._retry_at_by_group = {}
+        self._homes = JobHomes(parts)
         self._log = structlog.get_logger()
         self.is_leaving = False
 
@@ -140,8 +159,13 @@
             if route is not None:
                 with self._registry.lock:
                     job.follow(route)
+                regions = configuration.regions_of(spec.host, spec.path, spec.workspace)
+                if regions is None:
+                    self._homes.log_waiting(spec.key, None, NO_REGION)
+                    continue
                 service = route.service_for(spec.job_id)
-                jobs_by_service.setdefault(service, []).append((job, route))
+                row = _WaitingJob(job, route, regions)
+                jobs_by_service.setdefault(service, []).append(row)
         for service, rows in jobs_by_service.items():
             self._adjust_to_share(service, rows, configuration)
 
@@ -158,7 +182,7 @@
             self._parts.configuration_reader.request()
 
     def _adjust_to_share(self, service, rows, configuration):
-        backlog = sum(job.batch.unfinished_count for job, _ in rows)
+        backlog = sum(row.job.batch.unfinished_count for row in rows)
         share = self._parts.coordinator.ask(BatchShare(service, backlog))
         share = min(share, RUNNING_ITEMS_MAX)
         runs = [run for run in self._current_runs() if run.service == service]
@@ -170,31 +194,43 @@
                 )
             return
         count = len(runs)
-        if time.monotonic() < self._retry_at_by_service.get(service, 0.0):
+        now = time.monotonic()
+        rows = [
+            row
+            for row in rows
+            if now >= self._retry_at_by_group.get((service, row.regions), 0.0)
+        ]
+        if not rows:
             return
         versions = self._parts.coordinator.ask(UsableVersions(service))
         while count < share and not self.is_leaving:
             # Placements take time; the next pass follows a newer configuration.
             if self._parts.store_cache.configuration is not configuration:
                 return
-            if not self._start_one(service, rows, versions):
+            start = self._start_one(service, rows, versions)
+            if start is None:
                 return
-            count += 1
+            if start.refused_regions is None:
+                count += 1
+                continue
+            # Jobs with other homes may find a place.
+            rows = [row for row in rows if row.regions != start.refused_regions]
 
     def _start_one(self, service, rows, versions):
+        """Start the most urgent item; return a `_Start`, or None if none waits."""
         now = time.monotonic()
         with self._registry.lock:
             progress = None
-            for job, route in rows:
+            for job, route, regions in rows:
                 progress = job.batch.start_next(now, versions)
                 if progress is not None:
                     break
         if progress is None:
-            return False
+            return None
         item = progress.item
         version = progress.version if len(versions) > 1 else None
         try:
-            placed = self._place(service, job, item, version)
+            placed = self._place(service, job, item, version, regions)
         except Exception:
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
             raise
@@ -202,16 +238,16 @@
             if version is not None:
                 with self._registry.lock:
                     job.batch.postpone(item.item_id, now)
-                return True
+                return _Start()
             if placed is not None:
                 factor = 1 + RETRY_JITTER * (random.random() - 0.5)
                 retry_at = now + placed.retry_after * factor
-                self._retry_at_by_service[service] = retry_at
+                self._retry_at_by_group[service, regions] = retry_at
             self._finish(job, item.item_id, ItemOutcome.STOPPED, route)
-            return False
+            return _Start(regions)
         endpoint_id = placed.endpoint.endpoint_id
         attempt = ItemAttempt(self._parts, job, item.item_id, service, endpoint_id)
-        run = _ItemRun(job, progress, placed.endpoint, attempt, service)
+        run = _ItemRun(job, progress, placed.endpoint, attempt, service, regions)
         with self._lock:
             self._run_by_attempt[run.attempt] = run
         self._log.info(
@@ -231,16 +267,17 @@
             thread.start()
         except RuntimeError as error:
             self._end_run(run, route, ItemOutcome.STOPPED, STOPPED, str(error))
-            return False
-        return True
+            return None
+        return _Start()
 
-    def _place(self, service, job, item, version):
+    def _place(self, service, job, item, version, regions):
         request = PlaceRequest(
             service,
             item.item_id,
             is_batch=True,
             is_late=self._registry.sort_key()(job)[0],
             version=version,
+            regions=regions,
         )
         return self._parts.placer.place(request)
 
@@ -383,7 +420,13 @@
             run.progress.last_event_id,
         )
         return EndpointRequest(
-            run.endpoint, "POST", item.path, headers, item.body, item.item_id
+            run.endpoint,
+            "POST",
+            item.path,
+            headers,
+            item.body,
+            item.item_id,
+            run.regions,
         )
 
 
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -20,6 +20,7 @@
 from ..messages import LiveNodes
 from ..online.refusals import GatewayRefusal, refusal_response
 from ..peers.codec import decode_job
+from ..regions import JobHomes
 from .registry import HeldJob
 from .storage import JobHeader
 from .token_limits import TokenLimits
@@ -47,6 +48,7 @@
         self._storage = storage
         self._runner = runner
         self._adopter = adopter
+        self._homes = JobHomes(parts)
         self._limits = TokenLimits(parts, registry, storage)
         self.note_headers = self._limits.note_headers
         self.reserve_for_peer = self._limits.answer_peer
@@ -160,7 +162,7 @@
             if failure is None or failure.code is FailureCode.CONFLICT:
                 return failure
             may_be_stored = failure.code is FailureCode.UNKNOWN
-        for address in self._peers_to_store():
+        for address in self._peers_to_store(spec):
             failure = self._parts.peers.store_job(address, spec)
             if failure is None or failure.code is FailureCode.CONFLICT:
                 return failure
@@ -169,9 +171,10 @@
         code = FailureCode.UNKNOWN if may_be_stored else FailureCode.UNAVAILABLE
         return Failure(code, reason)
 
-    def _peers_to_store(self):
+    def _peers_to_store(self, spec):
         live = self._parts.coordinator.ask(LiveNodes())
         peers = [s for s in live if s.is_store_reachable and not s.is_leaving]
+        peers = self._homes.allowed_peers(spec, peers)
         random.shuffle(peers)
         return [state.peer_address for state in peers[:STORING_PEERS_MAX]]
 
@@ -193,6 +196,10 @@
         if route is None:
             reason = f"no route of host {spec.host!r} matches path {spec.path!r}"
             return Failure(FailureCode.UNAVAILABLE, reason)
+        if not self._homes.is_home(spec):
+            reason = f"job {spec.key} may not be stored by a node of this region"
+            self._log.info("job of peer refused", job=spec.key, reason=reason)
+            return Failure(FailureCode.UNAVAILABLE, reason)
         admission = self._limits.take(spec, route)
         if isinstance(admission, GatewayRefusal):
             return Failure(FailureCode.UNAVAILABLE, admission.reason)
@@ -313,7 +320,7 @@
 
     def _read_item(self, call, key, item_id):
         body = self._registry.body(key, item_id)
-        if body is None and (address := self._peer_of(key)):
+        if body is None and self._may_get_body(key) and (address := self._peer_of(key)):
             body = self._parts.peers.read_item(address, key, item_id)
         if body is None:
             body = self._body_from_store(key, item_id)
@@ -325,6 +332,16 @@
         ]
         return Response(200, headers, [body])
 
+    def _may_get_body(self, key):
+        """Return whether a peer may send bodies of a job to this node.
+
+        If not, they are read from the store.
+        """
+        if not self._homes.has_homes:
+            return True
+        header = self._header_of(key)
+        return not isinstance(header, Failure) and self._homes.is_home(header.spec)
+
     def _body_from_store(self, key, item_id):
         header = self._header_of(key)
         if isinstance(header, Failure):
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -73,6 +73,7 @@
     Schedule,
 )
 from .reach import FleetReach
+from .regions import FleetRegions
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
 from .store_followers import FleetStoreFollowers
@@ -119,7 +120,8 @@
         self._loads = EndpointLoads(settings.failure_domain)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
-        self._reach = FleetReach(self._directory, self._nodes)
+        self._regions = FleetRegions(settings)
+        self._reach = FleetReach(self._directory, self._nodes, self._regions)
         self._versions = FleetVersions(
             lambda: self._state, self._directory, self._nodes
         )
@@ -144,6 +146,7 @@
             self._nodes,
             self._loads,
             self._quotas,
+            self._regions,
         )
         self._limits = FleetRequestLimits(
             settings,
@@ -188,9 +191,8 @@
                 return self._receive_report(report, now)
             case RequestEnded():
                 return self._end(message, now)
-            case AcceptsRequests(endpoint_id):
-                endpoint = self._directory.get(endpoint_id, now)
-                return endpoint is not None and endpoint.accepts_requests
+            case AcceptsRequests(endpoint_id, regions):
+                return self._accepts(endpoint_id, regions, now)
             case EndpointLeaving(endpoint_id, born):
                 return self._directory.note_leaving(endpoint_id, born, now)
             case (
@@ -284,10 +286,12 @@
         if refusal is not None:
             return refusal
         endpoints = self._directory.usable(message.service, now, message.version)
+        endpoints = self._regions.allowed(message.regions, endpoints)
         if not endpoints:
             endpoints = self._directory.serving_on(
                 message.service, now, message.version
             )
+            endpoints = self._regions.allowed(message.regions, endpoints)
         is_open = self._limits.open(endpoints, False, now)
         choice = self._loads.choose(
             is_open, now, message.spread, message.excluded, message.headroom
@@ -304,6 +308,7 @@
 
     def _place_batch(self, message, now):
         endpoints = self._directory.usable(message.service, now, message.version)
+        endpoints = self._regions.allowed(message.regions, endpoints)
         endpoints = [
             endpoint
             for endpoint in self._limits.open(endpoints, True, now)
@@ -338,14 +343,20 @@
         return placement, address
 
     def _begin_scheduled(self, message, now):
-        endpoint = self._directory.get(message.endpoint_id, now)
-        if endpoint is None or not endpoint.accepts_requests:
+        # A scheduler of an older release ignores the regions of a request.
+        if not self._accepts(message.endpoint_id, message.place.regions, now):
             return None
         self._note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
         return placed._replace(has_permit=message.has_permit)
 
+    def _accepts(self, endpoint_id, regions, now):
+        endpoint = self._directory.get(endpoint_id, now)
+        if endpoint is None or not endpoint.accepts_requests:
+            return False
+        return self._regions.allows(regions, endpoint)
+
     def _receive_report(self, report, now):
         self._scheduling.receive_report(report, now)
         if report.node_id != self._settings.node_id:
--- a/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
@@ -20,7 +20,10 @@
 
 
 class EndpointRequest(NamedTuple):
-    """An `Endpoint` and the request as it is sent there."""
+    """An `Endpoint` and the request as it is sent there.
+
+    `regions` are its `allowed_regions`, None for none.
+    """
 
     endpoint: Any
     method: str
@@ -28,6 +31,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     request_id: str
+    regions: frozenset[str] | None = frozenset()
 
     @property
     def address(self):
--- a/packages/gateway/sequoiaglade_gateway/forwarding/paths.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/paths.py
@@ -76,7 +76,7 @@
         """
         if not self.is_cut_off:
             return None
-        peer = self._choose_peer(request.request_id)
+        peer = self._choose_peer(request)
         if peer is None:
             return None
         host, _, port = request.address.rpartition(":")
@@ -89,8 +89,9 @@
         until = time.monotonic() + AVOID_PEER_SECONDS
         self._avoided_until_by_id[node_id] = until
 
-    def _choose_peer(self, request_id):
-        peers = self._parts.coordinator.ask(FindForwarders(request_id))
+    def _choose_peer(self, request):
+        question = FindForwarders(request.request_id, request.regions)
+        peers = self._parts.coordinator.ask(question)
         now = time.monotonic()
         sound = [
             peer for peer in peers if self._avoided_until_by_id.get(peer[0], 0.0) <= now
--- a/packages/gateway/sequoiaglade_gateway/interface.py
+++ b/packages/gateway/sequoiaglade_gateway/interface.py
@@ -78,6 +78,17 @@
     job_id: str
 
 
+class DirectoryCall(NamedTuple):
+    """A call that asks for the addresses of instances for requests to a host.
+
+    `region` and `failure_domain` are the caller's, empty if the call does not tell.
+    """
+
+    host: str
+    region: str = ""
+    failure_domain: str = ""
+
+
 class StoreKinds(NamedTuple):
     """Kinds of the store's documents that the operator and the endpoints write."""
 
@@ -114,7 +125,7 @@
 
     def is_readiness_call(self, request) -> bool: ...
 
-    def is_directory_call(self, request) -> bool: ...
+    def read_directory_call(self, request) -> DirectoryCall | None: ...
 
     def directory_body(self, addresses, seconds) -> dict: ...
 
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -184,8 +184,8 @@
 class BeginRequest(NamedTuple):
     """Counts a request in flight at the endpoint that a scheduler chose.
 
-    The reply is `InFlightRequest`, or None if the endpoint is draining, leaving or
-    removed according to this node.
+    The reply is `InFlightRequest`, or None if the endpoint is draining, leaving,
+    removed or in a region that is not allowed, according to this node.
     """
 
     place: PlaceRequest
@@ -240,9 +240,13 @@
 
 
 class AcceptsRequests(NamedTuple):
-    """Asks whether new requests may be sent to an endpoint; the reply is a bool."""
+    """Asks whether new requests may be sent to an endpoint; the reply is a bool.
+
+    `regions` are the `allowed_regions`, None for none.
+    """
 
     endpoint_id: str
+    regions: frozenset[str] | None = frozenset()
 
 
 class EndpointLeaving(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/metrics.py
+++ b/packages/gateway/sequoiaglade_gateway/metrics.py
@@ -12,7 +12,8 @@
     a request's arrival at the machine until its handling begins.
     `sequoiaglade.gateway.store_calls` counts calls to the store by `call`, `kind` of
     documents and `outcome`. `sequoiaglade.gateway.configuration_version` is the version
-    in force.
+    in force, `sequoiaglade.gateway.directory_addresses` the number of addresses in the
+    last answer of the directory.
     """
 
     def __init__(self, node_id):
@@ -56,6 +57,15 @@
             read_version,
         )
 
+    def observe_directory(self, read_count):
+        """Add a gauge of the addresses in the last answer of the directory."""
+        self._telemetry.gauge(
+            "sequoiaglade.gateway.directory_addresses",
+            "1",
+            "addresses in the last answer of the directory",
+            read_count,
+        )
+
     def record_first_event(self, work, seconds):
         """Record the time until the first event of an admitted request."""
         self._first_event.record(seconds, {"route": work.route.name})
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -1,7 +1,6 @@
 """Assembles a gateway node and runs it until it is asked to stop."""
 
 import contextlib
-import random
 import time
 from typing import Any
 
@@ -29,6 +28,7 @@
 from .batch.storage import ENDS_KIND
 from .bounded_reads import ResponseMemory
 from .coordinator import Coordinator
+from .directory import Directory
 from .forwarding import EndpointPaths, Forwarder
 from .messages import GetStatus, Leave, LiveNodes
 from .metrics import GatewayMetrics
@@ -58,8 +58,6 @@
 # Reserved for the last steps of a drain before the process is killed.
 EXIT_MARGIN_SECONDS = 0.7
 AUXILIARY_THREADS = 4
-# Limit of the platform for the addresses in one directory response.
-MAX_DIRECTORY_ADDRESSES = 64
 
 
 class Parts:
@@ -307,8 +305,10 @@
         listen, limits = settings.listen, settings.limits
         data = DataApplication(parts.online)
         readiness = ReadinessApplication(parts.dialect, self._is_ready)
+        addresses = Directory(parts, self._is_ready)
+        parts.metrics.observe_directory(lambda: addresses.address_count)
         directory = DirectoryApplication(
-            parts.dialect, self._addresses, settings.directory_seconds
+            parts.dialect, addresses.addresses, settings.directory_seconds
         )
         metrics = MetricsApplication(parts.metrics, self._status)
         for application, address, threads in (
@@ -344,15 +344,3 @@
 
     def _live_nodes(self):
         return self._parts.coordinator.ask(LiveNodes())
-
-    def _addresses(self):
-        addresses = [
-            state.data_address
-            for state in self._live_nodes()
-            if not state.is_leaving and state.configuration_version
-        ]
-        if self._is_ready():
-            addresses.append(self._parts.settings.listen.data)
-        if len(addresses) > MAX_DIRECTORY_ADDRESSES:
-            addresses = random.sample(addresses, MAX_DIRECTORY_ADDRESSES)
-        return sorted(addresses)
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -40,7 +40,7 @@
     RequestEnded,
 )
 from .prompt_parts import is_suspect, note_answer, note_endpoint_answer
-from .refusals import GatewayRefusal, refusal_response
+from .refusals import NO_REGION, GatewayRefusal, refusal_response
 from .requests import StartedStream
 from .silence import CLOCK_MARGIN_SECONDS, AttemptPatience, ReservedPlace
 from .stream import EventRelay
@@ -205,7 +205,7 @@
 
     def _try_once(self):
         self._has_moved = self._has_moved or self._reserved.is_held
-        placed = self._reserved.take() or self._place()
+        placed = self._reserved.take(self._regions()) or self._place()
         if isinstance(placed, Full):
             return self._refuse_full(placed)
         if isinstance(placed, QuotaExceeded):
@@ -230,9 +230,26 @@
             request.call.resumes, request.service or ""
         )
 
+    def _regions(self):
+        """Return the regions allowed by the configuration in force, None for none.
+
+        Those of the request's admission count if its route or workspace is gone.
+        """
+        request = self.request
+        configuration = self._parts.store_cache.configuration
+        if request.version != configuration.version:
+            host, path, name = request.call.host, request.call.path, request.workspace
+            is_known = name is None or name in configuration.workspace_by_name
+            if is_known and configuration.match(host, path) is not None:
+                return configuration.regions_of(host, path, name)
+        return request.regions
+
     def _place(self):
         while True:
             request = self.request
+            regions = self._regions()
+            if regions is None:
+                return Full(RETRY_AFTER_SECONDS, has_endpoints=False)
             place = PlaceRequest(
                 request.service or "",
                 request.call.request_id,
@@ -240,6 +257,7 @@
                 request.priority,
                 version=self._version,
                 workspace=None if self._is_admitted else request.workspace,
+                regions=regions,
             )
             started_at = time.monotonic()
             placed = self._parts.placer.place(place)
@@ -278,6 +296,7 @@
             headers,
             request.body,
             request.call.request_id,
+            self._regions(),
         )
         patience = AttemptPatience(
             self._parts,
@@ -287,6 +306,7 @@
             self._excluded,
             self._reserved,
             lambda: self._version,
+            self._regions,
         )
         self._log.info(
             "request placed",
@@ -398,14 +418,28 @@
     def _refuse_full(self, full):
         has_run = self._counts.run_count > 0
         reason = (
-            "all endpoints are busy"
-            if full.has_endpoints
-            else "no endpoint is available"
+            "all endpoints are busy" if full.has_endpoints else self._describe_lack()
         )
         if has_run:
             return self._give_up(502, reason)
         return self._give_up(503, reason, full.retry_after)
 
+    def _describe_lack(self):
+        regions = self._regions()
+        if regions is None:
+            reason = NO_REGION
+        elif regions:
+            reason = "no endpoint is available in the home regions"
+        else:
+            return "no endpoint is available"
+        self._parts.metrics.count("homes", reason)
+        self._log.info(
+            "no endpoint in home regions",
+            request_id=self.request.call.request_id,
+            regions=regions and sorted(regions),
+        )
+        return reason
+
     def _refuse_quota(self, exceeded):
         refusal = GatewayRefusal(429, "the quota is exhausted", exceeded.retry_after)
         self._log.info(
--- a/packages/gateway/sequoiaglade_gateway/online/requests.py
+++ b/packages/gateway/sequoiaglade_gateway/online/requests.py
@@ -12,6 +12,7 @@
     """An admitted request; `arrived_at` and `end_at` are monotonic time in seconds.
 
     `arrival_wait_seconds` is the time from its arrival until its handling began.
+    `regions` are those in which it may be handled, empty for all.
     """
 
     call: IncomingCall
@@ -25,6 +26,7 @@
     arrival_wait_seconds: float
     end_at: float
     version: int
+    regions: frozenset[str] = frozenset()
 
 
 class StartedStream(NamedTuple):
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -4,19 +4,22 @@
 
 import structlog
 
-from sequoiaglade_decisions.gateway import RouteKind
+from sequoiaglade_decisions.gateway import RouteKind, allowed_regions
 from sequoiaglade_decisions.poison import fingerprint
 
 from ..messages import IsQuarantined
 from .exchange import Exchange
 from .prompt_parts import facts, find_refusal
-from .refusals import GatewayRefusal, refusal_response
+from .refusals import NO_REGION, GatewayRefusal, refusal_response
 from .requests import AdmittedRequest
 
 # Deadline of a request that states none.
 DEFAULT_DEADLINE_SECONDS = 60.0
 # Retry-After of a node that has not read a configuration yet.
 STARTING_RETRY_AFTER_SECONDS = 0.5
+# Retry-After of a request whose route and workspace allow no common region. Only a new
+# configuration changes that.
+NO_REGION_RETRY_AFTER_SECONDS = 1.0
 
 
 class OnlineService:
@@ -52,6 +55,17 @@
             if workspace is None:
                 refusal = GatewayRefusal(401, "the key belongs to no workspace")
                 return self._refuse(call, refusal, configuration)
+        regions = allowed_regions(route, workspace)
+        if regions is None:
+            parts.metrics.count("homes", NO_REGION)
+            refusal = GatewayRefusal(503, NO_REGION, NO_REGION_RETRY_AFTER_SECONDS)
+            return self._refuse(
+                call,
+                refusal,
+                configuration,
+                route_regions=sorted(route.regions),
+                workspace_regions=sorted(workspace.regions),
+            )
         if route.kind is RouteKind.BATCH:
             return parts.batch.submit(call, request, route, workspace)
         end_at = arrived_at + min(
@@ -107,6 +121,7 @@
             arrival_wait_seconds=wait_seconds,
             end_at=end_at,
             version=configuration.version,
+            regions=allowed_regions(route, workspace),
         )
         return Exchange(self._parts, admitted, request.disconnected).answer()
 
--- a/packages/gateway/sequoiaglade_gateway/online/silence.py
+++ b/packages/gateway/sequoiaglade_gateway/online/silence.py
@@ -52,15 +52,17 @@
             self._place = placed
         return self._place is not None
 
-    def take(self):
+    def take(self, regions=frozenset()):
         """Return the reserved `InFlightRequest`, now the caller's, or None.
 
-        It is released if its endpoint accepts no requests any more.
+        It is released if its endpoint accepts no requests any more, or is in none of
+        the allowed regions; None allows no region, an empty set all.
         """
         if self._place is None:
             return None
         endpoint_id = self._place.endpoint.endpoint_id
-        if not self._parts.coordinator.ask(AcceptsRequests(endpoint_id)):
+        question = AcceptsRequests(endpoint_id, regions)
+        if not self._parts.coordinator.ask(question):
             self._release()
             return None
         place, self._place = self._place, None
@@ -78,12 +80,21 @@
     `run_count` is the number of endpoints that may have run the request, with that of
     this attempt. `excluded` are the ids of endpoints not to move to. `version` returns
     the software version that the stream is bound to, None before its first event.
+    `regions` returns the `allowed_regions` of the request.
     """
 
     first_seconds = SILENT_AFTER_SECONDS
 
     def __init__(
-        self, parts, request, endpoint_id, run_count, excluded, reserved, version
+        self,
+        parts,
+        request,
+        endpoint_id,
+        run_count,
+        excluded,
+        reserved,
+        version,
+        regions=frozenset,
     ):
         self._parts = parts
         self._request = request
@@ -92,6 +103,7 @@
         self._excluded = excluded | {endpoint_id}
         self._reserved = reserved
         self._version = version
+        self._regions = regions
 
     def next_seconds(self, silent_seconds):
         """Return how much longer to wait.
@@ -116,13 +128,16 @@
         return min(wait_seconds, SILENCE_CHECK_SECONDS)
 
     def _reserve(self, silent_seconds):
-        request = self._request
+        request, regions = self._request, self._regions()
+        if regions is None:
+            return False
         place = PlaceRequest(
             request.service or "",
             request.call.request_id,
             self._excluded,
             move_headroom(silent_seconds, request.priority),
             version=self._version(),
+            regions=regions,
         )
         return self._reserved.reserve(place)
 
--- a/packages/gateway/sequoiaglade_gateway/reach.py
+++ b/packages/gateway/sequoiaglade_gateway/reach.py
@@ -15,9 +15,10 @@
 class FleetReach:
     """The coordinator's `EndpointReach`, and the peers that forward requests."""
 
-    def __init__(self, directory, nodes):
+    def __init__(self, directory, nodes, regions):
         self._directory = directory
         self._nodes = nodes
+        self._regions = regions
         self._reach = EndpointReach()
 
     @property
@@ -30,10 +31,11 @@
         match message:
             case ConnectionTried():
                 return self._note_connection(message, now)
-            case FindForwarders(spread):
+            case FindForwarders(spread, regions):
+                peers = self._regions.allowed(regions, self._nodes.live(now))
                 return [
                     (node_id, self._nodes.state(node_id).peer_address)
-                    for node_id in forwarding_nodes(spread, self._nodes.live(now))
+                    for node_id in forwarding_nodes(spread, peers)
                 ]
             case FindAnyEndpoint():
                 endpoints = self._directory.endpoints()
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -33,16 +33,17 @@
 class FleetScheduling:
     """Finds schedulers for requests, and places requests as a scheduler.
 
-    The coordinator owns it; it reads the coordinator's directory, nodes, loads and
-    quotas.
+    The coordinator owns it; it reads the coordinator's directory, nodes, loads, quotas
+    and regions.
     """
 
-    def __init__(self, own_state, directory, nodes, loads, quotas):
+    def __init__(self, own_state, directory, nodes, loads, quotas, regions):
         self._get_own_state = own_state
         self._directory = directory
         self._nodes = nodes
         self._loads = loads
         self._quotas = quotas
+        self._regions = regions
         self._scheduler = GroupScheduler()
         self._number = 0
         self._results = []
@@ -91,6 +92,7 @@
             if group_of(endpoint.endpoint_id, request.group_count) == request.group
             and endpoint.endpoint_id not in place.excluded
         ]
+        endpoints = self._regions.allowed(place.regions, endpoints)
         endpoints = limits.grantable(endpoints, place.is_batch, now)
         node_id = request.report.node_id
         requester = self._nodes.state(node_id) or self._get_own_state()
