--- a/packages/gateway/sequoiaglade_gateway/batch/adoption.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/adoption.py
@@ -82,10 +82,11 @@
             if self._orphans.has_noted:
                 is_due = not self._stopped.wait(NOTED_RECHECK_SECONDS)
                 continue
-            is_due = self._wakeup.wait(SWEEP_INTERVAL_SECONDS) or self._is_sweeper()
+            is_due = self._wakeup.wait(SWEEP_INTERVAL_SECONDS) or self.is_sweeper()
             self._wakeup.clear()
 
-    def _is_sweeper(self):
+    def is_sweeper(self):
+        """Return whether this node is one that looks for unheld jobs all the time."""
         peers = [s for s in self._live_peers() if not s.is_leaving]
         if self._is_lowest(peers):
             return True
--- a/tests/features/steps/gateway_item_runner_steps.py
+++ b/tests/features/steps/gateway_item_runner_steps.py
@@ -72,6 +72,7 @@
     placement_seconds=0.0,
     read_ends=lambda: None,
     route=ROUTE,
+    settings=(),
 ):
     stack = context.stack
     store = stack.enter_context(EmulatedStore())
@@ -85,6 +86,7 @@
             failure_domain="d",
             listen=dict.fromkeys(Listeners.model_fields, address),
             store={"address": store.address},
+            **dict(settings),
         ),
         dialect=PlatformDialect(),
         store_cache=SimpleNamespace(
@@ -107,9 +109,17 @@
     context.item_runner = stack.enter_context(ItemRunner(parts, context.registry))
 
 
-def hold_job(context, count, job_id="job", headers=(), submitted_at=0.0, route=ROUTE):
+def hold_job(
+    context,
+    count,
+    job_id="job",
+    headers=(),
+    submitted_at=0.0,
+    route=ROUTE,
+    path="/batch/job",
+):
     items = tuple(Item(f"item-{n}", "/batch/x", headers, b"", 1) for n in range(count))
-    spec = JobSpec(job_id, "yard", HOST, "/batch/job", submitted_at, "gateway-0", items)
+    spec = JobSpec(job_id, "yard", HOST, path, submitted_at, "gateway-0", items)
     job = HeldJob(JobHeader(spec, (0,) * count, False, 1), spec, route)
     context.registry.add(job)
     return job
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -25,8 +25,8 @@
     SWEEP_INTERVAL_SECONDS,
 )
 from sequoiaglade_gateway.coordinator import Coordinator
-from sequoiaglade_gateway.interface import ReadJob
-from sequoiaglade_gateway.messages import Leave, LiveNodes
+from sequoiaglade_gateway.interface import ReadItem, ReadJob
+from sequoiaglade_gateway.messages import FindRunning, Leave, LiveNodes
 from sequoiaglade_gateway.node import Parts, PeerCalls
 from sequoiaglade_gateway.peers import FleetServicer, Gossip, PeerClient
 from sequoiaglade_gateway.settings import GatewaySettings
@@ -152,6 +152,7 @@
             listen={**listen, "peer": self.address},
             store={"address": "127.0.0.1:2"},
             seeds=seeds,
+            region_by_failure_domain=simulation.region_by_domain,
         )
         incarnation = int((simulation.now - self._seconds_behind) * 1000)
         parts.coordinator = DirectCoordinator(
@@ -264,13 +265,22 @@
         with self._simulation.acting(self):
             if self._simulation.now - self._swept_at >= SWEEP_INTERVAL_SECONDS:
                 self._swept_at = self._simulation.now
-                self._is_adoption_due = self._is_adoption_due or self._is_lowest()
+                if self.adopter.is_sweeper():
+                    self._is_adoption_due = True
             if self._is_adoption_due:
                 self._is_adoption_due = not self.adopter.adopt_orphans()
 
-    def _is_lowest(self):
-        live = self._parts.coordinator.ask(LiveNodes())
-        return all(self.name < state.node_id for state in live)
+    def body(self, job_id, item_id):
+        """Return the response to a read of an item's body."""
+        call = SimpleNamespace(request_id="r", key=None, path=PATH + job_id)
+        with self._simulation.acting(self):
+            return self.batch.handle(
+                ReadItem(job_id, item_id), call, None, self._simulation.configuration
+            )
+
+    def running(self):
+        """Return the `RunningNodes` that this gateway's directory goes by."""
+        return self._parts.coordinator.ask(FindRunning())
 
 
 class HolderSimulation:
@@ -282,8 +292,16 @@
     gateway, as triples of caller, callee and name.
     """
 
-    def __init__(self, names, item_count=5, waiting_tokens=0, domain_by_name=None):
+    def __init__(
+        self,
+        names,
+        item_count=5,
+        waiting_tokens=0,
+        domain_by_name=None,
+        region_by_domain=None,
+    ):
         self.now = START_SECONDS
+        self.region_by_domain = region_by_domain or {}
         self.domain_by_name = domain_by_name or {}
         self.store = MemoryStore()
         self.route = Route(
@@ -332,6 +350,14 @@
         self.gateway_by_name[name] = gateway
         return gateway
 
+    def configure(self, homes):
+        """Let jobs have these homes by a newer configuration, at all gateways."""
+        self.route = self.route._replace(regions=frozenset(homes))
+        version = self.configuration.version + 1
+        self.configuration = FleetConfiguration(version, (self.route,), (), ())
+        for gateway in self.gateway_by_name.values():
+            gateway.store_cache.configuration = self.configuration
+
     def holders(self, key):
         """Return the running gateways that hold a job."""
         return [gateway for gateway in self.running() if gateway.holds(key)]
