--- a/tests/features/steps/home_job_steps.py
+++ b/tests/features/steps/home_job_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from emulator.fleet import wait_until
 from gateway_item_runner_steps import ROUTE, hold_job, start_item_runner
-from holder_simulation import HOST, PATH, HolderSimulation
+from holder_simulation import HOST, PATH, HolderSimulation, job_id_for
 from home_steps import REGION_BY_DOMAIN
 from sequoiaglade_gateway.peers.codec import encode_job
 from structlog.testing import capture_logs
@@ -17,7 +17,8 @@
     job_key,
 )
 
-JOB = "job-1"
+# The hash names "b" as its next holder.
+JOB = job_id_for("b", ["b", "c", "d"])
 KEY = job_key("", JOB)
 # Items of the item runner take a second and more; none starts later than this.
 ITEMS_SECONDS = 10.0
