--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -44,6 +44,9 @@
 SEED_PROBABILITY = 0.2
 # A peer that takes longer is contacted again in a later round.
 CALL_SECONDS = 0.4
+# The same as `SUSPENSION_SECONDS` in a large fleet, whose rounds also wait for peers in
+# place of those that did not answer.
+SUSPENSION_SECONDS_LARGE = SUSPENSION_SECONDS + CALL_SECONDS
 MS_PER_SECOND = 1000
 
 
@@ -217,7 +220,9 @@
         now = self._clock()
         interval = now - self._round_at
         self._round_at = now
-        if interval > SUSPENSION_SECONDS:
+        if interval > (
+            SUSPENSION_SECONDS_LARGE if self._is_large else SUSPENSION_SECONDS
+        ):
             self._resumed_at = now
             self._log.info("process was suspended", seconds=round(interval, 3))
 
--- a/packages/gateway/sequoiaglade_gateway/regions.py
+++ b/packages/gateway/sequoiaglade_gateway/regions.py
@@ -12,7 +12,7 @@
 
 def region_map(settings):
     """Return the `RegionMap` of a node's settings."""
-    return RegionMap(settings.region_by_failure_domain, settings.region)
+    return RegionMap(settings.region_by_failure_domain or {}, settings.region)
 
 
 class FleetRegions:
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -64,10 +64,11 @@
 
     `cold_starts` bounds the requests to endpoints that are cold; None ignores that they
     are. `evacuations` is whether operators may evacuate failure domains. `region` is
-    that of the node, `region_by_failure_domain` those of all failure domains, empty if
-    requests have no homes. An instance that was lost for `stable_milliseconds` is to be
-    known as lost soon after. `endpoint_pacing` is whether the number of requests at an
-    endpoint that has started or recovered follows from its responses.
+    that of the node, `region_by_failure_domain` those of all failure domains, both
+    empty or null if requests have no homes. An instance that was lost for
+    `stable_milliseconds` is to be known as lost soon after. `endpoint_pacing` is
+    whether the number of requests at an endpoint that has started or recovered follows
+    from its responses.
     """
 
     node_id: NodeId
@@ -82,8 +83,8 @@
     directory_seconds: float = Field(default=1.0, gt=0, le=60)
     cold_starts: ColdStarts | None = None
     evacuations: bool = False
-    region: str = ""
-    region_by_failure_domain: dict[str, str] = {}
+    region: str | None = ""
+    region_by_failure_domain: dict[str, str] | None = {}
     stable_milliseconds: int = Field(default=3000, ge=0, le=3_600_000)
     endpoint_pacing: bool = False
     limits: Limits = Limits()
--- a/tests/features/gateway/home_fleet.feature
+++ b/tests/features/gateway/home_fleet.feature
@@ -15,6 +15,13 @@
     And 3 callers request the route "safe" at the gateway in "south"
     Then all of them ran in "north"
 
+  # A stream that was admitted under the former homes was taken up there again.
+  Scenario: A broken stream goes on in the homes of the configuration in force
+    Given a gateway and a runner in "north" and in "south", of which the first breaks streams
+    And the route "resume" has the home "north"
+    When a caller's stream on the route "resume" runs while its home moves to "south"
+    Then the stream is complete, and went on in "south" after it broke in "north"
+
   Scenario: Items of a job run in its home region
     Given a gateway and a runner in "north" and in "south"
     And the route "batch" has the home "south"
--- a/tests/features/steps/home_fleet_steps.py
+++ b/tests/features/steps/home_fleet_steps.py
@@ -2,6 +2,7 @@
 
 import re
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from behave import given, then, when
@@ -16,7 +17,7 @@
 
 
 @given('a gateway and a runner in "north" and in "south"')
-def given_regions(context):
+def given_regions(context, first_plan=None):
     settings_by_node = {
         node: {
             "failure_domain": ZONE_BY_REGION[region],
@@ -26,9 +27,18 @@
         for region, node in NODE_BY_REGION.items()
     }
     plans = [RunnerPlan(zone=ZONE_BY_REGION[region]) for region in NODE_BY_REGION]
+    plans[0] = first_plan or plans[0]
     start(context, 2, plans, settings_by_node=settings_by_node)
 
 
+@given(
+    'a gateway and a runner in "north" and in "south", of which the first breaks '
+    "streams"
+)
+def given_breaking(context):
+    given_regions(context, RunnerPlan(breaks_after=4, event_seconds=0.6))
+
+
 @given('the route "{name}" has the home "{home}"')
 @when('the route "{name}" gets the home "{home}"')
 def set_home(context, name, home):
@@ -106,6 +116,25 @@
     assert not any(_new_runs(context).values()), _new_runs(context)
 
 
+@when('a caller\'s stream on the route "{name}" runs while its home moves to "{home}"')
+def run_stream(context, name, home):
+    fleet = context.gateways
+    with ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(fleet.send, f"/{name}/1", 0)
+        wait_until(lambda: fleet.runners[0].runs, FOLLOW_SECONDS, "the stream runs")
+        set_home(context, name, home)
+        context.answer = sent.result()
+
+
+@then('the stream is complete, and went on in "{second}" after it broke in "{first}"')
+def check_stream(context, second, first):
+    answer = context.answer
+    assert answer.status == 200 and answer.is_complete, answer
+    assert answer.events == list(range(1, 7)), answer.events
+    runs = {r: context.gateways.runners[n].runs for r, n in NODE_BY_REGION.items()}
+    assert len(runs[first]) == len(runs[second]) == 1, runs
+
+
 @when('a job of {count:d} items is submitted to the gateway in "{region}"')
 def submit(context, count, region):
     fleet = context.gateways
