--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -7,6 +7,7 @@
 from .attempts import AttemptCounts, Fault, NextStep, next_step
 from .cold_endpoints import ColdEndpoints, ColdReport, ColdState, Evidence
 from .configuration_sources import ConfigurationSources
+from .directory_addresses import addresses_in_regions, running_nodes
 from .endpoint_pace import EndpointPaces, PaceChange, PaceLimit
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import DEFAULT_SLOTS, Endpoint, EndpointDirectory
@@ -47,6 +48,7 @@
 from .prompt_parts import LASTING_SECONDS, PromptParts
 from .quarantine import Quarantine
 from .quotas import FleetQuotas
+from .regions import RegionMap, allowed_regions, job_candidates
 from .request_limits import LimitNotice, RequestLimits
 from .response_bounds import (
     OWN_BYTES,
@@ -104,6 +106,10 @@
 
 __all__ = [
     "COLD_PERMIT_SECONDS",
+    "RegionMap",
+    "addresses_in_regions",
+    "allowed_regions",
+    "job_candidates",
     "COMPLETE_SHARE",
     "DEFAULT_SLOTS",
     "GUARD_SECONDS",
@@ -230,6 +236,7 @@
     "page_bytes_max",
     "permit_granters",
     "run_order",
+    "running_nodes",
     "schedulers",
     "silence_step",
     "stable_hash",
--- a/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/item_attempt.py
@@ -11,8 +11,8 @@
 class ItemAttempt(Attempt):
     """An attempt that is aborted before it is sent if the item must not be any more.
 
-    That is if its job has ended, or if its route has changed or its endpoint begun to
-    leave, or was evacuated, since it was placed.
+    That is if its job has ended, or if its route or its homes have changed or its
+    endpoint begun to leave, or was evacuated, since it was placed.
     """
 
     def __init__(self, parts, job, item_id, service, endpoint):
@@ -39,7 +39,11 @@
 
     def _is_accepted(self):
         endpoint_id = self._endpoint.endpoint_id
-        if self._parts.coordinator.ask(AcceptsRequests(endpoint_id)):
+        spec = self._job.batch.spec
+        regions = self._parts.store_cache.configuration.regions_of(
+            spec.host, spec.path, spec.workspace
+        )
+        if self._parts.coordinator.ask(AcceptsRequests(endpoint_id, regions)):
             return True
         domain = self._endpoint.failure_domain
         if self._parts.coordinator.ask(IsEvacuated(domain)):
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -19,6 +19,7 @@
     Scheduled,
     batch_allowance,
     batch_targets,
+    running_nodes,
 )
 
 from . import messages
@@ -57,6 +58,7 @@
     EndpointsListed,
     EventIntervalObserved,
     FindPartRefusal,
+    FindRunning,
     FindSchedulers,
     FindStoreFollowers,
     FindTokenKeepers,
@@ -76,10 +78,12 @@
     Published,
     QuotaExceeded,
     RequestEnded,
+    RunningNodes,
     Schedule,
 )
 from .pace_messages import FirstEventObserved, WorkTimeNamed
 from .reach import FleetReach
+from .regions import FleetRegions
 from .request_limits import FleetRequestLimits
 from .scheduling import FleetScheduling
 from .store_followers import FleetStoreFollowers
@@ -95,6 +99,9 @@
 
 # States of peers that arrived within this time are relayed to others.
 RELAY_MAX_AGE_SECONDS = 1.0
+# The same in a large fleet: the longest interval of a node's rounds, which includes the
+# time-out of a call, so that each state is relayed in one of them at least.
+RELAY_MAX_AGE_SECONDS_LARGE = 1.6
 # In a small fleet each node exchanges states with all others directly, so that only
 # each n-th message relays the states of others, for nodes that can't reach each other.
 MESSAGES_PER_RELAY = 8
@@ -124,7 +131,8 @@
         self._loads = EndpointLoads(settings.failure_domain, self._pacing.paces)
         self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
-        self._reach = FleetReach(self._directory, self._nodes)
+        self._regions = FleetRegions(settings)
+        self._reach = FleetReach(self._directory, self._nodes, self._regions)
         self._versions = FleetVersions(
             lambda: self._state, self._directory, self._nodes
         )
@@ -150,6 +158,7 @@
             self._loads,
             self._quotas,
             self._pacing.paces,
+            self._regions,
         )
         self._limits = FleetRequestLimits(
             settings,
@@ -200,9 +209,8 @@
                 return self._receive_report(report, now)
             case RequestEnded():
                 return self._end(message, now)
-            case AcceptsRequests(endpoint_id):
-                endpoint = self._directory.get(endpoint_id, now)
-                return endpoint is not None and endpoint.accepts_requests
+            case AcceptsRequests(endpoint_id, regions):
+                return self._accepts(endpoint_id, regions, now)
             case EndpointLeaving(endpoint_id, born):
                 return self._directory.note_leaving(endpoint_id, born, now)
             case (
@@ -238,12 +246,15 @@
                 return self._versions.handle(message, now)
             case Publish():
                 return self._publish(message, now)
-            case PeerStatesReceived(states):
-                return self._receive_states(states, now)
+            case PeerStatesReceived(states, age_by_id):
+                return self._receive_states(states, age_by_id, now)
             case BatchPeers(endpoint_id):
                 return self._batch_peers(endpoint_id, now)
             case LiveNodes(within):
                 return self._nodes.live(now, within)
+            case FindRunning():
+                stable_seconds = self._settings.stable_milliseconds / 1000
+                return RunningNodes(*running_nodes(self._nodes, now, stable_seconds))
             case PossibleHolders():
                 known = [s.node_id for s in self._nodes.possible_holders(now)]
                 lost, share = self._nodes.lost(now), self._nodes.heard_share(now)
@@ -312,10 +323,12 @@
         if refusal is not None:
             return refusal
         endpoints = self._directory.usable(message.service, now, message.version)
+        endpoints = self._regions.allowed(message.regions, endpoints)
         if not endpoints:
             endpoints = self._directory.serving_on(
                 message.service, now, message.version
             )
+            endpoints = self._regions.allowed(message.regions, endpoints)
         is_open = self._limits.open(endpoints, False, now)
         choice = self._loads.choose(
             is_open, now, message.spread, message.excluded, message.headroom
@@ -332,6 +345,7 @@
 
     def _place_batch(self, message, now):
         endpoints = self._directory.usable(message.service, now, message.version)
+        endpoints = self._regions.allowed(message.regions, endpoints)
         endpoints = [
             endpoint
             for endpoint in self._limits.open(endpoints, True, now)
@@ -366,8 +380,8 @@
         return placement, address
 
     def _begin_scheduled(self, message, now):
-        endpoint = self._directory.get(message.endpoint_id, now)
-        if endpoint is None or not endpoint.accepts_requests:
+        # A scheduler of an older release ignores the regions of a request.
+        if not self._accepts(message.endpoint_id, message.place.regions, now):
             return None
         if message.pace is not None:
             self._pacing.paces.note_told(message.pace, now)
@@ -378,6 +392,12 @@
             has_permit=message.has_permit, has_cold_permit=message.has_cold_permit
         )
 
+    def _accepts(self, endpoint_id, regions, now):
+        endpoint = self._directory.get(endpoint_id, now)
+        if endpoint is None or not endpoint.accepts_requests:
+            return False
+        return self._regions.allows(regions, endpoint)
+
     def _receive_report(self, report, now):
         self._scheduling.receive_report(report, now)
         if report.node_id != self._settings.node_id:
@@ -457,10 +477,13 @@
             self._renew_state(message, is_large, now)
         others = []
         if is_large or self._state.sequence % MESSAGES_PER_RELAY == 0:
-            others = self._nodes.heard_within(now, RELAY_MAX_AGE_SECONDS)
+            others = self._nodes.heard_within(now, relay_seconds(is_large))
         others += self._nodes.later_starts(*message.recipient)
         is_busy = self._loads.is_busy(now)
-        return Published(self._state, others, is_busy, is_large)
+        age_by_id = {}
+        if is_large:
+            age_by_id = {s.node_id: self._nodes.age(s.node_id, now) for s in others}
+        return Published(self._state, others, is_busy, is_large, age_by_id)
 
     def _is_published(self, message, now):
         """Return whether the own state was published lately, for a reply to a peer."""
@@ -497,12 +520,13 @@
         )
         self._state = self._blame.add_to(state, now)
 
-    def _receive_states(self, states, now):
+    def _receive_states(self, states, age_by_id, now):
         """Merge states that a peer sent; return those that are new."""
         new_states = []
         self._state = self._nodes.renewed(self._state, states)
         for state in states:
-            if not self._nodes.observe_state(state, now):
+            age = age_by_id.get(state.node_id, 0.0)
+            if not self._nodes.observe_state(state, now, age):
                 continue
             new_states.append(state)
             share = self._quota_share(now)
@@ -559,3 +583,8 @@
             "refused_prompt_parts": self._blame.status(now),
             "evacuations": self._evacuations.status(now),
         }
+
+
+def relay_seconds(is_large):
+    """Return for how long states are relayed after their arrival."""
+    return RELAY_MAX_AGE_SECONDS_LARGE if is_large else RELAY_MAX_AGE_SECONDS
--- a/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
@@ -24,6 +24,7 @@
 
     It needs a permit if the endpoint is cold, and is not sent after `permit_until`, a
     monotonic time.
+    `regions` are its `allowed_regions`, None for none.
     """
 
     endpoint: Any
@@ -33,6 +34,7 @@
     body: bytes
     request_id: str
     permit_until: float | None = None
+    regions: frozenset[str] | None = frozenset()
 
     @property
     def address(self):
--- a/packages/gateway/sequoiaglade_gateway/main.py
+++ b/packages/gateway/sequoiaglade_gateway/main.py
@@ -25,13 +25,14 @@
 EXIT_INVARIANT = 70
 
 
-def run(settings_path, dialect, open_store):
+def run(settings_path, dialect, open_store, more_settings=""):
     """Run the node that the settings describe; return the exit code.
 
     `open_store` returns a context manager of a `DocumentStore` for a `StoreAccess`.
+    `more_settings` is a YAML text with settings that are not in the file.
     """
     try:
-        settings = load_settings(settings_path)
+        settings = load_settings(settings_path, more_settings)
     except SettingsFault as fault:
         print(fault, file=sys.stderr)
         return EXIT_SETTINGS
@@ -49,14 +50,14 @@
             structlog.get_logger().error("can't listen", reason=str(error))
             return EXIT_ADDRESS
         while signals.wait() == signal.SIGHUP:
-            _reload(node, settings_path)
+            _reload(node, settings_path, more_settings)
         node.drain()
     return EXIT_OK
 
 
-def _reload(node, path):
+def _reload(node, path, more_settings):
     try:
-        node.reload(load_settings(path))
+        node.reload(load_settings(path, more_settings))
     except SettingsFault as fault:
         structlog.get_logger().error("settings not reloaded", faults=fault.faults)
 
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -34,17 +34,18 @@
 class FleetScheduling:
     """Finds schedulers for requests, and places requests as a scheduler.
 
-    The coordinator owns it; it reads the coordinator's directory, nodes, loads and
-    quotas.
+    The coordinator owns it; it reads the coordinator's directory, nodes, loads, quotas
+    and regions.
     """
 
-    def __init__(self, own_state, directory, nodes, loads, quotas, paces):
+    def __init__(self, own_state, directory, nodes, loads, quotas, paces, regions):
         self._get_own_state = own_state
         self._directory = directory
         self._nodes = nodes
         self._loads = loads
         self._quotas = quotas
         self._paces = paces
+        self._regions = regions
         self._scheduler = GroupScheduler(paces)
         self._figure_by_id = {}
         self._number = 0
@@ -94,6 +95,7 @@
             if group_of(endpoint.endpoint_id, request.group_count) == request.group
             and endpoint.endpoint_id not in place.excluded
         ]
+        endpoints = self._regions.allowed(place.regions, endpoints)
         endpoints = limits.grantable(endpoints, place.is_batch, now)
         node_id = request.report.node_id
         requester = self._nodes.state(node_id) or self._get_own_state()
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -64,10 +64,11 @@
 
     `cold_starts` bounds the requests to endpoints that are cold; None ignores that they
     are. `evacuations` is whether operators may evacuate failure domains. `region` is
-    that of the node, `region_by_failure_domain` those of all failure domains, empty if
-    requests have no homes. An instance that was lost for `stable_milliseconds` is to be
-    known as lost soon after. `endpoint_pacing` is whether the number of requests at an
-    endpoint that has started or recovered follows from its responses.
+    that of the node, `region_by_failure_domain` those of all failure domains, both
+    empty or null if requests have no homes. An instance that was lost for
+    `stable_milliseconds` is to be known as lost soon after. `endpoint_pacing` is
+    whether the number of requests at an endpoint that has started or recovered follows
+    from its responses.
     """
 
     node_id: NodeId
@@ -82,8 +83,8 @@
     directory_seconds: float = Field(default=1.0, gt=0, le=60)
     cold_starts: ColdStarts | None = None
     evacuations: bool = False
-    region: str = ""
-    region_by_failure_domain: dict[str, str] = {}
+    region: str | None = ""
+    region_by_failure_domain: dict[str, str] | None = {}
     stable_milliseconds: int = Field(default=3000, ge=0, le=3_600_000)
     endpoint_pacing: bool = False
     limits: Limits = Limits()
@@ -101,29 +102,31 @@
         super().__init__("\n".join(lines))
 
 
-def load_settings(path):
-    """Return the `GatewaySettings` in a YAML file; raise `SettingsFault`."""
+def load_settings(path, more=""):
+    """Return the `GatewaySettings` in a YAML file; raise `SettingsFault`.
+
+    `more` is a YAML text with further settings; the file goes before it.
+    """
     try:
         with open(path, encoding="utf-8") as file:
-            return parse_settings(file.read(), path)
+            return parse_settings(file.read(), path, more)
     except OSError as error:
         raise SettingsFault(path, [("file", error.strerror or str(error))]) from error
 
 
-def parse_settings(text, path="settings"):
-    """Return the `GatewaySettings` that a YAML text contains; raise `SettingsFault`.
+def parse_settings(text, path="settings", more=""):
+    """Return the `GatewaySettings` that YAML texts contain; raise `SettingsFault`.
 
     >>> parse_settings("node_id: a", "x.yaml")
     Traceback (most recent call last):
     sequoiaglade_gateway.settings.SettingsFault: x.yaml: failure_domain: Field required
     x.yaml: store: Field required
+    >>> text = "{node_id: a, failure_domain: d, store: {address: '10.0.0.1:80'}}"
+    >>> parse_settings(text, more="{evacuations: true}").evacuations
+    True
     """
-    try:
-        value = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise SettingsFault(path, [("text", str(error).replace("\n", " "))]) from error
-    if not isinstance(value, dict):
-        raise SettingsFault(path, [("text", "the settings are not a mapping")])
+    value = _read_mapping(more or "{}", path, "further settings")
+    value |= _read_mapping(text, path, "text")
     try:
         return GatewaySettings(**value)
     except ValidationError as error:
@@ -132,3 +135,14 @@
             for fault in error.errors()
         ]
         raise SettingsFault(path, faults) from error
+
+
+def _read_mapping(text, path, location):
+    try:
+        value = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        reason = str(error).replace("\n", " ")
+        raise SettingsFault(path, [(location, reason)]) from error
+    if not isinstance(value, dict):
+        raise SettingsFault(path, [(location, "the settings are not a mapping")])
+    return value
--- a/tests/features/steps/gateway_evacuation_steps.py
+++ b/tests/features/steps/gateway_evacuation_steps.py
@@ -57,7 +57,7 @@
 
 
 def _runners_in(context, domain):
-    return [r for r in context.gateways.runners if r.plan.domain == domain]
+    return [r for r in context.gateways.runners if r.plan.failure_domain == domain]
 
 
 def _arrivals(context, domain):
