--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -377,7 +377,9 @@
     def _end(self, message, now):
         endpoint_id = message.endpoint_id
         self._loads.end(endpoint_id, message.is_batch)
-        run_seconds = 0.0 if message.sent_at is None else now - message.sent_at
+        run_seconds = 0.0
+        if message.sent_at is not None and self._settings.cold_starts is not None:
+            run_seconds = now - message.sent_at
         self._scheduling.note_end(endpoint_id, message.outcome, run_seconds=run_seconds)
         match message.outcome:
             case messages.DONE:
