Mend what the review of the merged parts found

A job with homes whose acceptor lies outside of them could stay without a holder: only that node was to take it over late, and it looks for no jobs. An unconfirmed presumption was told to peers without end by a node that sent nothing more to the endpoint. Granters forgot the levels of endpoints that only asking nodes knew to be cold. Granters of many cold endpoints are computed once per group. Results of jobs are read while a node that starts does not know the evacuations.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -30,6 +30,7 @@
 from .peer_acks import PeerAcks
 from .permits import (
     COLD_PERMIT_SECONDS,
+    COLD_SETTLING_SECONDS,
     PERMIT_USE_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
@@ -106,6 +107,7 @@
 
 __all__ = [
     "COLD_PERMIT_SECONDS",
+    "COLD_SETTLING_SECONDS",
     "RegionMap",
     "addresses_in_regions",
     "allowed_regions",
--- a/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
@@ -155,6 +155,28 @@
                 is_hearsay = evidence is Evidence.PEER and row.told_until <= now
         return ColdState(bound, until - now, evidence, is_hearsay, is_pending)
 
+    def is_reportable(self, endpoint, now):
+        """Return whether peers are to be told that an `Endpoint` is cold.
+
+        A presumption that no response has ended is reported only for a while: a node
+        that sends nothing more to the endpoint would never learn that it was sound.
+
+        >>> from sequoiaglade_decisions.gateway import Endpoint, Service
+        >>> cold = ColdEndpoints(overshoot=1.5, slack=5.0)
+        >>> cold.configure({"s": Service("s", cold_seconds=30.0, cold_rate=8.5)})
+        >>> endpoint = Endpoint("e-1", "s", "", "d", 8)
+        >>> cold.note_own_answer("e-2", sent_at=9.0, now=10.0)
+        >>> cold.note_failure("e-1", now=10.0)
+        >>> cold.note_own_answer("e-2", sent_at=10.1, now=10.2)
+        >>> [cold.is_reportable(endpoint, now) for now in (11.0, 16.0)]
+        [True, False]
+        """
+        state = self.find(endpoint, now)
+        if state is None or state.is_hearsay:
+            return False
+        failed_at = self._row_by_id[endpoint.endpoint_id].failed_at
+        return not state.is_pending or now - failed_at < REWRITE_SECONDS
+
     def bound(self, rate):
         """Return the `ColdBound` of a rate."""
         return ColdBound(rate, self._overshoot, self._slack)
--- a/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/orphans.py
@@ -71,6 +71,13 @@
     >>> orphans.note_unheld("j", now=0.0)
     >>> orphans.choose({"j": "a"}, {"a": set(), "b": set()}, ["a", "b"], now=1.0)
     ['j']
+
+    A node outside the homes of a job that accepted it may have forgotten it:
+
+    >>> orphans = OrphanedJobs("m")
+    >>> args = {"j": "b"}, {"b": set(), "m": set(), "z": set()}, ["b", "m", "z"]
+    >>> [orphans.choose(*args, now, {"j": ["b", "m", "z"]}) for now in (0.0, 9.0)]
+    [[], ['j']]
     """
 
     def __init__(self, own_id):
@@ -104,7 +111,10 @@
         for key in sorted(unheld):
             ids = (candidates_by_key or {}).get(key, live_ids)
             holder = job_holder(key, accepted_by_key[key], keys_by_node, ids)
-            if holder == self._own_id or self._is_overdue(key, ids, now):
+            # The node that accepted a job need not look for jobs without a holder.
+            others = [i for i in ids if i != accepted_by_key[key]]
+            takers = others if key in (candidates_by_key or {}) and others else ids
+            if holder == self._own_id or self._is_overdue(key, takers, now):
                 chosen.append(key)
         self._noted_since = {
             key: since
--- a/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
+++ b/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
@@ -106,6 +106,10 @@
         bound = self._cold.bound(notice.rate)
         return ColdState(bound, notice.seconds, Evidence.PEER)
 
+    def is_reportable(self, endpoint, now):
+        """Return whether peers are to be told that an endpoint is cold."""
+        return self._cold.is_reportable(endpoint, now)
+
     def receive(self, report, endpoint, now):
         """Record a peer's `ColdReport` of an endpoint."""
         self._cold.receive(report, endpoint, now)
@@ -113,7 +117,9 @@
 
     def keep_only(self, endpoints, now):
         """Forget other endpoints after a while, and log those that are warm again."""
-        self._cold.keep_only({e.endpoint_id for e in endpoints}, now)
+        listed_ids = {e.endpoint_id for e in endpoints}
+        self._cold.keep_only(listed_ids, now)
+        self._logged_ids &= listed_ids
         for endpoint in endpoints:
             self.find(endpoint, now)
 
--- a/packages/gateway/sequoiaglade_gateway/directory.py
+++ b/packages/gateway/sequoiaglade_gateway/directory.py
@@ -41,7 +41,7 @@
             if not state.is_leaving and state.configuration_version
         }
         if self._is_ready():
-            region = settings.region or self._regions.region_of(settings.failure_domain)
+            region = self._regions.region_of(settings.failure_domain)
             region_by_address[settings.listen.data] = region
         addresses = self._choose(call, region_by_address)
         if len(addresses) > MAX_DIRECTORY_ADDRESSES:
--- a/packages/gateway/sequoiaglade_gateway/evacuations.py
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -67,7 +67,7 @@
     def note_endpoints_listed(self, now):
         """Log the names that are of no known failure domain.
 
-        The endpoints tell of failure domains, mostly if the settings name none.
+        Without a region map, failure domains are known from endpoints only.
         """
         self._log_unknown(now)
 
@@ -112,7 +112,7 @@
         unknown = self._evacuations.note_known(self._known_domains(now))
         for domain in unknown:
             self._log.warning(
-                "evacuation ignored",
+                "evacuation of unknown failure domain",
                 name=domain,
                 reason="no failure domain of this name is known",
             )
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -42,13 +42,13 @@
             return self._refuse(
                 call, GatewayRefusal(503, reason, STARTING_RETRY_AFTER_SECONDS)
             )
+        batch_call = parts.dialect.batch_call(request)
+        if batch_call is not None:
+            return parts.batch.handle(batch_call, call, request, configuration)
         if parts.store_cache.lacks_evacuations:
             reason = "the node has not read the evacuations yet"
             refusal = GatewayRefusal(503, reason, STARTING_RETRY_AFTER_SECONDS)
             return self._refuse(call, refusal, configuration)
-        batch_call = parts.dialect.batch_call(request)
-        if batch_call is not None:
-            return parts.batch.handle(batch_call, call, request, configuration)
         route = configuration.match(call.host, call.path)
         if route is None:
             reason = f"no route of host {call.host!r} matches path {call.path!r}"
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -157,7 +157,7 @@
     def run_round(self, count=FANOUT):
         """Exchange digests with up to `count` peers, and perhaps with a seed.
 
-        Return the number of them that did not answer.
+        Return the number of live peers that did not answer.
         """
         live = self._parts.coordinator.ask(LiveNodes())
         addresses = [state.peer_address for state in live]
@@ -176,7 +176,7 @@
         send = lambda a: self._client.gossip(a, digest, CALL_SECONDS)  # noqa: E731
         for address, reply in zip(targets, self._pool.map(send, targets)):
             self._log_reachability(address, reply is not None)
-            failed_count += reply is None
+            failed_count += reply is None and address in addresses
             if reply is not None:
                 # A digest begins with its sender's own state.
                 self._peer_acks.note_ack(reply.nodes[0].node_id, sent_at, self._clock())
--- a/packages/gateway/sequoiaglade_gateway/placing.py
+++ b/packages/gateway/sequoiaglade_gateway/placing.py
@@ -43,6 +43,8 @@
 UNANSWERED_PERMIT = Permit(False, 0.5)
 # A placement at an endpoint that this node may not use costs another call.
 SCHEDULER_ASKS_MAX = 2
+# A permit that is valid for this long is used: a connection takes some milliseconds.
+CONNECTING_SECONDS = 0.1
 # Interval of checks whether a small fleet has become large.
 SMALL_FLEET_CHECK_SECONDS = 1.0
 
@@ -89,6 +91,9 @@
         """
         if self._parts.settings.cold_starts is None:
             return placed
+        until = placed.permit_until
+        if until is not None and until - time.monotonic() > CONNECTING_SECONDS:
+            return placed
         endpoint_id = placed.endpoint.endpoint_id
         endpoint = self._parts.coordinator.ask(FindEndpoint(endpoint_id))
         if endpoint is None or not endpoint.cold_seconds:
--- a/packages/gateway/sequoiaglade_gateway/regions.py
+++ b/packages/gateway/sequoiaglade_gateway/regions.py
@@ -12,7 +12,10 @@
 
 def region_map(settings):
     """Return the `RegionMap` of a node's settings."""
-    return RegionMap(settings.region_by_failure_domain or {}, settings.region)
+    region_by_domain = dict(settings.region_by_failure_domain or {})
+    if region_by_domain and settings.region:
+        region_by_domain.setdefault(settings.failure_domain, settings.region)
+    return RegionMap(region_by_domain, settings.region)
 
 
 class FleetRegions:
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -7,6 +7,7 @@
 
 from sequoiaglade_decisions.gateway import (
     COLD_PERMIT_SECONDS,
+    COLD_SETTLING_SECONDS,
     SETTLING_SECONDS,
     SETTLING_SECONDS_LARGE,
     ColdRanks,
@@ -105,6 +106,8 @@
         self._active_at = None
         self._settled_share = SettledShare()
         self._ranks = ColdRanks()
+        # When a node last asked for a permit for an endpoint that it reported as cold.
+        self._taken_at_by_id = {}
         self.cold = FleetColdEndpoints(settings.cold_starts)
         self._limits = RequestLimits()
         self._levels = PermitLevels()
@@ -205,12 +208,19 @@
         endpoints = self._directory.endpoints()
         self.cold.keep_only(endpoints, now)
         cold = [e for e in endpoints if self.cold.find(e, now) is not None]
-        cold_ids = {e.endpoint_id for e in cold}
+        self._taken_at_by_id = {
+            i: at
+            for i, at in self._taken_at_by_id.items()
+            if now - at < COLD_SETTLING_SECONDS
+        }
+        # Also those that only asking nodes know to be cold.
+        cold_ids = {*(e.endpoint_id for e in cold), *self._taken_at_by_id}
         self._levels.keep_only({*self.limited(), *cold_ids})
         self._ranks.keep_only(cold_ids)
         share = self._update_share(now)
+        granters_by_id = self._granters_by_id(cold, now)
         for endpoint in cold:
-            granters = self._granter_ids(endpoint, now)
+            granters = granters_by_id[endpoint.endpoint_id]
             part = granter_share(self._settings.node_id, granters)
             self._ranks.update(endpoint.endpoint_id, part, share, now)
         return self._limits.notices(now)
@@ -224,11 +234,12 @@
         reports.
         """
         reports = []
-        for endpoint in self._directory.endpoints():
+        endpoints = self._directory.endpoints()
+        endpoints = [e for e in endpoints if self.cold.is_reportable(e, now)]
+        granters_by_id = self._granters_by_id(endpoints, now)
+        for endpoint in endpoints:
             state = self.cold.find(endpoint, now)
-            if state is None or state.is_hearsay:
-                continue
-            granters = self._granter_ids(endpoint, now)
+            granters = granters_by_id[endpoint.endpoint_id]
             is_first = granters[:1] == [self._settings.node_id]
             if is_first or (state.is_pending and not self._nodes.is_large):
                 seconds = state.seconds
@@ -279,6 +290,8 @@
         if endpoint is None:
             return NOT_GRANTER
         told = cold and self.cold.find_told(endpoint, notice.born, cold, now)
+        if told is not None:
+            self._taken_at_by_id[endpoint_id] = now
         if told is None and not self._needs_permit(endpoint, now):
             return Permit(True)
         rates = self._rates(endpoint, self._granter_ids(endpoint, now), now, told)
@@ -309,13 +322,21 @@
         return rates
 
     def _granter_ids(self, endpoint, now):
+        return self._granters_by_id([endpoint], now)[endpoint.endpoint_id]
+
+    def _granters_by_id(self, endpoints, now):
+        """Return the ids of the granters of each of the endpoints, by endpoint id."""
+        if not endpoints:
+            return {}
         states = self._nodes.possible_granters(now, self._settling_seconds)
         own = self._get_own_state()
         if not (own.is_leaving and states):
             states.append(own)
         if self._nodes.is_large:
-            return self._scheduling.granters_of(endpoint, states, now)
-        return permit_granters(endpoint.endpoint_id, [s.node_id for s in states])
+            return self._scheduling.granters_by_id(endpoints, states, now)
+        node_ids = [state.node_id for state in states]
+        ids = [endpoint.endpoint_id for endpoint in endpoints]
+        return {i: permit_granters(i, node_ids) for i in ids}
 
     def _update_share(self, now):
         share = self._get_share(now)
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -71,16 +71,26 @@
         report = self._report(now)
         return SchedulerQuery(candidates, group, count, report, leaving_ids)
 
-    def granters_of(self, endpoint, states, now):
-        """Return the ids of the nodes that grant permits for an endpoint of a group.
+    def granters_by_id(self, endpoints, states, now):
+        """Return the ids of the nodes that grant permits for each endpoint, by its id.
 
-        `states` are those of the nodes that may.
+        These are the schedulers of its group. `states` are those of the nodes that may.
         """
         state_by_id = {state.node_id: state for state in states}
         eligible = eligible_nodes({i: s.cores for i, s in state_by_id.items()})
-        count = self._group_count(endpoint.service, state_by_id, eligible, now)
-        group = group_of(endpoint.endpoint_id, count)
-        return schedulers(endpoint.service, group, eligible)
+        count_by_service = {
+            service: self._group_count(service, state_by_id, eligible, now)
+            for service in {endpoint.service for endpoint in endpoints}
+        }
+        # Many endpoints share few groups.
+        node_ids_by_group = {}
+        granters_by_id = {}
+        for endpoint_id, service, *_ in endpoints:
+            group = service, group_of(endpoint_id, count_by_service[service])
+            if group not in node_ids_by_group:
+                node_ids_by_group[group] = schedulers(*group, eligible)
+            granters_by_id[endpoint_id] = node_ids_by_group[group]
+        return granters_by_id
 
     def schedule(self, request, now, limits):
         """Place a request of another node or this one; return `Scheduled` or `Full`.
--- a/tests/features/steps/gateway_evacuation_decision_steps.py
+++ b/tests/features/steps/gateway_evacuation_decision_steps.py
@@ -215,7 +215,11 @@
 
 @then('the name "{name}" was ignored with one log line')
 def check_ignored(context, name):
-    lines = [line for line in context.logged if line["event"] == "evacuation ignored"]
+    lines = [
+        line
+        for line in context.logged
+        if line["event"] == "evacuation of unknown failure domain"
+    ]
     assert [line["name"] for line in lines] == [name], lines
 
 
