--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -3,19 +3,14 @@
 import time
 
 import pykka
-import structlog
 
 from sequoiaglade_decisions.gateway import (
     DEFAULT_SLOTS,
     PROTOCOL_REVISION,
-    RESERVE_SLOTS,
     EndpointDirectory,
     EndpointLoads,
-    FleetQuotas,
-    Full,
     NodeState,
     NodeTable,
-    Placed,
     Scheduled,
     batch_allowance,
     batch_targets,
@@ -34,6 +29,7 @@
     RequestLimitNamed,
     TakePermit,
 )
+from .admission import FleetAdmission
 from .crash_blame import CrashBlame
 from .endpoint_pacing import FleetPacing
 from .evacuation_messages import (
@@ -64,7 +60,6 @@
     FindTokenKeepers,
     GetStatus,
     HolderPeers,
-    InFlightRequest,
     IsQuarantined,
     Leave,
     LiveNodeFraction,
@@ -76,7 +71,6 @@
     PossibleHolders,
     Publish,
     Published,
-    QuotaExceeded,
     RequestEnded,
     RunningNodes,
     Schedule,
@@ -85,6 +79,7 @@
 from .reach import FleetReach
 from .regions import FleetRegions
 from .request_limits import FleetRequestLimits
+from .requests_in_flight import RequestsInFlight
 from .scheduling import FleetScheduling
 from .store_followers import FleetStoreFollowers
 from .token_keepers import FleetTokenKeepers
@@ -111,9 +106,6 @@
 # In a large fleet replies repeat a state that is younger than this, so that peers
 # decode and merge about one state a second of each node.
 REPUBLISH_SECONDS = 0.5
-# The share of the quotas is computed anew after this time, a small part of the time
-# after which a peer counts as lost.
-SHARE_SECONDS = 0.1
 
 
 class Coordinator(pykka.ThreadingActor):
@@ -125,20 +117,17 @@
         super().__init__()
         self._settings = settings
         self._clock = clock
-        self._log = structlog.get_logger()
         self._directory = EndpointDirectory(settings.drain_milliseconds / 1000)
         self._pacing = FleetPacing(settings.endpoint_pacing, count)
         self._loads = EndpointLoads(settings.failure_domain, self._pacing.paces)
-        self._quotas = FleetQuotas(settings.is_first_start)
         self._nodes = NodeTable(settings.node_id)
+        self._admission = FleetAdmission(settings, self._nodes)
         self._regions = FleetRegions(settings)
         self._reach = FleetReach(self._directory, self._nodes, self._regions)
         self._versions = FleetVersions(
             lambda: self._state, self._directory, self._nodes
         )
         self._blame = CrashBlame(settings.node_id, self._directory, self._nodes)
-        self._share = 1.0
-        self._share_expires_at = 0.0
         self._published_at = float("-inf")
         self._active_configuration = (None, None)
         self._state = NodeState(
@@ -156,7 +145,7 @@
             self._directory,
             self._nodes,
             self._loads,
-            self._quotas,
+            self._admission.quotas,
             self._pacing.paces,
             self._regions,
         )
@@ -166,14 +155,28 @@
             self._directory,
             self._nodes,
             self._scheduling,
-            self._quota_share,
+            self._admission.share,
+        )
+        self._requests = RequestsInFlight(
+            settings,
+            self._directory,
+            self._regions,
+            self._loads,
+            self._pacing,
+            self._scheduling,
+            self._limits,
+            self._admission,
+            self._blame,
         )
         self._evacuations = FleetEvacuations(
             settings, self._directory, self._nodes, self._pacing.note_return
         )
         self._followers = FleetStoreFollowers(lambda: self._state, self._nodes)
         self._keepers = FleetTokenKeepers(
-            lambda: self._state, self._nodes, self._limits.is_settled, self._quota_share
+            lambda: self._state,
+            self._nodes,
+            self._limits.is_settled,
+            self._admission.share,
         )
 
     def on_receive(self, message):
@@ -191,13 +194,13 @@
             case PartsAnswered():
                 return self._blame.note_answer(message, now)
             case PlaceRequest():
-                return self._place(message, now)
+                return self._requests.place(message, now)
             case FindSchedulers(service, spread):
                 return self._scheduling.find_schedulers(service, spread, now)
             case Schedule():
                 return self._schedule(message, now)
             case BeginRequest():
-                return self._begin_scheduled(message, now)
+                return self._requests.begin_scheduled(message, now)
             case FindStoreFollowers():
                 return self._followers.find(now)
             case FindTokenKeepers(workspace):
@@ -208,9 +211,9 @@
             case LoadReportReceived(report):
                 return self._receive_report(report, now)
             case RequestEnded():
-                return self._end(message, now)
+                return self._requests.end(message, now)
             case AcceptsRequests(endpoint_id, regions):
-                return self._accepts(endpoint_id, regions, now)
+                return self._requests.accepts(endpoint_id, regions, now)
             case EndpointLeaving(endpoint_id, born):
                 return self._directory.note_leaving(endpoint_id, born, now)
             case (
@@ -222,7 +225,7 @@
             ):
                 return self._limits.handle(message, now)
             case FindEndpoint(endpoint_id):
-                return self._find_endpoint(endpoint_id, now)
+                return self._requests.find_endpoint(endpoint_id, now)
             case FindForwarders() | FindAnyEndpoint() | ConnectionTried():
                 return self._reach.handle(message, now)
             case FirstEventObserved() | WorkTimeNamed():
@@ -260,7 +263,7 @@
                 lost, share = self._nodes.lost(now), self._nodes.heard_share(now)
                 return HolderPeers(known, lost, share)
             case LiveNodeFraction():
-                return self._quota_share(now)
+                return self._admission.share(now)
             case BatchShare():
                 return self._batch_share(message, now)
             case ConfigurationChanged(configuration):
@@ -295,124 +298,32 @@
             case GetStatus():
                 return self._status(now)
 
-    def _check_quota(self, place, now):
-        """Return `QuotaExceeded` if a request has to wait for its quota, or None."""
-        if place.workspace is None or place.is_admitted:
-            return None
-        share = self._quota_share(now)
-        seconds = self._quotas.seconds_until_admission(place.workspace, now, share)
-        return None if seconds is None else QuotaExceeded(seconds, share)
-
-    def _note_admitted(self, place, now):
-        if place.workspace is not None:
-            share = self._quota_share(now)
-            self._quotas.note_admitted(place.workspace, now, share)
-
-    def _quota_share(self, now):
-        if now >= self._share_expires_at:
-            seeds = self._settings.seeds
-            least = 1 + sum(seed != self._settings.listen.peer for seed in seeds)
-            self._share = self._nodes.quota_share(now, least)
-            self._share_expires_at = now + SHARE_SECONDS
-        return self._share
-
-    def _place(self, message, now):
-        if message.is_batch:
-            return self._place_batch(message, now)
-        refusal = self._check_quota(message, now)
-        if refusal is not None:
-            return refusal
-        endpoints = self._directory.usable(message.service, now, message.version)
-        endpoints = self._regions.allowed(message.regions, endpoints)
-        if not endpoints:
-            endpoints = self._directory.serving_on(
-                message.service, now, message.version
-            )
-            endpoints = self._regions.allowed(message.regions, endpoints)
-        is_open = self._limits.open(endpoints, False, now)
-        choice = self._loads.choose(
-            is_open, now, message.spread, message.excluded, message.headroom
-        )
-        match choice:
-            case Full(retry_after, False) if endpoints:
-                seconds = self._limits.seconds_until_open(endpoints, now)
-                return Full(max(seconds, retry_after), True)
-            case Full():
-                return choice
-            case Placed(endpoint_id, preempts):
-                self._note_admitted(message, now)
-                return self._begin(endpoint_id, preempts, False, now)
-
-    def _place_batch(self, message, now):
-        endpoints = self._directory.usable(message.service, now, message.version)
-        endpoints = self._regions.allowed(message.regions, endpoints)
-        endpoints = [
-            endpoint
-            for endpoint in self._limits.open(endpoints, True, now)
-            if endpoint.endpoint_id not in message.excluded
-        ]
-        endpoint_id = self._loads.choose_for_batch(
-            endpoints, now, RESERVE_SLOTS, message.spread
-        )
-        if endpoint_id is None:
-            return None
-        return self._begin(endpoint_id, False, True, now)
-
     def _schedule(self, message, now):
-        """Return the placement, and the peer address of the node to be preempted."""
+        """Place a request as a scheduler, without a count among this node's requests.
+
+        Return the placement, and the peer address of the node to be preempted.
+        """
         report, workspace = message.report, message.place.workspace
         self._receive_report(report, now)
-        refusal = self._check_quota(message.place, now)
+        refusal = self._admission.check(message.place, now)
         if refusal is not None:
             return refusal, None
         placement = self._scheduling.schedule(message, now, self._limits)
         is_peer = report.node_id != self._settings.node_id
         if isinstance(placement, Scheduled) and workspace is not None and is_peer:
-            share = self._quota_share(now)
-            incarnation, _ = report.number
-            self._quotas.note_peer_admitted(
-                report.node_id, incarnation, workspace, now, share
-            )
+            self._admission.note_peer_admitted(report, workspace, now)
         address = None
         if isinstance(placement, Scheduled) and placement.preempted_node is not None:
             state = self._nodes.state(placement.preempted_node)
             address = state.peer_address if state else self._settings.listen.peer
         return placement, address
 
-    def _begin_scheduled(self, message, now):
-        # A scheduler of an older release ignores the regions of a request.
-        if not self._accepts(message.endpoint_id, message.place.regions, now):
-            return None
-        if message.pace is not None:
-            self._pacing.paces.note_told(message.pace, now)
-        self._note_admitted(message.place, now)
-        is_batch = message.place.is_batch
-        placed = self._begin(message.endpoint_id, False, is_batch, now)
-        return placed._replace(
-            has_permit=message.has_permit, has_cold_permit=message.has_cold_permit
-        )
-
-    def _accepts(self, endpoint_id, regions, now):
-        endpoint = self._directory.get(endpoint_id, now)
-        if endpoint is None or not endpoint.accepts_requests:
-            return False
-        return self._regions.allows(regions, endpoint)
-
     def _receive_report(self, report, now):
         self._scheduling.receive_report(report, now)
         if report.node_id != self._settings.node_id:
             for result in report.results:
                 self._limits.note_result(result, now)
-            incarnation, _ = report.number
-            share = self._quota_share(now)
-            self._quotas.update_peer(
-                report.node_id,
-                incarnation,
-                report.admitted_by_workspace,
-                now,
-                share,
-                is_complete=False,
-            )
+            self._admission.receive_report(report, now)
 
     def _batch_peers(self, endpoint_id, now):
         if self._nodes.is_large:
@@ -420,58 +331,11 @@
         states = map(self._nodes.state, self._loads.batch_nodes(endpoint_id, now))
         return [state.peer_address for state in states if state is not None]
 
-    def _begin(self, endpoint_id, preempts, is_batch, now):
-        self._loads.begin(endpoint_id, is_batch)
-        self._scheduling.note_begin()
-        in_flight = sum(self._loads.counts(endpoint_id, now))
-        endpoint = self._find_endpoint(endpoint_id, now)
-        is_paced = self._pacing.paces.is_paced(endpoint_id)
-        return InFlightRequest(endpoint, preempts, in_flight, is_paced=is_paced)
-
-    def _end(self, message, now):
-        endpoint_id = message.endpoint_id
-        self._pacing.note_end(message, now, self._loads, self._scheduling)
-        self._loads.end(endpoint_id, message.is_batch)
-        run_seconds = 0.0
-        if message.sent_at is not None and self._settings.cold_starts is not None:
-            run_seconds = now - message.sent_at
-        self._scheduling.note_end(endpoint_id, message.outcome, run_seconds=run_seconds)
-        match message.outcome:
-            case messages.DONE:
-                self._loads.health.note_success(endpoint_id)
-                if message.sent_at is not None:
-                    self._limits.cold.note_done(endpoint_id, message.sent_at, now)
-            case messages.NOT_SENT:
-                self._note_failure(endpoint_id, now)
-            case messages.REFUSED:
-                self._loads.health.note_full(endpoint_id, now)
-            case messages.BROKEN:
-                self._note_failure(endpoint_id, now)
-                self._blame.note_crash(message, now)
-
-    def _find_endpoint(self, endpoint_id, now):
-        endpoint = self._directory.get(endpoint_id, now)
-        if endpoint is None:
-            return None
-        return self._limits.describe(endpoint, now)
-
-    def _note_failure(self, endpoint_id, now):
-        is_limited = self._pacing.paces.is_limited(endpoint_id)
-        self._loads.health.note_failure(endpoint_id, now, is_limited)
-        self._limits.cold.note_failure(endpoint_id, now)
-        self._log.info("endpoint avoided", endpoint_id=endpoint_id)
-
     def _configure(self, configuration, now):
         self._active_configuration = (configuration.version, now)
         self._state = self._state._replace(configuration_version=configuration.version)
         self._limits.cold.configure(configuration.service_by_name)
-        self._quotas.configure(
-            {
-                w.name: (w.rate, w.burst)
-                for w in configuration.workspace_by_name.values()
-            },
-            now,
-        )
+        self._admission.configure(configuration, now)
 
     def _publish(self, message, now):
         is_large = self._loads.is_fleet_large = self._nodes.is_large
@@ -500,12 +364,13 @@
 
     def _renew_state(self, message, is_large, now):
         self._published_at = now
-        admitted = self._quotas.admitted()
+        quotas = self._admission.quotas
+        admitted = quotas.admitted()
         is_admitted_complete = not (
             is_large and self._state.sequence % MESSAGES_PER_RELAY
         )
         if not is_admitted_complete:
-            admitted = self._quotas.admitted_since(now, ADMITTED_WINDOW_SECONDS)
+            admitted = quotas.admitted_since(now, ADMITTED_WINDOW_SECONDS)
         state = self._state._replace(
             sequence=self._state.sequence + 1,
             load_by_endpoint=self._loads.own(),
@@ -531,16 +396,8 @@
             if not self._nodes.observe_state(state, now, age):
                 continue
             new_states.append(state)
-            share = self._quota_share(now)
             self._loads.update_peer(state.node_id, state.load_by_endpoint, now)
-            self._quotas.update_peer(
-                state.node_id,
-                state.incarnation,
-                state.admitted_by_workspace,
-                now,
-                share,
-                state.is_admitted_complete,
-            )
+            self._admission.receive_state(state, now)
             self._blame.receive(state, now)
             self._limits.receive(state, now)
             self._pacing.paces.adopt(state.paces, now)
@@ -562,8 +419,6 @@
         return targets[self._settings.node_id]
 
     def _status(self, now):
-        # Operators see the share of the nodes that are shown beside it.
-        self._share_expires_at = now
         version, set_at = self._active_configuration
         return {
             "configuration": {
@@ -580,8 +435,9 @@
             "scheduler_by_group": self._scheduling.schedulers(now),
             "is_cut_off": self._reach.is_cut_off,
             "peers": [s.node_id for s in self._nodes.live(now)],
-            "quota_share": self._quota_share(now),
-            "rate_burst_level_by_workspace": self._quotas.levels(),
+            # Renewed, so that it is that of the nodes that are shown beside it.
+            "quota_share": self._admission.renew_share(now),
+            "rate_burst_level_by_workspace": self._admission.quotas.levels(),
             "refused_prompt_parts": self._blame.status(now),
             "evacuations": self._evacuations.status(now),
         }
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -1,21 +1,16 @@
 """The attempts of an online request, until a response begins or the request fails."""
 
 import contextlib
-import itertools
 import time
 
 import structlog
 
 from sequoiaglade_decisions.gateway import (
     AttemptCounts,
-    Event,
-    EventSplitter,
     Fault,
     Full,
     NextStep,
     ResponseBounds,
-    is_misplaced,
-    missing_part,
     next_step,
 )
 from sequoiaglade_node.web import Response
@@ -27,7 +22,7 @@
     open_call,
 )
 from ..endpoint_requests import EndpointRequest
-from ..evacuations import PlacedAttempt, describe_evacuated
+from ..evacuations import PlacedAttempt
 from ..messages import (
     BROKEN,
     DONE,
@@ -40,14 +35,14 @@
     RequestEnded,
 )
 from ..pace_messages import FirstEventObserved
+from .first_events import read_first_events
+from .giving_up import RETRY_AFTER_SECONDS, give_up, refuse_full, refuse_quota
 from .prompt_parts import is_suspect, note_answer, note_endpoint_answer
-from .refusals import NO_REGION, GatewayRefusal, refusal_response
+from .refusals import GatewayRefusal, refusal_response
 from .requests import StartedStream
 from .silence import CLOCK_MARGIN_SECONDS, AttemptPatience, ReservedPlace
 from .stream import EventRelay
 
-# Retry-After of a refusal whose cause states none.
-RETRY_AFTER_SECONDS = 0.25
 # Interval at which a request that has left a silent endpoint looks for a new place.
 PLACE_INTERVAL_SECONDS = 0.1
 # Callers abandon a stream after two seconds without an event. Where another endpoint
@@ -115,7 +110,8 @@
         if self.last_event_id and self._version is None:
             self._version = self._find_version()
             if self._version is None:
-                return self._give_up(503, "no node knows the stream to be taken up")
+                reason = "no node knows the stream to be taken up"
+                return give_up(self._parts, self.request, 503, reason)
         while True:
             outcome = self._try_once()
             if not isinstance(outcome, CallFault):
@@ -123,9 +119,9 @@
             step = self.decide_next_step(outcome)
             match step:
                 case NextStep.REFUSE:
-                    return self._give_up(503, outcome.reason)
+                    return give_up(self._parts, self.request, 503, outcome.reason)
                 case NextStep.FAIL:
-                    return self._give_up(502, outcome.reason)
+                    return give_up(self._parts, self.request, 502, outcome.reason)
 
     def resume(self, fault):
         """Resume a broken stream at an endpoint; return a `StartedStream`, or None."""
@@ -227,9 +223,11 @@
         self._has_moved = self._has_moved or self._reserved.is_held
         placed = self._reserved.take(self._regions()) or self._place()
         if isinstance(placed, Full):
-            return self._refuse_full(placed)
+            has_run = self._counts.run_count > 0
+            regions = self._regions()
+            return refuse_full(self._parts, self.request, placed, regions, has_run)
         if isinstance(placed, QuotaExceeded):
-            return self._refuse_quota(placed)
+            return refuse_quota(self._parts, self.request, placed)
         self._in_flight = placed
         self._is_admitted = True
         if placed.preempts:
@@ -389,7 +387,11 @@
                     note_answer(self._parts, self.request, is_complete=True)
                 return answer
         self._count_run()
-        return self._read_first_events(answer)
+        started = read_first_events(answer, self.last_event_id)
+        if isinstance(started, StartedStream) and started.events:
+            self._report_first_event()
+            note_answer(self._parts, self.request, is_complete=False)
+        return started
 
     def _response_bounds(self, seconds_left):
         end_at = self.request.end_at + CLOCK_MARGIN_SECONDS
@@ -398,40 +400,6 @@
             return ResponseBounds(EVENT_SECONDS, body_seconds, end_at)
         return ResponseBounds(None, None, end_at)
 
-    def _read_first_events(self, answer):
-        splitter = EventSplitter()
-        chunks = answer.chunks()
-        unnumbered = bytearray()
-        for chunk in chunks:
-            events = splitter.feed(chunk)
-            if self._has_misplaced(events):
-                answer.close()
-                reason = "the resumed stream begins with content that is no event"
-                return CallFault(Fault.BROKEN, reason)
-            if any(self._is_new(event) for event in events):
-                if unnumbered:
-                    events.insert(0, Event(None, (), bytes(unnumbered)))
-                self._report_first_event()
-                note_answer(self._parts, self.request, is_complete=False)
-                return StartedStream(answer, splitter, chunks, events)
-            for event in events:
-                if event.event_id is None:
-                    unnumbered += event.raw
-        missing = missing_part(splitter.has_partial_event, 0, answer.has_length)
-        if self.last_event_id and answer.fault is None and missing is None:
-            # The stream broke between its last event and its end.
-            return StartedStream(answer, splitter, chunks, [])
-        answer.close()
-        reason = missing or "the stream contains no event"
-        return answer.fault or CallFault(Fault.BROKEN, reason)
-
-    def _has_misplaced(self, events):
-        before_new = itertools.takewhile(lambda e: not self._is_new(e), events)
-        return any(is_misplaced(e, self.last_event_id, 0) for e in before_new)
-
-    def _is_new(self, event):
-        return event.event_id is not None and event.event_id > self.last_event_id
-
     def _count_run(self):
         count = self._counts.run_count + 1
         self._counts = self._counts._replace(run_count=count)
@@ -440,66 +408,6 @@
         route = self.request.route
         return route.is_repeatable and self._counts.run_count + 1 < route.attempts
 
-    def _refuse_full(self, full):
-        has_run = self._counts.run_count > 0
-        reason = (
-            "all endpoints are busy" if full.has_endpoints else self._describe_lack()
-        )
-        if has_run:
-            return self._give_up(502, reason)
-        return self._give_up(503, reason, full.retry_after)
-
-    def _describe_lack(self):
-        regions = self._regions()
-        if regions is None:
-            reason = NO_REGION
-        elif regions:
-            reason = "no endpoint is available in the home regions"
-        else:
-            return "no endpoint is available"
-        self._parts.metrics.count("homes", reason)
-        self._log.info(
-            "no endpoint in home regions",
-            request_id=self.request.call.request_id,
-            regions=regions and sorted(regions),
-        )
-        return reason
-
-    def _refuse_quota(self, exceeded):
-        refusal = GatewayRefusal(429, "the quota is exhausted", exceeded.retry_after)
-        self._log.info(
-            "request refused",
-            request_id=self.request.call.request_id,
-            status=refusal.status,
-            reason=refusal.reason,
-            workspace=self.request.workspace,
-            retry_after=refusal.retry_after,
-            share=exceeded.share,
-            configuration_version=self.request.version,
-        )
-        self._parts.metrics.count("refused", str(refusal.status))
-        return refusal
-
-    def _give_up(self, status, reason, retry_after=None):
-        if status == 502 and time.monotonic() >= self.request.end_at:
-            status = 504
-        if status == 503 and retry_after is None:
-            retry_after = RETRY_AFTER_SECONDS
-        evacuated = {}
-        if status == 503:
-            evacuated = describe_evacuated(self._parts, self.request.service)
-        self._log.info(
-            "request given up",
-            request_id=self.request.call.request_id,
-            status=status,
-            reason=reason,
-            retry_after=retry_after,
-            configuration_version=self.request.version,
-            **evacuated,
-        )
-        self._parts.metrics.count("refused", str(status))
-        return GatewayRefusal(status, reason, retry_after)
-
     def _must_abort(self):
         if self._disconnected():
             self.is_client_disconnected = True
