Split the limits, late endpoints and told limits from EndpointPaces

The data classes, the names of changes and limited_slots are now in pace_limits.py, which endpoints are late in late_endpoints.py, what schedulers told in told_limits.py. The step file changes the import of limited_slots only.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -8,7 +8,7 @@
 from .cold_endpoints import ColdEndpoints, ColdReport, ColdState, Evidence
 from .configuration_sources import ConfigurationSources
 from .directory_addresses import addresses_in_regions, running_nodes
-from .endpoint_pace import EndpointPaces, PaceChange, PaceLimit
+from .endpoint_pace import EndpointPaces
 from .endpoint_reach import EndpointReach, forwarding_nodes
 from .endpoints import DEFAULT_SLOTS, Endpoint, EndpointDirectory
 from .evacuations import EvacuationChanges, Evacuations
@@ -24,6 +24,7 @@
 from .leaving import LeavingEndpoints
 from .nodes import PROTOCOL_REVISION, JobSummary, NodeState, NodeTable, job_holder
 from .orphans import IsolationGuard, OrphanedJobs
+from .pace_limits import PaceChange, PaceLimit
 from .page_validity import PageValidity
 from .pages import ResultPage, ResultPages, bounded_results, page_bytes_max
 from .part_evidence import Blame, PartCrash, SoundPart
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -5,10 +5,21 @@
 gets as many requests as it has slots before its first answer is there.
 """
 
-from typing import NamedTuple
-
 from .endpoint_starts import EndpointStarts
-from .endpoints import DEFAULT_SLOTS
+from .late_endpoints import LateEndpoints
+from .pace_limits import (
+    BEGAN,
+    ENDED,
+    FAILED,
+    FELL,
+    LAPSED,
+    LIFTED,
+    STARTED,
+    Limit,
+    PaceChange,
+    PaceLimit,
+)
+from .told_limits import ToldLimits
 from .work_figures import WorkFigures
 
 # Concurrent requests of an endpoint that has just started or recovered, as specified.
@@ -21,9 +32,6 @@
 EARLY_LATENESS = 0.5
 # An answer is late if it takes longer than callers need.
 LATE_LATENESS = 1.0
-# An endpoint whose last answer was late counts as late for this time, after which
-# callers give a stream up.
-LATE_SECONDS = 2.0
 # Factor of the limit when answers are late or refused.
 FALL_FACTOR = 0.5
 # Refusals and breaks within this time have one cause: nodes report them within 50 ms.
@@ -33,9 +41,6 @@
 # A limit that no answer has confirmed ends after this time. Nodes that do not schedule
 # an endpoint get none; the slowest starts that are known take a few seconds.
 LAPSE_SECONDS = 10.0
-# What schedulers told of limits is repeated to their successors within this time, which
-# is longer than nodes take to agree on a successor.
-TOLD_SECONDS = 5.0
 # Messages between nodes take less than this time.
 TOLD_MARGIN_SECONDS = 0.1
 # An endpoint that fails again within this time may do so once more: the longest time
@@ -45,51 +50,6 @@
 ENDED_SECONDS = 2.0
 # Limits of a node are logged at most this often per endpoint when they fall.
 LOG_FALL_SECONDS = 1.0
-BEGAN, FELL, ENDED, LAPSED = "began", "fell", "ended", "lapsed"
-# The limit ended because too many endpoints started at the same time.
-LIFTED = "lifted"
-# Why a limit is in force after a start, before an answer is late.
-STARTED = "started"
-FAILED = "failed"
-
-
-class PaceLimit(NamedTuple):
-    """How many concurrent requests an endpoint gets from all nodes, and why.
-
-    A limit is firm if answers of the endpoint, or failures, show that it can't take
-    more. `requests` is 0 in what a scheduler tells of an endpoint without a limit.
-    `age_seconds` is the time since an answer last confirmed it.
-    """
-
-    endpoint_id: str
-    requests: float
-    is_firm: bool = False
-    reason: str = ""
-    age_seconds: float = 0.0
-
-
-class PaceChange(NamedTuple):
-    """A limit that began, fell, ended or lapsed, for operators."""
-
-    endpoint_id: str
-    change: str
-    requests: float
-    reason: str
-
-
-class _Limit(NamedTuple):
-    requests: float
-    is_firm: bool
-    reason: str
-    # When the limit began or last fell, and when an answer last confirmed it.
-    changed_at: float
-    heard_at: float
-    is_unstable: bool = False
-
-
-class _Told(NamedTuple):
-    pace: PaceLimit
-    at: float
 
 
 class EndpointPaces:
@@ -117,11 +77,11 @@
         self._starts = EndpointStarts()
         self._figures = WorkFigures()
         self._failed_at_by_id = {}
-        self._late_at_by_id = {}
+        self._late = LateEndpoints()
         self._limit_by_id = {}
         self._ended_at_by_id = {}
         self._logged_fall_at_by_id = {}
-        self._told_by_id = {}
+        self._told = ToldLimits()
         self._changes = []
 
     def note_list(self, endpoints, now, unix_seconds):
@@ -166,7 +126,7 @@
     def note_refusal(self, endpoint_id, now):
         """Note that an endpoint refused a request for lack of capacity."""
         if self.is_paced(endpoint_id):
-            self._late_at_by_id[endpoint_id] = now
+            self._late.note(endpoint_id, now)
         self._fall(endpoint_id, "refused", now)
 
     def note_silence(self, endpoint_id, now):
@@ -186,9 +146,9 @@
         answers takes those of the other nodes to be alike.
         """
         if lateness > LATE_LATENESS:
-            self._late_at_by_id[endpoint_id] = now
+            self._late.note(endpoint_id, now)
         else:
-            self._late_at_by_id.pop(endpoint_id, None)
+            self._late.note_in_time(endpoint_id)
         limit = self._limit_by_id.get(endpoint_id)
         if limit is None or now - seconds < limit.changed_at:
             # Requests that were sent before the change tell nothing of the limit now.
@@ -242,7 +202,10 @@
         return self._figures.factor(endpoint_id, now)
 
     def limits(self, now):
-        """Return the limits in force by endpoint id, with `requests` and `is_firm`."""
+        """Return the limits in force as a dict of `Limit` by endpoint id.
+
+        Ends those first that no answer has confirmed for `LAPSE_SECONDS`.
+        """
         lapsed = [
             endpoint_id
             for endpoint_id, limit in self._limit_by_id.items()
@@ -259,33 +222,27 @@
         """
         limit = self.limits(now).get(endpoint_id)
         if limit is not None:
-            return self._pace_of(endpoint_id, limit, now)
+            return limit.told(endpoint_id, now)
         return PaceLimit(endpoint_id, 0.0) if self.is_paced(endpoint_id) else None
 
     def note_told(self, pace, now):
-        """Note the `PaceLimit` that the scheduler of the endpoint told."""
+        """Note the `PaceLimit` that the scheduler of the endpoint told.
+
+        The scheduler owns the limit: it replaces the one that is known, or ends it.
+        """
         if not self.is_paced(pace.endpoint_id):
             return
         heard_at = now - pace.age_seconds
-        self._told_by_id[pace.endpoint_id] = _Told(pace, heard_at)
+        self._told.note(pace, heard_at)
         if pace.requests:
-            limit = _Limit(pace.requests, pace.is_firm, pace.reason, heard_at, heard_at)
+            limit = Limit(pace.requests, pace.is_firm, pace.reason, heard_at, heard_at)
             self._limit_by_id[pace.endpoint_id] = limit
         else:
             self._limit_by_id.pop(pace.endpoint_id, None)
 
     def notices(self, now):
         """Return the limits that schedulers told lately, for their successors."""
-        self._told_by_id = {
-            endpoint_id: told
-            for endpoint_id, told in self._told_by_id.items()
-            if now - told.at < TOLD_SECONDS
-        }
-        return tuple(
-            told.pace._replace(age_seconds=now - told.at)
-            for told in self._told_by_id.values()
-            if told.pace.requests
-        )
+        return self._told.notices(now)
 
     def shared(self, now):
         """Return the limits for the other nodes of a small fleet, which `adopt` them.
@@ -294,7 +251,7 @@
         while the other nodes use all of it.
         """
         limits = tuple(
-            self._pace_of(endpoint_id, limit, now)
+            limit.told(endpoint_id, now)
             for endpoint_id, limit in self.limits(now).items()
         )
         ended = tuple(
@@ -314,7 +271,7 @@
             limit = self._limit_by_id.get(endpoint_id)
             if pace.requests > 0:
                 is_unstable = limit is not None and limit.is_unstable
-                self._limit_by_id[endpoint_id] = _Limit(
+                self._limit_by_id[endpoint_id] = Limit(
                     max(pace.requests, MIN_REQUESTS),
                     pace.is_firm,
                     pace.reason,
@@ -325,18 +282,12 @@
             elif limit is not None:
                 self._end(endpoint_id, ENDED, told_at)
 
-    @staticmethod
-    def _pace_of(endpoint_id, limit, now):
-        age = now - limit.heard_at
-        return PaceLimit(endpoint_id, limit.requests, limit.is_firm, limit.reason, age)
-
     def _heard_at(self, endpoint_id):
         limit = self._limit_by_id.get(endpoint_id)
         if limit is not None:
             return limit.heard_at
-        told = self._told_by_id.get(endpoint_id)
         ended_at = self._ended_at_by_id.get(endpoint_id, float("-inf"))
-        return ended_at if told is None else max(ended_at, told.at)
+        return max(ended_at, self._told.told_at(endpoint_id))
 
     def limits_for(self, endpoints, now):
         """Return the limits that order these endpoints, by id.
@@ -346,8 +297,8 @@
         limits = self.limits(now)
         if not limits:
             return limits
-        late = sum(self._is_late(e.endpoint_id, now) for e in endpoints)
-        return limits if 2 * late <= len(endpoints) else {}
+        ids = [e.endpoint_id for e in endpoints]
+        return {} if self._late.are_most_late(ids, now) else limits
 
     def firm_limits(self, endpoints, now):
         """Return the limits that hold even if a request is refused because of them.
@@ -360,7 +311,7 @@
         limits = self.limits(now)
         firm = {i: limit for i, limit in limits.items() if limit.is_firm}
         count = sum(
-            e.endpoint_id in limits or self._is_late(e.endpoint_id, now)
+            e.endpoint_id in limits or self._late.is_late(e.endpoint_id, now)
             for e in endpoints
         )
         return firm if 2 * count <= len(endpoints) else {}
@@ -373,22 +324,13 @@
     def status(self, now):
         """Return the limits in force by endpoint id, for operators."""
         return {
-            endpoint_id: {
-                "requests": round(limit.requests, 2),
-                "is_firm": limit.is_firm,
-                "reason": limit.reason,
-                "since_seconds": round(now - limit.changed_at, 3),
-            }
+            endpoint_id: limit.status(now)
             for endpoint_id, limit in self.limits(now).items()
         }
 
-    def _is_late(self, endpoint_id, now):
-        late_at = self._late_at_by_id.get(endpoint_id, float("-inf"))
-        return now - late_at < LATE_SECONDS
-
     def _are_most_late(self, endpoint_id, now):
         ids = self._starts.ids_of(self._starts.service_of(endpoint_id))
-        return 2 * sum(self._is_late(i, now) for i in ids) > len(ids)
+        return self._late.are_most_late(ids, now)
 
     def _limit_starts(self, endpoints, now):
         services = {endpoint.service for endpoint in endpoints}
@@ -408,7 +350,7 @@
 
     def _begin(self, endpoint_id, reason, is_firm, now):
         requests = min(START_REQUESTS, float(self._starts.slots_of(endpoint_id)))
-        limit = _Limit(requests, is_firm, reason, now, now)
+        limit = Limit(requests, is_firm, reason, now, now)
         self._limit_by_id[endpoint_id] = limit
         self._changes.append(PaceChange(endpoint_id, BEGAN, requests, reason))
 
@@ -417,17 +359,18 @@
         if limit is None or now - limit.changed_at < FALL_SECONDS:
             return
         if reason != FAILED and self._are_most_late(endpoint_id, now):
-            # The cause is common to the endpoints and not the requests at this one, nor
-            # was it when the first of them got late.
+            # The cause is common to the service's endpoints, not the requests at this
+            # one. It may also have made the limit fall before, which is then no
+            # evidence against this endpoint, unless it failed.
             is_firm = limit.is_firm and limit.reason == FAILED
             limit = limit._replace(is_firm=is_firm, heard_at=now)
             self._limit_by_id[endpoint_id] = limit
             return
         requests = max(MIN_REQUESTS, limit.requests * FALL_FACTOR)
         # A failure after answers in time is a repeated one.
-        has_grown = limit.heard_at > limit.changed_at
-        is_unstable = limit.is_unstable or (reason == FAILED and has_grown)
-        self._limit_by_id[endpoint_id] = _Limit(
+        has_answered = limit.heard_at > limit.changed_at
+        is_unstable = limit.is_unstable or (reason == FAILED and has_answered)
+        self._limit_by_id[endpoint_id] = Limit(
             requests, True, reason, now, now, is_unstable
         )
         logged_at = self._logged_fall_at_by_id.get(endpoint_id, float("-inf"))
@@ -445,24 +388,12 @@
     def _forget(self, listed_ids):
         self._starts.forget(listed_ids)
         self._figures.forget(listed_ids)
+        self._late.forget(listed_ids)
         for values in (
             self._failed_at_by_id,
-            self._late_at_by_id,
             self._limit_by_id,
             self._ended_at_by_id,
             self._logged_fall_at_by_id,
         ):
             for endpoint_id in set(values) - listed_ids:
                 del values[endpoint_id]
-
-
-def limited_slots(endpoint, limit_by_id):
-    """Return how many requests an endpoint runs at a time, within its limit if any.
-
-    >>> from sequoiaglade_decisions.gateway import Endpoint
-    >>> limited_slots(Endpoint("a", "s", "", "d", 8), {})
-    8
-    """
-    slots = endpoint.slots or DEFAULT_SLOTS
-    limit = limit_by_id.get(endpoint.endpoint_id)
-    return slots if limit is None else max(1, min(slots, int(limit.requests)))
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -2,10 +2,11 @@
 
 from typing import NamedTuple
 
-from .endpoint_pace import EndpointPaces, PaceLimit, limited_slots
+from .endpoint_pace import EndpointPaces
 from .endpoints import DEFAULT_SLOTS
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
+from .pace_limits import PaceLimit, limited_slots
 
 # Requests that may wait at an endpoint. At the load of the sites an endpoint with 8
 # slots frees one about every 100 ms, and the latency objective is 300 ms.
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -2,10 +2,11 @@
 
 from typing import NamedTuple
 
-from .endpoint_pace import EndpointPaces, PaceLimit, limited_slots
+from .endpoint_pace import EndpointPaces
 from .endpoints import DEFAULT_SLOTS
 from .hashing import stable_hash
 from .health import AVOID_SECONDS, EndpointHealth
+from .pace_limits import PaceLimit, limited_slots
 from .placement import QUEUE_ALLOWANCE, Full, RetryAfter
 
 # An endpoint in the requesting node's failure domain is preferred if it has at most
--- a/tests/features/steps/endpoint_pace_rule_steps.py
+++ b/tests/features/steps/endpoint_pace_rule_steps.py
@@ -46,7 +46,7 @@
     PaceLimit,
     Scheduled,
 )
-from sequoiaglade_decisions.gateway.endpoint_pace import limited_slots
+from sequoiaglade_decisions.gateway.pace_limits import limited_slots
 
 ADDRESS = "127.0.0.1:1"
 SLOTS = 8
