Move the encoding of limits, permits and paces to a module of its own

The step file changes the import of the permit messages only.

The scenario 'A gateway paces an endpoint that states how long its work takes' is unstable at a load average above 15 on 7 processors: the limit falls or does not end.

--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -12,15 +12,14 @@
 
 from ..version_messages import StreamAnswer
 from .codec import (
-    decode_permit,
     decode_placement,
     decode_results,
     encode_job,
-    encode_permit_request,
     encode_report,
     encode_schedule_request,
     encode_summary,
 )
+from .limit_codec import decode_permit, encode_permit_request
 from .store_codec import decode_updates, encode_poll
 from .token_codec import decode_keeper_answer, encode_reservation
 
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -1,16 +1,12 @@
 """Encoding of states, reports and jobs as messages of the protocol between nodes."""
 
 from sequoiaglade_decisions.gateway import (
-    ColdReport,
     Full,
     Item,
     JobSpec,
     JobSummary,
-    LimitNotice,
     NodeState,
-    PaceLimit,
     PartCrash,
-    Permit,
     Placed,
     Result,
     Scheduled,
@@ -18,7 +14,6 @@
 )
 from sequoiaglade_protocol import fleet_pb2
 
-from ..access_messages import ColdNotice, TakePermit
 from ..messages import (
     EndpointResult,
     LoadReport,
@@ -26,8 +21,15 @@
     QuotaExceeded,
     Schedule,
 )
-
-MS_PER_SECOND = 1000
+from .limit_codec import (
+    MS_PER_SECOND,
+    decode_cold,
+    decode_notice,
+    decode_pace,
+    encode_cold,
+    encode_notice,
+    encode_pace,
+)
 
 
 def encode_state(state):
@@ -79,16 +81,17 @@
             for key, fingerprint in state.survived_breaks
         ],
         request_limits=map(encode_notice, state.request_limits),
-        cold_endpoints=map(_encode_cold, state.cold_endpoints),
+        cold_endpoints=map(encode_cold, state.cold_endpoints),
         is_cut_off=state.is_cut_off,
         protocol_revision=state.protocol_revision,
-        paces=_encode_paces(state.paces),
+        paces=map(encode_pace, state.paces),
     )
 
 
 def decode_state(message):
     """Return the `NodeState` of a message.
 
+    >>> from sequoiaglade_decisions.gateway import ColdReport, LimitNotice, PaceLimit
     >>> crash = PartCrash("s", ("p", "q"), "f", "e-1/5", 1.5)
     >>> state = NodeState("n", 1, 1, part_crashes=(crash,))
     >>> state = state._replace(sound_parts=(SoundPart("s", "p", 0.25, True),))
@@ -150,85 +153,13 @@
             (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
         ),
         request_limits=tuple(map(decode_notice, message.request_limits)),
-        cold_endpoints=tuple(map(_decode_cold, message.cold_endpoints)),
+        cold_endpoints=tuple(map(decode_cold, message.cold_endpoints)),
         is_cut_off=message.is_cut_off,
         protocol_revision=message.protocol_revision,
-        paces=tuple(map(_decode_pace, message.paces)),
-    )
-
-
-def encode_notice(notice):
-    """Return the message for a `LimitNotice` with an age."""
-    return fleet_pb2.LimitNotice(
-        endpoint_id=notice.endpoint_id,
-        born=notice.born,
-        is_limited=notice.limit is not None,
-        limit=notice.limit or 0.0,
-        age_ms=int(notice.at * MS_PER_SECOND),
-    )
-
-
-def decode_notice(message):
-    """Return the `LimitNotice` of a message."""
-    return LimitNotice(
-        message.endpoint_id,
-        message.born,
-        message.limit if message.is_limited else None,
-        message.age_ms / MS_PER_SECOND,
+        paces=tuple(map(decode_pace, message.paces)),
     )
 
 
-def _encode_cold(report):
-    return fleet_pb2.ColdEndpoint(
-        endpoint_id=report.endpoint_id,
-        born=report.born,
-        left_ms=int(report.seconds * MS_PER_SECOND),
-    )
-
-
-def _decode_cold(message):
-    seconds = message.left_ms / MS_PER_SECOND
-    return ColdReport(message.endpoint_id, message.born, seconds)
-
-
-def encode_permit_request(notice, is_batch, cold):
-    """Return the message that asks for a permit; `cold` is a `ColdNotice` or None.
-
-    >>> notice = LimitNotice("e-1", 5, 8.5, 0.0)
-    >>> cold = ColdNotice(8.5, 12.5, is_hearsay=True)
-    >>> decode_permit_request(encode_permit_request(notice, True, cold)).cold == cold
-    True
-    >>> decode_permit_request(encode_permit_request(notice, True, None)).cold
-    """
-    message = fleet_pb2.PermitRequest(notice=encode_notice(notice), is_batch=is_batch)
-    if cold is not None:
-        message.cold.rate = cold.rate
-        message.cold.left_ms = int(cold.seconds * MS_PER_SECOND)
-        message.cold.is_limited = cold.is_limited
-        message.cold.is_hearsay = cold.is_hearsay
-    return message
-
-
-def decode_permit_request(message):
-    """Return the `TakePermit` of a message."""
-    cold = None
-    if message.HasField("cold"):
-        row = message.cold
-        seconds = row.left_ms / MS_PER_SECOND
-        cold = ColdNotice(row.rate, seconds, row.is_limited, row.is_hearsay)
-    return TakePermit(decode_notice(message.notice), message.is_batch, cold)
-
-
-def encode_permit(permit):
-    """Return the message for a `Permit`."""
-    return fleet_pb2.PermitReply(**permit._asdict())
-
-
-def decode_permit(message):
-    """Return the `Permit` of a message."""
-    return Permit(message.is_granted, message.retry_seconds)
-
-
 def _encode_part_crash(crash):
     return fleet_pb2.PartCrash(
         service=crash.service,
@@ -278,7 +209,7 @@
         loads=_encode_loads(report.counts_by_id),
         results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
         admitted=_encode_admitted(report.admitted_by_workspace),
-        paces=_encode_paces(report.paces),
+        paces=map(encode_pace, report.paces),
     )
 
 
@@ -302,7 +233,7 @@
             for row in message.results
         ),
         _decode_admitted(message.admitted),
-        tuple(map(_decode_pace, message.paces)),
+        tuple(map(decode_pace, message.paces)),
     )
 
 
@@ -361,7 +292,7 @@
                 endpoint_id=endpoint_id,
                 has_permit=has_permit,
                 has_cold_permit=has_cold_permit,
-                pace=None if pace is None else _encode_paces([pace])[0],
+                pace=None if pace is None else encode_pace(pace),
             )
 
 
@@ -381,7 +312,7 @@
     if message.is_quota_exceeded:
         return QuotaExceeded(message.retry_after, message.quota_share)
     if message.endpoint_id:
-        pace = _decode_pace(message.pace) if message.HasField("pace") else None
+        pace = decode_pace(message.pace) if message.HasField("pace") else None
         return Placed(
             message.endpoint_id,
             has_permit=message.has_permit,
@@ -445,20 +376,6 @@
     )
 
 
-def _encode_paces(paces):
-    return [fleet_pb2.EndpointPace(**pace._asdict()) for pace in paces]
-
-
-def _decode_pace(message):
-    return PaceLimit(
-        message.endpoint_id,
-        message.requests,
-        message.is_firm,
-        message.reason,
-        message.age_seconds,
-    )
-
-
 def _encode_loads(counts_by_id):
     return [
         fleet_pb2.EndpointLoad(endpoint_id=name, online=online, batch=batch)
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -7,14 +7,13 @@
 
 from ..forwarding import FORWARDS_MAX
 from .codec import (
-    decode_permit_request,
     decode_report,
     decode_schedule_request,
     decode_summary,
-    encode_permit,
     encode_placement,
     encode_results,
 )
+from .limit_codec import decode_permit_request, encode_permit
 from .store_codec import decode_poll, encode_updates
 from .token_codec import decode_reservation, encode_keeper_answer
 
--- a/tests/features/steps/quota_fleet.py
+++ b/tests/features/steps/quota_fleet.py
@@ -23,18 +23,20 @@
     RequestEnded,
 )
 from sequoiaglade_gateway.peers.codec import (
-    decode_permit_request,
     decode_placement,
     decode_report,
     decode_schedule_request,
     decode_state,
-    encode_permit_request,
     encode_placement,
     encode_report,
     encode_schedule_request,
     encode_state,
 )
 from sequoiaglade_gateway.peers.gossip import LARGE_FANOUT, LARGE_ROUND_SECONDS
+from sequoiaglade_gateway.peers.limit_codec import (
+    decode_permit_request,
+    encode_permit_request,
+)
 from sequoiaglade_gateway.placing import REPORT_INTERVAL_SECONDS, Placer
 from sequoiaglade_gateway.settings import GatewaySettings
 
