Tell peers of no version in force before the evacuations are known

A node that restarted while the store was away, beside peers of an earlier release, refused all callers, and the directories of its peers went on naming it.

--- a/packages/gateway/sequoiaglade_gateway/evacuations.py
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -39,12 +39,15 @@
         self._nodes = nodes
         self._on_return = on_return or (lambda endpoint_ids, now: None)
         self._evacuations = Evacuations()
+        # Whether the evacuations are known, or not in use.
+        self.is_known = not settings.evacuations
         self._log = structlog.get_logger()
 
     def handle(self, message, now):
         """Handle one of the messages about evacuations and return its reply."""
         match message:
             case EvacuationsListed(domains):
+                self.is_known = True
                 return self._apply(self._evacuations.replace(domains, now), now)
             case EvacuationChanged(domain, is_evacuated):
                 changes = self._evacuations.note(domain, is_evacuated, now)
--- a/tests/features/gateway/evacuations.feature
+++ b/tests/features/gateway/evacuations.feature
@@ -21,6 +21,14 @@
       | the entries "a" are written, then all endpoints are listed | b, c    | a          |
       | the entries "a" are written, then an endpoint is added     | b, c    | a          |
 
+  # Peers named a node to callers that refused them all until it knew the evacuations.
+  Scenario: A node that does not know the evacuations yet is not named to callers
+    Given endpoints in the domains "a, b", and nodes in the domains "a, b"
+    When it reads the configuration
+    Then it tells peers of no version in force
+    When the evacuations "none" are listed
+    Then it tells peers of its version
+
   Scenario: Endpoints of an evacuated domain keep their group, and its requests run on
     Given endpoints in the domains "a, b, c", and nodes in the domains "a, b, c, bare"
     When a request is placed in "a"
--- a/tests/features/steps/gateway_evacuation_decision_steps.py
+++ b/tests/features/steps/gateway_evacuation_decision_steps.py
@@ -25,6 +25,7 @@
     InFlightRequest,
     PeerStatesReceived,
     PlaceRequest,
+    Publish,
     RequestEnded,
 )
 from sequoiaglade_gateway.settings import GatewaySettings
@@ -38,6 +39,7 @@
 from sequoiaglade_decisions.gateway import (
     Endpoint,
     EndpointDirectory,
+    FleetConfiguration,
     KindUpdate,
     NodeState,
     NodeTable,
@@ -360,3 +362,25 @@
         EvacuationChanged("b", False),
     ], told
     assert json.loads(cache.export_for_peer()[2]) == ["c"]
+
+
+@when("it reads the configuration")
+def read_configuration(context):
+    context.tell(ConfigurationChanged(FleetConfiguration(3, (), (), ())))
+
+
+@when('the evacuations "{domains}" are listed')
+def list_evacuations(context, domains):
+    context.tell(EvacuationsListed(tuple(names_in(domains))))
+
+
+@then("it tells peers of no version in force")
+def check_no_version(context):
+    published = context.tell(Publish(0, 0, (), True))
+    assert published.own.configuration_version == 0, published.own
+
+
+@then("it tells peers of its version")
+def check_version(context):
+    published = context.tell(Publish(0, 0, (), True))
+    assert published.own.configuration_version == 3, published.own
