--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -164,16 +164,19 @@
         self._note_result(result)
 
     def note_answer(self, endpoint_id, lateness, seconds):
-        """Note the time to a first event for the next report."""
+        """Note the time to a first event for the next report.
+
+        A report is due at once only if the endpoint is limited: each one is a call to
+        every scheduler, and the end of the request brings the next one.
+        """
         result = EndpointResult(
             endpoint_id, "", lateness=lateness, answer_seconds=seconds
         )
-        self._note_result(result)
+        self._note_result(result, self._paces.is_limited(endpoint_id))
 
     def note_figure(self, endpoint_id, percent, now):
         """Note the latest speed that an endpoint stated for the next report."""
         if self._nodes.is_large:
-            self._has_changes = True
             self._figure_by_id[endpoint_id] = (percent, now)
 
     def collect_reports(self, now):
@@ -233,9 +236,9 @@
             self._paces.notices(now),
         )
 
-    def _note_result(self, result):
+    def _note_result(self, result, is_due=True):
         if self._nodes.is_large:
-            self._has_changes = True
+            self._has_changes = self._has_changes or is_due
             self._results = [*self._results[-MAX_RESULTS:], result]
 
     def _eligible(self, now):
