--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -96,7 +96,7 @@
 RELAY_MAX_AGE_SECONDS = 1.0
 # The same in a large fleet: the longest interval of a node's rounds, which includes the
 # time-out of a call, so that each state is relayed in one of them at least.
-RELAY_MAX_AGE_SECONDS_LARGE = 1.0
+RELAY_MAX_AGE_SECONDS_LARGE = 1.6
 # In a small fleet each node exchanges states with all others directly, so that only
 # each n-th message relays the states of others, for nodes that can't reach each other.
 MESSAGES_PER_RELAY = 8
