Report no cold endpoints without cold_starts

With a cold rate in the configuration and no cold_starts in the settings, an entry with cold seconds was reportable while the coordinator's own look-up found nothing, so that publishing the node's state raised an exception. The doctest returned True before.

--- a/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
+++ b/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
@@ -107,7 +107,18 @@
         return ColdState(bound, notice.seconds, Evidence.PEER)
 
     def is_reportable(self, endpoint, now):
-        """Return whether peers are to be told that an endpoint is cold."""
+        """Return whether peers are to be told that an endpoint is cold.
+
+        >>> from sequoiaglade_decisions.gateway import Endpoint, Service
+        >>> cold = FleetColdEndpoints(cold_starts=None)
+        >>> cold.configure({"s": Service("s", cold_seconds=3.0, cold_rate=8.5)})
+        >>> endpoint = Endpoint("e-1", "s", "", "d", 8, cold_seconds=3.0)
+        >>> cold.note_entries([endpoint], now=0.0)
+        >>> cold.is_reportable(endpoint, now=1.0)
+        False
+        """
+        if self._cold_starts is None:
+            return False
         return self._cold.is_reportable(endpoint, now)
 
     def receive(self, report, endpoint, now):
