Wait for completed results in two scenarios

The steps took Total, the number of a job's items, for the number of its results, so that they passed before an item had run. The steps now wait for a completed result of each item.

--- a/tests/features/steps/deployment_fleet.py
+++ b/tests/features/steps/deployment_fleet.py
@@ -7,6 +7,7 @@
 import time
 
 from emulator import ColdBound, ColdPlan, FleetLayout, RunnerPlan
+from emulator.fleet import HOST, wait_until
 from emulator.hunt.deployment import DOMAINS, HOME_ROUTES, REGIONS, WORKSPACES
 from emulator.hunt.deployment import domain_of as domain_of
 from gateway_calls import start
@@ -99,3 +100,17 @@
         for arrival in runner.arrivals
         if since < arrival.arrived_at < until
     ]
+
+
+def wait_until_completed(fleet, item_ids_by_job, seconds, host=HOST):
+    """Wait until each job has a completed result of each of its items."""
+
+    def are_completed():
+        for job_id, item_ids in item_ids_by_job.items():
+            status, body = fleet.results(job_id, host=host)
+            rows = body["Results"] if status == 200 else []
+            if {row["Id"] for row in rows if row["State"] == "completed"} != item_ids:
+                return False
+        return True
+
+    wait_until(are_completed, seconds, f"{len(item_ids_by_job)} jobs are completed")
--- a/tests/features/steps/evacuation_fleet_steps.py
+++ b/tests/features/steps/evacuation_fleet_steps.py
@@ -9,9 +9,9 @@
     runners_in,
     send_meanwhile,
     start_deployment,
+    wait_until_completed,
 )
 from emulator import RunnerPlan
-from emulator.fleet import wait_until
 from emulator.stalls import meets_span
 
 BREAKING = RunnerPlan(breaks_after=3)
@@ -57,7 +57,7 @@
     items = [(f"evacuated-{n}", f"/batch/evacuated/{n}") for n in range(count)]
     job_id, response = context.gateways.submit(items)
     assert response.status == 202, response
-    context.job = (job_id, count)
+    context.item_ids_by_job = {job_id: {item_id for item_id, _ in items}}
 
 
 @when("the operator evacuates {domains}")
@@ -165,6 +165,4 @@
 
 @then("the job is completed within {seconds:d} seconds")
 def check_job(context, seconds):
-    job_id, count = context.job
-    is_complete = lambda: context.gateways.results(job_id)[1]["Total"] == count  # noqa: E731
-    wait_until(is_complete, seconds, "the job is completed")
+    wait_until_completed(context.gateways, context.item_ids_by_job, seconds)
--- a/tests/features/steps/home_fleet_steps.py
+++ b/tests/features/steps/home_fleet_steps.py
@@ -8,9 +8,10 @@
     runners_in,
     send_meanwhile,
     start_deployment,
+    wait_until_completed,
 )
 from emulator import FleetLayout, RunnerPlan
-from emulator.fleet import HOST, wait_until
+from emulator.fleet import HOST
 from emulator.hunt.deployment import (
     DOMAINS,
     EAST_KEY,
@@ -71,7 +72,7 @@
 
 @when("a job with homes in the west is submitted at each gateway")
 def submit(context):
-    context.jobs = []
+    context.item_ids_by_job = {}
     for gateway in range(len(context.gateways.nodes)):
         items = [
             (f"west-{gateway}-{n}", f"/west-batch/{gateway}-{n}") for n in range(20)
@@ -80,7 +81,7 @@
             items, gateway, route="west-batch", host=WEST_HOST
         )
         assert response.status == 202, response
-        context.jobs.append(job_id)
+        context.item_ids_by_job[job_id] = {item_id for item_id, _ in items}
 
 
 @when("the runners of the west are gone for {seconds:g} seconds")
@@ -131,18 +132,8 @@
 
 @then("the jobs with homes are completed within {seconds:d} seconds")
 def check_jobs(context, seconds):
-    fleet = context.gateways
-
-    def are_complete():
-        rows = [
-            fleet.send(
-                f"/v1/lots/{job_id}?After=0", method="GET", body=b"", host=WEST_HOST
-            )
-            for job_id in context.jobs
-        ]
-        return all(b'"Total": 20' in r.body or b'"Total":20' in r.body for r in rows)
-
-    wait_until(are_complete, seconds, "the jobs are completed")
+    ids_by_job = context.item_ids_by_job
+    wait_until_completed(context.gateways, ids_by_job, seconds, host=WEST_HOST)
 
 
 @then(
