Check the homes of online requests right before they are sent

A request was checked against its homes when it was placed only. A configuration that moved the homes while it waited for a permit, a scheduler or its connection came too late: it was sent to the former home.

PlacedAttempt now checks a request with homes again when the connection is open, if the placement is older than its validity or the configuration version has changed: its endpoint has to be in the homes of the configuration in force, and to accept requests if it did when it was chosen. Otherwise the attempt counts as not sent, and the request is placed again. Requests without homes ask nothing.

New scenarios of homes.feature failed before: a request that must not run twice ran in 'north' (200) instead of in 'south', and instead of a refusal.

--- a/packages/gateway/sequoiaglade_gateway/evacuations.py
+++ b/packages/gateway/sequoiaglade_gateway/evacuations.py
@@ -1,7 +1,7 @@
 """The coordinator's part in evacuations of failure domains, and checks before sending.
 
-Requests that were placed before a node learned of an evacuation are checked again right
-before they are sent.
+Requests that were placed before a node learned of an evacuation, or of a configuration
+that moves their homes, are checked again right before they are sent.
 """
 
 import time
@@ -19,6 +19,8 @@
     FindEvacuated,
     IsEvacuated,
 )
+from .messages import AcceptsRequests
+from .regions import region_map
 
 # A request that is sent sooner after its placement is not checked again. A connection
 # within a region takes some milliseconds; this is a small part of the 5 seconds in
@@ -134,43 +136,84 @@
 
 
 class PlacedAttempt(Attempt):
-    """An attempt that is aborted before it is sent if its endpoint was evacuated."""
+    """An attempt that is aborted before it is sent if its endpoint may not be used.
 
-    def __init__(self, parts, request_id, clock=time.monotonic):
+    That is if its endpoint was evacuated since the placement or, for a request with
+    homes, is in none of them any more or has begun to leave. `regions` returns the
+    `allowed_regions` of the request by the configuration in force.
+    """
+
+    def __init__(self, parts, request_id, regions, clock=time.monotonic):
         super().__init__()
         self._clock = clock
         self._parts = parts
         self._request_id = request_id
+        self._regions = regions
         self._endpoint = None
         self._placed_at = None
+        self._version = None
 
-    def note_placed(self, endpoint, began_at):
+    def note_placed(self, endpoint, began_at, version):
         """Note the endpoint of the request, whose placement began at a time.
 
-        Placements of other nodes and permits take a while.
+        Placements of other nodes and permits take a while. `version` is that of the
+        configuration that was in force at the beginning.
         """
         self._endpoint = endpoint
         self._placed_at = began_at
+        self._version = version
 
     def may_send(self):
         """Return whether the request may be sent now that the connection is open."""
-        endpoint = self._endpoint
-        if not self._parts.settings.evacuations or endpoint is None:
+        if self._endpoint is None:
+            return True
+        is_old = self._clock() - self._placed_at > PLACEMENT_VALID_SECONDS
+        return not (is_old and self._is_evacuated()) and self._is_home(is_old)
+
+    def _is_evacuated(self):
+        domain = self._endpoint.failure_domain
+        if not self._parts.settings.evacuations:
+            return False
+        if not self._parts.coordinator.ask(IsEvacuated(domain)):
+            return False
+        reason = "its failure domain was evacuated since it was placed"
+        self._withhold("evacuation", reason)
+        return True
+
+    def _is_home(self, is_old):
+        """Return whether a request without homes, or its endpoint, is allowed."""
+        regions = self._regions()
+        if regions == frozenset():
             return True
-        if self._clock() - self._placed_at <= PLACEMENT_VALID_SECONDS:
+        if not is_old and self._parts.store_cache.version == self._version:
             return True
-        if not self._parts.coordinator.ask(IsEvacuated(endpoint.failure_domain)):
+        endpoint = self._endpoint
+        if not region_map(self._parts.settings).allows(
+            regions, endpoint.failure_domain
+        ):
+            reason = "its homes have moved since it was placed"
+            self._withhold("homes", reason, regions=regions and sorted(regions))
+            return False
+        # One that was leaving already was chosen for lack of others.
+        if not endpoint.accepts_requests or self._parts.coordinator.ask(
+            AcceptsRequests(endpoint.endpoint_id, regions)
+        ):
             return True
-        self._parts.metrics.count("evacuation", "request withheld")
+        reason = "its endpoint has begun to leave since it was placed"
+        self._withhold("endpoint leaving", reason)
+        return False
+
+    def _withhold(self, event, reason, **inputs):
+        self._parts.metrics.count(event, "request withheld")
         structlog.get_logger().info(
             "request withheld",
             request_id=self._request_id,
-            endpoint_id=endpoint.endpoint_id,
-            reason="its failure domain was evacuated since it was placed",
-            failure_domain=endpoint.failure_domain,
+            endpoint_id=self._endpoint.endpoint_id,
+            reason=reason,
+            failure_domain=self._endpoint.failure_domain,
+            **inputs,
         )
         self.abort()
-        return False
 
 
 def describe_evacuated(parts, service):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -60,7 +60,7 @@
         self.request = request
         self._disconnected = disconnected
         self._stack = contextlib.ExitStack()
-        self._attempt = PlacedAttempt(parts, request.call.request_id)
+        self._attempt = self._new_attempt()
         self._in_flight = None
         self._excluded = frozenset()
         self._reserved = self._stack.enter_context(ReservedPlace(parts))
@@ -160,7 +160,7 @@
         """Release the endpoint; `fault` is the `CallFault` of a failed attempt."""
         in_flight_request, self._in_flight = self._in_flight, None
         attempt = self._attempt
-        self._attempt = PlacedAttempt(self._parts, self.request.call.request_id)
+        self._attempt = self._new_attempt()
         if in_flight_request is None:
             return
         outcome = _outcome_of(fault, attempt.is_aborted)
@@ -218,8 +218,13 @@
         )
         self._parts.metrics.count("ended", outcome)
 
+    def _new_attempt(self):
+        request_id = self.request.call.request_id
+        return PlacedAttempt(self._parts, request_id, self._regions)
+
     def _try_once(self):
         began_at = time.monotonic()
+        version = self._parts.store_cache.version
         self._has_moved = self._has_moved or self._reserved.is_held
         placed = self._reserved.take(self._regions()) or self._place()
         if isinstance(placed, Full):
@@ -232,7 +237,7 @@
         self._is_admitted = True
         if placed.preempts:
             self._parts.batch.preempt(placed.endpoint.endpoint_id)
-        self._attempt.note_placed(placed.endpoint, began_at)
+        self._attempt.note_placed(placed.endpoint, began_at, version)
         outcome = self._send(placed.endpoint, placed.permit_until)
         if isinstance(outcome, CallFault):
             self._excluded = self._excluded | {placed.endpoint.endpoint_id}
--- a/tests/features/gateway/homes.feature
+++ b/tests/features/gateway/homes.feature
@@ -35,6 +35,37 @@
     When a place in "north" is reserved
     Then it is not taken for a request whose home is "south" by now
 
+  # A configuration that moved the homes while a request was placed or connected came
+  # too late for it.
+  Scenario Outline: A request with homes is checked again right before it is sent: <case>
+    Given a coordinator with an endpoint in "north", in "south" and in no known region
+    And a request with the home "<home>" that is placed there and sent <seconds> seconds later
+    When <change> happens meanwhile
+    Then the attempt is <outcome>, after <asked> questions
+
+    Examples:
+      | case                  | home       | seconds | change                                | outcome  | asked |
+      | moved, sent later     | north      | 0.2     | a move of the homes                   | withheld | 0     |
+      | moved, sent at once   | north      | 0.0     | a move of the homes                   | withheld | 0     |
+      | no region, sent later | north      | 0.2     | a configuration that allows no region | withheld | 0     |
+      | still a home          | north      | 0.0     | another configuration                 | sent     | 1     |
+      | endpoint leaving      | north      | 0.2     | the leaving of the endpoint           | withheld | 1     |
+      | nothing, sent later   | north      | 0.2     | nothing                               | sent     | 1     |
+      | nothing, sent at once | north      | 0.0     | nothing                               | sent     | 0     |
+      | no homes, sent later  | everywhere | 0.2     | another configuration                 | sent     | 0     |
+
+  # It must not look as if it may have run.
+  Scenario Outline: A request whose homes move before it is sent <what>
+    Given a coordinator with an endpoint in "north", in "south" and in no known region
+    And endpoints that answer in <regions>
+    When a request that must not run twice is placed in "north", and its home is "south" by then
+    Then it got <status>, and ran <where>
+
+    Examples:
+      | what              | regions             | status | where      |
+      | goes to its homes | "north" and "south" | 200    | in "south" |
+      | is refused        | "north"             | 503    | nowhere    |
+
   Scenario: A node that is cut off lets only peers in home regions forward a request
     Given a coordinator with an endpoint in "north", in "south" and in no known region
     And peers in both regions and in no known region
--- a/tests/features/steps/gateway_evacuation_sending_steps.py
+++ b/tests/features/steps/gateway_evacuation_sending_steps.py
@@ -43,9 +43,9 @@
     context.domain = domain
     times = itertools.chain([0.0], itertools.repeat(seconds))
     parts = _parts(lambda message: message.failure_domain in context.evacuated)
-    context.attempt = PlacedAttempt(parts, "request-1", lambda: next(times))
+    context.attempt = PlacedAttempt(parts, "request-1", frozenset, lambda: next(times))
     endpoint = Endpoint("e-1", SERVICE, "10.0.0.1:80", domain, 8)
-    context.attempt.note_placed(endpoint, next(times))
+    context.attempt.note_placed(endpoint, next(times), 1)
 
 
 @when("the domain is {state} meanwhile")
