Check at the holder which peers get the bodies of jobs with homes

A holder gave an item's body to each peer that asked. ReadItemRequest now has the asking node's failure domain while some requests have homes, and the holder refuses jobs whose homes it is not in. Without the field, as older releases call, all known peers at the address of the call have to be in the homes. The asking node reads the store then, as nodes of the release before do.

The asking node read the header of each job from the store to learn its homes, as soon as any request had homes: reads of items without homes failed with the store. It now goes by the route and the workspace in the gossip about the job. This moved from service.py to bodies.py.

New scenarios of homes.feature failed before: the holder gave the body to a node outside of the homes, to one of the release before there and to an unknown one, and reads while the store is away got 503.

The simulation of gateways passes calls the address of their caller, as gRPC does.

--- a/packages/decisions/sequoiaglade_decisions/gateway/routes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/routes.py
@@ -116,6 +116,7 @@
     def __init__(self, version, routes, services, workspaces):
         self.version = version
         self.routes = routes
+        self.route_by_name = {route.name: route for route in routes}
         self.service_by_name = {service.name: service for service in services}
         self.workspace_by_name = {w.name: w for w in workspaces}
         self._workspace_by_key = {k: w for w in workspaces for k in w.keys}
@@ -139,6 +140,22 @@
             self.match(host, path), self.workspace_by_name.get(workspace)
         )
 
+    def regions_of_route(self, name, workspace):
+        """Return the `allowed_regions` of a route's requests, both given by name.
+
+        >>> south = Route("r", "h", "/", RouteKind.BATCH, (), 1.0, 1.0)
+        >>> south = south._replace(regions=frozenset({"south"}))
+        >>> north = Workspace("w", (), regions=frozenset({"north"}))
+        >>> config = FleetConfiguration(3, (south,), (), (north,))
+        >>> [config.regions_of_route("r", name) for name in ("w", "")]
+        [None, frozenset({'south'})]
+        >>> config.regions_of_route("gone", "w"), config.regions_of_route("gone", "")
+        (frozenset({'north'}), frozenset())
+        """
+        return allowed_regions(
+            self.route_by_name.get(name), self.workspace_by_name.get(workspace)
+        )
+
     @property
     def has_workspaces(self):
         """Whether requests on routes that are not public need a key."""
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -21,6 +21,7 @@
 from ..online.refusals import GatewayRefusal, refusal_response
 from ..peers.codec import decode_job
 from ..regions import JobHomes
+from .bodies import ItemBodies, find_holder
 from .registry import HeldJob
 from .storage import JobHeader
 from .token_limits import TokenLimits
@@ -49,6 +50,8 @@
         self._runner = runner
         self._adopter = adopter
         self._homes = JobHomes(parts)
+        self._bodies = ItemBodies(parts, registry, storage, self._header_of)
+        self.give_body = self._bodies.give
         self._limits = TokenLimits(parts, registry, storage)
         self.note_headers = self._limits.note_headers
         self.reserve_for_peer = self._limits.answer_peer
@@ -319,11 +322,7 @@
         return header
 
     def _read_item(self, call, key, item_id):
-        body = self._registry.body(key, item_id)
-        if body is None and self._may_get_body(key) and (address := self._peer_of(key)):
-            body = self._parts.peers.read_item(address, key, item_id)
-        if body is None:
-            body = self._body_from_store(key, item_id)
+        body = self._bodies.read(key, item_id)
         if isinstance(body, Failure):
             return self._refuse_after_failure(call, key, body)
         headers = [
@@ -332,28 +331,6 @@
         ]
         return Response(200, headers, [body])
 
-    def _may_get_body(self, key):
-        """Return whether a peer may send bodies of a job to this node.
-
-        If not, they are read from the store.
-        """
-        if not self._homes.has_homes:
-            return True
-        header = self._header_of(key)
-        return not isinstance(header, Failure) and self._homes.is_home(header.spec)
-
-    def _body_from_store(self, key, item_id):
-        header = self._header_of(key)
-        if isinstance(header, Failure):
-            return header
-        spec = self._storage.read_spec(header)
-        if isinstance(spec, Failure):
-            return spec
-        for item in spec.items:
-            if item.item_id == item_id:
-                return item.body
-        return Failure(FailureCode.NOT_FOUND, f"{key} has no item {item_id!r}")
-
     def _end_job(self, call, key):
         if not self._is_known(key):
             header = self._header_of(key)
@@ -383,10 +360,8 @@
 
     def _peer_of(self, key):
         """Return the peer address of the node that holds a job, or None."""
-        for state in self._parts.coordinator.ask(LiveNodes()):
-            if any(summary.job_key == key for summary in state.jobs):
-                return state.peer_address
-        return None
+        found = find_holder(self._parts, key)
+        return found and found[0].peer_address
 
     def _holder_addresses(self, key):
         """Return the peer addresses of the nodes that hold or may hold a job.
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -81,9 +81,14 @@
         reply = self._call(address, "HoldsJob", request)
         return None if reply is None else reply.is_held
 
-    def read_item(self, address, key, item_id):
-        """Return the bytes of an item of a job held by a peer, or None."""
-        request = fleet_pb2.ReadItemRequest(job_key=key, item_id=item_id)
+    def read_item(self, address, key, item_id, failure_domain=""):
+        """Return the bytes of an item of a job held by a peer, or None.
+
+        `failure_domain` is this node's, by which the peer refuses jobs with homes.
+        """
+        request = fleet_pb2.ReadItemRequest(
+            job_key=key, item_id=item_id, failure_domain=failure_domain
+        )
         reply = self._call(address, "ReadItem", request)
         return reply.body if reply is not None and reply.is_found else None
 
--- a/packages/gateway/sequoiaglade_gateway/peers/server.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/server.py
@@ -1,6 +1,7 @@
 """Server for the calls of peers."""
 
 import math
+import urllib.parse
 
 from sequoiaglade_node.calls import PeerServer
 from sequoiaglade_protocol import fleet_pb2, fleet_pb2_grpc
@@ -75,9 +76,14 @@
         return fleet_pb2.HoldsJobReply(is_held=is_held)
 
     def ReadItem(self, request, context):  # noqa: N802
-        body = self._job_registry.body(request.job_key, request.item_id)
+        body, is_allowed = self._batch.give_body(
+            request.job_key,
+            request.item_id,
+            request.failure_domain,
+            _caller_host(context),
+        )
         if body is None:
-            return fleet_pb2.ReadItemReply(is_held=False)
+            return fleet_pb2.ReadItemReply(is_held=not is_allowed)
         return fleet_pb2.ReadItemReply(is_held=True, is_found=True, body=body)
 
     def EndJob(self, request, context):  # noqa: N802
@@ -148,6 +154,18 @@
         return fleet_pb2.RoomReply()
 
 
+def _caller_host(context):
+    """Return the host of a call's `context.peer()`.
+
+    >>> from types import SimpleNamespace
+    >>> peers = ("ipv4:10.0.0.1:80", "ipv6:%5Bfd00::1%5D:80", "ipv6:[fd00::1]:80")
+    >>> [_caller_host(SimpleNamespace(peer=lambda: peer)) for peer in peers]
+    ['10.0.0.1', 'fd00::1', 'fd00::1']
+    """
+    address = urllib.parse.unquote(context.peer()).partition(":")[2]
+    return address.rpartition(":")[0].strip("[]")
+
+
 def start_peer_server(stack, address, servicer):
     """Serve peers on `address` until `stack` is closed."""
     service = (fleet_pb2_grpc.add_FleetServicer_to_server, servicer)
--- a/packages/gateway/sequoiaglade_gateway/regions.py
+++ b/packages/gateway/sequoiaglade_gateway/regions.py
@@ -77,7 +77,19 @@
 
     def is_home(self, spec):
         """Return whether a peer may send the bodies of a job to this node."""
-        domain = self._parts.settings.failure_domain
+        return self.allows(spec, self._parts.settings.failure_domain)
+
+    def is_home_of_summary(self, summary):
+        """Return the same for a peer's `JobSummary`, by the names in it.
+
+        It may be some seconds old; the peer decides by the job itself.
+        """
+        configuration = self._parts.store_cache.configuration
+        regions = configuration.regions_of_route(summary.route, summary.workspace)
+        return self._regions.allows(regions, self._parts.settings.failure_domain)
+
+    def allows(self, spec, domain):
+        """Return whether a job's bodies may be sent to nodes of a failure domain."""
         return self._regions.allows(self.regions_of(spec), domain)
 
     def allowed_peers(self, spec, states):
--- a/tests/features/gateway/homes.feature
+++ b/tests/features/gateway/homes.feature
@@ -131,6 +131,70 @@
     And a caller reads a body of the job at "b" and at "d"
     Then both got it, and only "d" asked a peer for it
 
+  # A holder gave a body to each peer that asked for it.
+  Scenario Outline: A holder gives bodies to instances in the homes only: <asker>, <how>
+    Given gateways "a, b" in "north" and "c, d" in "south"
+    And jobs have the home "south"
+    When "c" accepts a job
+    And "<asker>" asks "c" for a body as <how>
+    Then the holder gives <what>
+
+    Examples:
+      | asker | how                                 | what     |
+      | b     | this release does                   | nothing  |
+      | b     | the release before does             | nothing  |
+      | d     | this release does                   | the body |
+      | d     | the release before does             | the body |
+      | d     | a node that is not known does       | nothing  |
+      | d     | a node beside one in the north does | nothing  |
+
+  Scenario Outline: A holder gives bodies of a job without homes to all: <how>
+    Given gateways "a, b" in "north" and "c, d" in "south"
+    And jobs have no home, but requests of another route have the home "south"
+    When "c" accepts a job
+    And "b" asks "c" for a body as <how>
+    Then the holder gives the body
+
+    Examples:
+      | how                           |
+      | this release does             |
+      | the release before does       |
+      | a node that is not known does |
+
+  Scenario: A refused body is logged
+    Given gateways "a, b" in "north" and "c, d" in "south"
+    And jobs have the home "south"
+    When "c" accepts a job
+    And "b" asks "c" for a body as this release does
+    Then "c" logged that it refused the body
+
+  # The region of the job was read from the store as soon as any request had homes.
+  Scenario: An item without homes is read while the store is away, though others have homes
+    Given gateways "a, b" in "north" and "c, d" in "south"
+    And jobs have no home, but requests of another route have the home "south"
+    When "c" accepts a job
+    And the store answers "b" no more
+    And a caller reads a body of the job at "b"
+    Then it got it from the holder, without a call of "b" to the store
+    And the call names the failure domain of "b": yes
+
+  Scenario: An item is read in its home while the store is away
+    Given gateways "a, b" in "north" and "c, d" in "south"
+    And jobs have the home "south"
+    When "c" accepts a job
+    And the store answers "d" no more
+    And a caller reads a body of the job at "d"
+    Then it got it from the holder, without a call of "d" to the store
+    And the call names the failure domain of "d": yes
+
+  # Deployments without homes send the same messages as before.
+  Scenario: A read of an item names no failure domain where no request has homes
+    Given gateways "a, b" in "north" and "c, d" in "south"
+    When "c" accepts a job
+    And a caller reads a body of the job at "b"
+    Then it got it from the holder, without a call of "b" to the store
+    And the call names the failure domain of "b": no
+
   # Items of a job without an endpoint kept those of other jobs of its service waiting.
   Scenario: Items that no home has an endpoint for do not block others
     Given an item runner whose endpoint is in "north"
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -26,7 +26,12 @@
 )
 from sequoiaglade_gateway.coordinator import Coordinator
 from sequoiaglade_gateway.interface import ReadItem, ReadJob
-from sequoiaglade_gateway.messages import FindRunning, Leave, LiveNodes
+from sequoiaglade_gateway.messages import (
+    FindRunning,
+    Leave,
+    LiveNodes,
+    PeerStatesReceived,
+)
 from sequoiaglade_gateway.node import Parts, PeerCalls
 from sequoiaglade_gateway.peers import FleetServicer, Gossip, PeerClient
 from sequoiaglade_gateway.settings import GatewaySettings
@@ -205,6 +210,10 @@
     def _steady_seconds(self):
         return self._simulation.now - self.suspended_seconds
 
+    def note_states(self, states):
+        """Learn of the states of further peers."""
+        self._parts.coordinator.ask(PeerStatesReceived(states))
+
     def known_peers(self):
         """Return the names of the peers that this gateway takes for live, sorted."""
         live = self._parts.coordinator.ask(LiveNodes())
@@ -292,7 +301,8 @@
     `trace` has what the gateways logged, as triples of time, gateway and event. Calls
     from one gateway to another fail if the pair of their names is in `cut_pairs`; the
     reply is lost if the pair is in `lost_replies`. `calls` has the calls that reached a
-    gateway, as triples of caller, callee and name.
+    gateway, as triples of caller, callee and name, `body_requests` the requests of
+    those that read a body.
     """
 
     def __init__(
@@ -326,6 +336,7 @@
         self.lost_replies = set()
         self.trace = []
         self.calls = []
+        self.body_requests = []
         self.gateway_by_name = {}
         self._acting = ""
         self._stack = contextlib.ExitStack()
@@ -353,11 +364,17 @@
         self.gateway_by_name[name] = gateway
         return gateway
 
-    def configure(self, homes):
-        """Let jobs have these homes by a newer configuration, at all gateways."""
+    def configure(self, homes, other_homes=()):
+        """Let jobs have these homes by a newer configuration, at all gateways.
+
+        `other_homes` are those of another route.
+        """
         self.route = self.route._replace(regions=frozenset(homes))
+        other = self.route._replace(
+            name="other", prefix="/other/", regions=frozenset(other_homes)
+        )
         version = self.configuration.version + 1
-        self.configuration = FleetConfiguration(version, (self.route,), (), ())
+        self.configuration = FleetConfiguration(version, (self.route, other), (), ())
         for gateway in self.gateway_by_name.values():
             gateway.store_cache.configuration = self.configuration
 
@@ -392,8 +409,12 @@
         if called is None or not called.is_running or pair in self.cut_pairs:
             return None
         self.calls.append((*pair, name))
+        if name == "ReadItem":
+            self.body_requests.append(request)
+        # As gRPC has it: the address of the caller's connection.
+        context = SimpleNamespace(peer=lambda: f"ipv4:{caller.name}:50123")
         with self.acting(called):
-            reply = getattr(called.servicer, name)(request, None)
+            reply = getattr(called.servicer, name)(request, context)
         return None if pair in self.lost_replies else reply
 
     def cut(self, name, others=None):
--- a/tests/features/steps/home_job_steps.py
+++ b/tests/features/steps/home_job_steps.py
@@ -1,6 +1,7 @@
 """Steps of jobs with homes, by simulated gateways and an item runner of its own."""
 
 import time
+from types import SimpleNamespace
 
 from behave import given, then, when
 from emulator.fleet import wait_until
@@ -13,15 +14,25 @@
 from sequoiaglade_decisions.gateway import (
     FleetConfiguration,
     JobSpec,
+    NodeState,
     Workspace,
     job_key,
 )
+from sequoiaglade_protocol import fleet_pb2
 
 # The hash names "b" as its next holder.
 JOB = job_id_for("b", ["b", "c", "d"])
 KEY = job_key("", JOB)
 # Items of the item runner take a second and more; none starts later than this.
 ITEMS_SECONDS = 10.0
+# Two nodes at one address, in both regions.
+SHARED_HOST = "10.8.8.8"
+SHARING_STATES = [
+    NodeState(
+        f"x-{domain}", 1, 1, peer_address=f"{SHARED_HOST}:{port}", failure_domain=domain
+    )
+    for port, domain in enumerate(["zone-s", "zone-n"], 1)
+]
 
 
 def _names(text):
@@ -62,6 +73,11 @@
     _start(context, {n: "zone-s" if n in names[-last:] else "zone-n" for n in names})
 
 
+@given('jobs have no home, but requests of another route have the home "{home}"')
+def given_other_homes(context, home):
+    context.simulation.configure([], other_homes=[home])
+
+
 @given('jobs have the home "{home}"')
 def given_homes(context, home):
     context.simulation.configure([home])
@@ -204,6 +220,74 @@
     assert askers == [name], askers
 
 
+@when('"{name}" asks "{holder}" for a body as {how}')
+def ask_for_body(context, name, holder, how):
+    request = fleet_pb2.ReadItemRequest(job_key=KEY, item_id="i-0")
+    if how == "this release does":
+        domain = context.simulation.domain_by_name[name]
+        request.failure_domain = domain
+    host = {
+        "a node that is not known does": "10.9.9.9",
+        "a node beside one in the north does": SHARED_HOST,
+    }.get(how)
+    if host is not None:
+        gateway = context.simulation.gateway_by_name[holder]
+        gateway.note_states(SHARING_STATES)
+        stranger = SimpleNamespace(peer=lambda: f"ipv4:{host}:50123")
+        with context.simulation.acting(gateway):
+            context.reply = gateway.servicer.ReadItem(request, stranger)
+        return
+    context.reply = context.simulation.call(
+        f"{name}:1", f"{holder}:1", "ReadItem", request
+    )
+
+
+@then("the holder gives {what}")
+def check_body(context, what):
+    reply = context.reply
+    assert reply.is_held, reply
+    assert reply.is_found == (what == "the body"), reply
+    assert reply.body == (b"body" if what == "the body" else b""), reply
+
+
+@then('"{name}" logged that it refused the body')
+def check_body_log(context, name):
+    rows = [
+        entry
+        for _, acting, event, entry in context.simulation.trace
+        if event == "body refused" and acting == name
+    ]
+    assert [row["job"] for row in rows] == [KEY], rows
+
+
+@when('the store answers "{name}" no more')
+def cut_store(context, name):
+    context.simulation.gateway_by_name[name].store.is_reachable = False
+
+
+@when('a caller reads a body of the job at "{name}"')
+def read_body(context, name):
+    gateway = context.simulation.gateway_by_name[name]
+    context.store_calls_before = gateway.store.call_count
+    context.read = gateway.body(JOB, "i-0")
+
+
+@then('it got it from the holder, without a call of "{name}" to the store')
+def check_read(context, name):
+    response = context.read
+    assert response.status == 200, response
+    assert b"".join(response.body) == b"body"
+    gateway = context.simulation.gateway_by_name[name]
+    assert gateway.store.call_count == context.store_calls_before
+
+
+@then('the call names the failure domain of "{name}": {is_named}')
+def check_named(context, name, is_named):
+    domain = context.simulation.domain_by_name[name]
+    domains = [r.failure_domain for r in context.simulation.body_requests]
+    assert domains == [domain if is_named == "yes" else ""], domains
+
+
 def _workspace(name, homes):
     return Workspace(name, (), regions=frozenset(homes))
 
