Compute nothing on each message for features that are off

Endpoints that may be cold are kept in a set, which is empty without the feature; without limits and cold endpoints no endpoint is looked at. Ages are decoded for new states only. Optional fields are encoded only if they are set. Two things that were computed for each message before the features are kept as well, which makes up for the rest: whether the fleet is large, until a state arrives, and the schedulers of a group, by the nodes that may schedule.

large_gossip (5), cold_endpoints (31), cold_permits (28), permits (21), directory (12 scenarios) and endpoint_pace (50) pass; doctests pass.

--- a/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/cold_endpoints.py
@@ -118,6 +118,13 @@
         self._row_by_id = {}
         # Failed endpoints whose presumption is not confirmed yet.
         self._unconfirmed_ids = set()
+        # Endpoints that may be cold; most are not.
+        self._suspect_ids = set()
+
+    @property
+    def has_suspects(self):
+        """Whether any endpoint may be cold; if not, `find` finds none."""
+        return bool(self._suspect_ids)
 
     def configure(self, service_by_name):
         """Set the services by name; those without a cold rate have no cold endpoints.
@@ -128,13 +135,16 @@
 
     def find(self, endpoint, now):
         """Return the `ColdState` of an `Endpoint`, or None if it is warm."""
+        if endpoint.endpoint_id not in self._suspect_ids:
+            return None
         service = self._service(endpoint)
-        row = self._row_by_id.get(endpoint.endpoint_id)
-        if service is None or row is None:
+        row = self._row_by_id[endpoint.endpoint_id]
+        if service is None:
             return None
         told_until = max(row.told_until, row.gossip_until)
         known_until = max(row.entry_until, row.response_until, told_until)
         if row.failed_at is None and known_until <= now:
+            self._suspect_ids.discard(endpoint.endpoint_id)
             return None
         bound = self.bound(service.cold_rate)
         ends = [
@@ -194,7 +204,7 @@
                 if seconds != row.entry_seconds and until > row.entry_until:
                     row = row._replace(entry_seconds=seconds, entry_until=until)
                 revision = row.revision or endpoint.revision
-                self._row_by_id[endpoint_id] = row._replace(revision=revision)
+                self._put(endpoint_id, row._replace(revision=revision))
                 return
             case _Age.NEW_START:
                 row = _Row(now)
@@ -214,7 +224,7 @@
                 row = row._replace(told_until=told_until, gossip_until=gossip_until)
             case _Age.FIRST:
                 pass
-        self._row_by_id[endpoint_id] = row._replace(
+        row = row._replace(
             noted_at=now,
             entry_at=now,
             born=endpoint.born,
@@ -222,14 +232,16 @@
             entry_seconds=seconds,
             entry_until=until,
         )
+        self._put(endpoint_id, row)
 
     def note_failure(self, endpoint_id, now):
         """Record that an endpoint refused or broke a connection."""
         row = self._row_by_id.get(endpoint_id, _Row(now, born=-1))
         since = now if row.failed_since is None else row.failed_since
-        self._row_by_id[endpoint_id] = row._replace(
+        failed = row._replace(
             noted_at=now, failed_since=since, failed_at=now, presumed_until=None
         )
+        self._put(endpoint_id, failed)
         if not row.is_confirmed:
             self._unconfirmed_ids.add(endpoint_id)
 
@@ -246,7 +258,7 @@
                 self._unconfirmed_ids.discard(failed_id)
             elif failed_id != endpoint_id and sent_at >= row.failed_at:
                 self._unconfirmed_ids.discard(failed_id)
-                self._row_by_id[failed_id] = row._replace(is_confirmed=True)
+                self._put(failed_id, row._replace(is_confirmed=True))
 
     def note_response(self, endpoint, seconds, sent_at, now):
         """Record a response to a request that was sent at a time.
@@ -285,7 +297,7 @@
             row = row._replace(presumed_until=now + cold_seconds)
         else:
             return
-        self._row_by_id[endpoint_id] = row
+        self._put(endpoint_id, row)
 
     def note_reported_answer(self, endpoint, now):
         """Record that a node reported an answer, at an unknown time just before."""
@@ -312,12 +324,13 @@
         if row is None or row.failed_at is None:
             return
         if sent_at < row.failed_since and now - row.failed_at > REPORT_SECONDS:
-            self._row_by_id[endpoint_id] = row._replace(
+            row = row._replace(
                 failed_since=None,
                 failed_at=None,
                 presumed_until=None,
                 is_confirmed=False,
             )
+            self._put(endpoint_id, row)
 
     def note_told(self, endpoint, born, seconds, now, is_unconfirmed=False):
         """Record that a peer considers an endpoint cold; return if that is current.
@@ -331,7 +344,7 @@
         # What two nodes tell each other in turn must not grow with each message's age.
         if not is_unconfirmed and now + seconds > row.told_until + MESSAGE_SECONDS:
             row = row._replace(told_until=now + seconds, noted_at=now)
-            self._row_by_id[endpoint.endpoint_id] = row
+            self._put(endpoint.endpoint_id, row)
         return True
 
     def receive(self, report, endpoint, now):
@@ -342,7 +355,7 @@
         until = now + min(report.seconds, GOSSIP_SECONDS)
         if until > row.gossip_until:
             row = row._replace(gossip_until=until, noted_at=now)
-            self._row_by_id[endpoint.endpoint_id] = row
+            self._put(endpoint.endpoint_id, row)
 
     def keep_only(self, endpoint_ids, now):
         """Forget other endpoints of which nothing was noted for long."""
@@ -351,6 +364,16 @@
             for i, row in self._row_by_id.items()
             if i in endpoint_ids or now - row.noted_at <= RETENTION_SECONDS
         }
+        self._suspect_ids.intersection_update(self._row_by_id)
+
+    def _put(self, endpoint_id, row):
+        self._row_by_id[endpoint_id] = row
+        told_until = max(row.told_until, row.gossip_until)
+        until = max(row.entry_until, row.response_until, told_until)
+        if until > 0.0 or row.failed_at is not None:
+            self._suspect_ids.add(endpoint_id)
+        else:
+            self._suspect_ids.discard(endpoint_id)
 
     def _service(self, endpoint):
         service = self._service_by_name.get(endpoint.service)
--- a/packages/decisions/sequoiaglade_decisions/gateway/directory_addresses.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/directory_addresses.py
@@ -33,7 +33,7 @@
     (['b'], ('c',))
     """
     live = nodes.live(now)
-    age_by_id = {state.node_id: nodes.age(state.node_id, now) for state in live}
+    age_by_id = nodes.ages(live, now)
     if min(age_by_id.values(), default=0.0) > stable_seconds:
         running = live
     else:
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -76,6 +76,8 @@
         self._is_on = is_on
         self._starts = EndpointStarts()
         self._figures = WorkFigures()
+        # Whether any endpoint tells how long its work takes now.
+        self.has_figures = False
         self._failed_at_by_id = {}
         self._late = LateEndpoints()
         self._limit_by_id = {}
@@ -170,7 +172,9 @@
 
         `age` is how many seconds ago it stated that. Such an endpoint is paced.
         """
-        if not self._figures.note(endpoint_id, percent, now, age):
+        is_first = self._figures.note(endpoint_id, percent, now, age)
+        self.has_figures = True
+        if not is_first:
             return
         service = self._starts.service_of(endpoint_id)
         if (
@@ -192,11 +196,6 @@
         """Return whether an endpoint has a limit."""
         return endpoint_id in self._limit_by_id
 
-    @property
-    def has_figures(self):
-        """Whether any endpoint tells how long its work takes now."""
-        return bool(self._figures)
-
     def figure_factor(self, endpoint_id, now):
         """Return how much longer work takes now than on average at this endpoint."""
         return self._figures.factor(endpoint_id, now)
@@ -206,6 +205,8 @@
 
         Ends those first that no answer has confirmed for `LAPSE_SECONDS`.
         """
+        if not self._limit_by_id:
+            return self._limit_by_id
         lapsed = [
             endpoint_id
             for endpoint_id, limit in self._limit_by_id.items()
@@ -388,6 +389,7 @@
     def _forget(self, listed_ids):
         self._starts.forget(listed_ids)
         self._figures.forget(listed_ids)
+        self.has_figures = bool(self._figures)
         self._late.forget(listed_ids)
         for values in (
             self._failed_at_by_id,
--- a/packages/decisions/sequoiaglade_decisions/gateway/groups.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/groups.py
@@ -1,5 +1,7 @@
 """Groups of endpoints, each of which one node of a large fleet schedules."""
 
+from functools import lru_cache
+
 from .hashing import stable_hash
 
 # Endpoint slots per core of a scheduling node, which also does other work. Placing a
@@ -9,6 +11,9 @@
 ELIGIBLE_CORES_FRACTION = 0.5
 # Nodes that are asked in order to place a request of a group.
 SCHEDULERS_PER_GROUP = 2
+# Choices that are kept: those of the groups of some services, for some views of the
+# fleet.
+KEPT_CHOICES = 256
 
 
 def group_count(slots, cores):
@@ -32,7 +37,7 @@
     >>> group_of("e-1", 1)
     0
     """
-    return stable_hash("group", endpoint_id) % count
+    return stable_hash("group", endpoint_id) % count if count > 1 else 0
 
 
 def eligible_nodes(cores_by_node):
@@ -54,6 +59,13 @@
     same result. If a node is lost the next one takes over, and the groups of the other
     nodes do not move.
     """
+    # A hash of each node costs far more than all else in finding a scheduler, and the
+    # nodes rarely change.
+    return list(_schedulers(service, group, tuple(eligible)))
+
+
+@lru_cache(KEPT_CHOICES)
+def _schedulers(service, group, eligible):
     ranked = sorted(
         eligible, key=lambda node_id: stable_hash(service, str(group), node_id)
     )
--- a/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/nodes.py
@@ -102,13 +102,17 @@
         self._own_id = own_id
         self._entry_by_id = {}
         self._last_heard_at = 0.0
+        # Whether the fleet is large, None before it is asked after a change.
+        self._is_large = None
 
     def observe_state(self, state, now, age=0.0):
         """Store a peer's state; return whether it is newer than the known one.
 
         `age` is how many seconds ago it was made at least, 0 if that is unknown.
         """
-        self._last_heard_at = max(self._last_heard_at, now)
+        if now > self._last_heard_at:
+            self._last_heard_at = now
+            self._is_large = None
         if state.node_id == self._own_id:
             return False
         entry = self._entry_by_id.get(state.node_id)
@@ -117,32 +121,32 @@
             return False
         if known is not None and known.incarnation == state.incarnation:
             # A node of an older release relays states without the fields of later ones.
-            revision = max(state.protocol_revision, known.protocol_revision)
-            state = state._replace(protocol_revision=revision)
+            if known.protocol_revision > state.protocol_revision:
+                state = state._replace(protocol_revision=known.protocol_revision)
         self._entry_by_id[state.node_id] = _Entry(state, now, now - age)
+        self._is_large = None
         return True
 
     def heard_within(self, now, seconds):
         """Return the states received in the last `seconds`, to be relayed."""
         return [
-            entry.state
-            for entry in self._entry_by_id.values()
-            if now - entry.arrived_at <= seconds
+            state for state, at, _ in self._entry_by_id.values() if now - at <= seconds
         ]
 
-    def age(self, node_id, now):
-        """Return how many seconds ago a peer's newest state was made, at least.
+    def ages(self, states, now):
+        """Return how many seconds ago known states were made at least, by node id.
 
-        It counts the time that the state was kept by nodes that relayed it, so that a
+        This counts the time that the state was kept by nodes that relayed it, so that a
         lost peer does not count as heard of anew where its state arrives late.
 
         >>> table = NodeTable("a")
         >>> table.observe_state(NodeState("b", 1, 1), now=10.0, age=2.5)
         True
-        >>> table.age("b", now=11.0)
-        3.5
+        >>> table.ages(table.heard_within(now=11.0, seconds=1.0), now=11.0)
+        {'b': 3.5}
         """
-        return now - self._entry_by_id[node_id].made_at
+        entry_by_id = self._entry_by_id
+        return {s.node_id: now - entry_by_id[s.node_id].made_at for s in states}
 
     def heard_share(self, now):
         """Return the fraction of the retained peers whose states arrived lately."""
@@ -191,11 +195,12 @@
     @property
     def is_large(self):
         """Whether the fleet is too large for each node to contact all others."""
-        since = self._last_heard_at - PEER_RETENTION_SECONDS
-        return (
-            sum(entry.arrived_at >= since for entry in self._entry_by_id.values())
-            > SMALL_FLEET_PEERS_MAX
-        )
+        # Asked several times for each request, and a sum over all peers.
+        if self._is_large is None:
+            since = self._last_heard_at - PEER_RETENTION_SECONDS
+            count = sum(at >= since for _, at, _ in self._entry_by_id.values())
+            self._is_large = count > SMALL_FLEET_PEERS_MAX
+        return self._is_large
 
     def live(self, now, within=PEER_TIMEOUT_SECONDS_LARGE):
         """Return the states of peers that are alive and have not left.
@@ -247,6 +252,7 @@
             for node_id, entry in self._entry_by_id.items()
             if now - entry.arrived_at <= HOLDER_RETENTION_SECONDS
         }
+        self._is_large = None
         return [
             entry.state
             for entry in self._entry_by_id.values()
--- a/packages/decisions/sequoiaglade_decisions/gateway/pace_limits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/pace_limits.py
@@ -85,5 +85,7 @@
     8
     """
     slots = endpoint.slots or DEFAULT_SLOTS
+    if not limit_by_id:
+        return slots
     limit = limit_by_id.get(endpoint.endpoint_id)
     return slots if limit is None else max(1, min(slots, int(limit.requests)))
--- a/packages/decisions/sequoiaglade_decisions/gateway/request_limits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/request_limits.py
@@ -52,6 +52,11 @@
         self._notice_by_id = {}
         self._changed_at_by_id = {}
 
+    @property
+    def has_any(self):
+        """Whether any endpoint may have a limit."""
+        return bool(self._notice_by_id)
+
     def find(self, endpoint_id, born):
         """Return the limit of the endpoint that started at `born`, or None."""
         notice = self._notice_by_id.get(endpoint_id)
@@ -122,6 +127,8 @@
 
     def limited(self, endpoints):
         """Return the limits of those of a sequence of `Endpoint` with one, by id."""
+        if not self._notice_by_id:
+            return {}
         limit_by_id = {
             e.endpoint_id: self.find(e.endpoint_id, e.born) for e in endpoints
         }
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -217,7 +217,8 @@
         return refused_at is not None and now - refused_at < BATCH_RETRY_SECONDS
 
     def _weighted_load(self, endpoint, domain, limit_by_id, now):
-        count = sum(self.counts(endpoint.endpoint_id))
+        online, batch = self.counts(endpoint.endpoint_id)
+        count = online + batch
         slots = endpoint.slots or DEFAULT_SLOTS
         ratio = self.health.pace_ratio(endpoint.endpoint_id)
         added = 0.0
--- a/packages/decisions/sequoiaglade_decisions/gateway/told_limits.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/told_limits.py
@@ -46,6 +46,8 @@
 
     def notices(self, now):
         """Return the limits that were told lately, with their ages; drop older ones."""
+        if not self._told_by_id:
+            return ()
         self._told_by_id = {
             endpoint_id: told
             for endpoint_id, told in self._told_by_id.items()
--- a/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
+++ b/packages/gateway/sequoiaglade_gateway/cold_endpoints.py
@@ -12,6 +12,9 @@
 
 from .access_messages import ColdResponse
 
+# What is known of endpoints that are not listed any more is looked through this often.
+PRUNE_SECONDS = 10.0
+
 
 def note_cold_response(parts, request, head, sent_at):
     """Tell the coordinator of a response that shows whether an endpoint is cold.
@@ -50,8 +53,16 @@
             overshoot, slack = cold_starts.overshoot, cold_starts.slack
         self._cold = ColdEndpoints(overshoot, slack)
         self._logged_ids = set()
+        self._prune_at = 0.0
         self._log = structlog.get_logger()
 
+    @property
+    def has_any(self):
+        """Whether any endpoint may be cold, or its end is not logged yet."""
+        if self._cold_starts is None:
+            return False
+        return self._cold.has_suspects or bool(self._logged_ids)
+
     def configure(self, service_by_name):
         """Follow the services of a configuration."""
         self._cold.configure(service_by_name)
@@ -72,6 +83,8 @@
 
     def note_failure(self, endpoint_id, now):
         """Record that an endpoint refused or broke a connection."""
+        if self._cold_starts is None:
+            return
         self._cold.note_failure(endpoint_id, now)
 
     def note_response(self, endpoint, seconds, sent_at, now):
@@ -81,14 +94,20 @@
 
     def note_reported_answer(self, endpoint, now):
         """Record that a node reported an answer."""
+        if self._cold_starts is None:
+            return
         self._cold.note_reported_answer(endpoint, now)
 
     def note_own_answer(self, endpoint_id, sent_at, now):
         """Record that an endpoint answered a request of this node on its own way."""
+        if self._cold_starts is None:
+            return
         self._cold.note_own_answer(endpoint_id, sent_at, now)
 
     def note_done(self, endpoint_id, sent_at, now):
         """Record that a request ended well that was sent at a time."""
+        if self._cold_starts is None:
+            return
         self._cold.note_done(endpoint_id, sent_at, now)
 
     def find_told(self, endpoint, born, notice, now):
@@ -123,16 +142,23 @@
 
     def receive(self, report, endpoint, now):
         """Record a peer's `ColdReport` of an endpoint."""
+        if self._cold_starts is None:
+            return
         self._cold.receive(report, endpoint, now)
         self.find(endpoint, now)
 
-    def keep_only(self, endpoints, now):
-        """Forget other endpoints after a while, and log those that are warm again."""
-        listed_ids = {e.endpoint_id for e in endpoints}
-        self._cold.keep_only(listed_ids, now)
-        self._logged_ids &= listed_ids
-        for endpoint in endpoints:
-            self.find(endpoint, now)
+    def find_all(self, endpoints, now):
+        """Return those of the listed endpoints that are cold, as a list.
+
+        Log those that are warm again, and forget others than the listed after a while.
+        """
+        if now >= self._prune_at:
+            self._prune_at = now + PRUNE_SECONDS
+            self._cold.keep_only({e.endpoint_id for e in endpoints}, now)
+        if not self.has_any:
+            return []
+        self._logged_ids &= {e.endpoint_id for e in endpoints}
+        return [e for e in endpoints if self.find(e, now) is not None]
 
     def status(self, endpoints, now):
         """Return the seconds left and the evidence of cold endpoints, by id."""
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -354,7 +354,7 @@
         is_busy = self._loads.is_busy(now)
         age_by_id = {}
         if is_large:
-            age_by_id = {s.node_id: self._nodes.age(s.node_id, now) for s in others}
+            age_by_id = self._nodes.ages(others, now)
         return Published(self._state, others, is_busy, is_large, age_by_id)
 
     def _is_published(self, message, now):
@@ -406,8 +406,10 @@
             self._loads.update_peer(state.node_id, state.load_by_endpoint, now)
             self._admission.receive_state(state, now)
             self._blame.receive(state, now)
-            self._limits.receive(state, now)
-            self._pacing.paces.adopt(state.paces, now)
+            if state.request_limits or state.cold_endpoints:
+                self._limits.receive(state, now)
+            if state.paces:
+                self._pacing.paces.adopt(state.paces, now)
         return new_states
 
     def _batch_share(self, message, now):
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -34,7 +34,7 @@
 
 def encode_state(state):
     """Return the message for a `NodeState`."""
-    return fleet_pb2.FleetNode(
+    message = fleet_pb2.FleetNode(
         node_id=state.node_id,
         incarnation=state.incarnation,
         sequence=state.sequence,
@@ -81,11 +81,15 @@
             for key, fingerprint in state.survived_breaks
         ],
         request_limits=map(encode_notice, state.request_limits),
-        cold_endpoints=map(encode_cold, state.cold_endpoints),
         is_cut_off=state.is_cut_off,
         protocol_revision=state.protocol_revision,
-        paces=map(encode_pace, state.paces),
     )
+    # Most states have neither.
+    if state.cold_endpoints:
+        message.cold_endpoints.extend(map(encode_cold, state.cold_endpoints))
+    if state.paces:
+        message.paces.extend(map(encode_pace, state.paces))
+    return message
 
 
 def decode_state(message):
@@ -140,8 +144,8 @@
         cores=message.cores,
         is_admitted_complete=not message.is_admitted_partial,
         part_crashes=(
-            *_decode_part_crashes(message.part_crashes, has_begun=False),
-            *_decode_part_crashes(message.begun_part_crashes, has_begun=True),
+            _decode_part_crashes(message.part_crashes, has_begun=False)
+            + _decode_part_crashes(message.begun_part_crashes, has_begun=True)
         ),
         sound_parts=tuple(
             SoundPart(
@@ -152,11 +156,11 @@
         survived_breaks=tuple(
             (row.endpoint_key, row.fingerprint) for row in message.survived_breaks
         ),
-        request_limits=tuple(map(decode_notice, message.request_limits)),
-        cold_endpoints=tuple(map(decode_cold, message.cold_endpoints)),
+        request_limits=_decode_rows(decode_notice, message.request_limits),
+        cold_endpoints=_decode_rows(decode_cold, message.cold_endpoints),
         is_cut_off=message.is_cut_off,
         protocol_revision=message.protocol_revision,
-        paces=tuple(map(decode_pace, message.paces)),
+        paces=_decode_rows(decode_pace, message.paces),
     )
 
 
@@ -171,7 +175,9 @@
 
 
 def _decode_part_crashes(rows, has_begun):
-    return [
+    if not rows:
+        return ()
+    return tuple(
         PartCrash(
             row.service,
             tuple(row.parts),
@@ -181,7 +187,12 @@
             has_begun,
         )
         for row in rows
-    ]
+    )
+
+
+def _decode_rows(decode, rows):
+    """Return a tuple of the decoded rows; most messages have none."""
+    return tuple(map(decode, rows)) if rows else ()
 
 
 def encode_summary(summary):
@@ -202,14 +213,25 @@
 
 def encode_report(report):
     """Return the message for a `LoadReport`."""
-    return fleet_pb2.LoadReport(
+    message = fleet_pb2.LoadReport(
         node_id=report.node_id,
         incarnation=report.number[0],
         number=report.number[1],
         loads=_encode_loads(report.counts_by_id),
-        results=[fleet_pb2.EndpointResult(**r._asdict()) for r in report.results],
+        results=map(_encode_result, report.results),
         admitted=_encode_admitted(report.admitted_by_workspace),
-        paces=map(encode_pace, report.paces),
+    )
+    if report.paces:
+        message.paces.extend(map(encode_pace, report.paces))
+    return message
+
+
+def _encode_result(result):
+    endpoint_id, outcome, pause_seconds, *others = result
+    if any(others):
+        return fleet_pb2.EndpointResult(**result._asdict())
+    return fleet_pb2.EndpointResult(
+        endpoint_id=endpoint_id, outcome=outcome, pause_seconds=pause_seconds
     )
 
 
@@ -233,7 +255,7 @@
             for row in message.results
         ),
         _decode_admitted(message.admitted),
-        tuple(map(decode_pace, message.paces)),
+        _decode_rows(decode_pace, message.paces),
     )
 
 
@@ -250,7 +272,7 @@
         is_batch=place.is_batch,
         is_late=place.is_late,
         workspace=None if place.is_admitted else place.workspace,
-        regions=sorted(place.regions),
+        regions=sorted(place.regions) if place.regions else None,
     )
 
 
@@ -264,7 +286,7 @@
         message.is_batch,
         message.is_late,
         workspace=message.workspace or None,
-        regions=frozenset(message.regions),
+        regions=frozenset(message.regions) if message.regions else frozenset(),
     )
     report = decode_report(message.report)
     return Schedule(report, place, message.group, message.group_count)
--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -116,19 +116,15 @@
         states = [published.own, *published.others]
         digest = fleet_pb2.FleetDigest(nodes=self._messages.encode(states))
         if published.age_by_id:
-            ages = [published.age_by_id.get(s.node_id, 0.0) for s in states]
+            age_of = published.age_by_id.get
+            ages = [age_of(s.node_id, 0.0) * MS_PER_SECOND for s in states]
             # Rounded up, so that peers do not take a state for younger than it is.
-            digest.ages_ms.extend(math.ceil(age * MS_PER_SECOND) for age in ages)
+            digest.ages_ms.extend(map(math.ceil, ages))
         return digest
 
     def receive_digest(self, digest):
         """Merge a peer's digest, and release jobs that another node holds as well."""
-        states = self._messages.decode_new(digest.nodes)
-        age_by_id = {
-            node.node_id: age_ms / MS_PER_SECOND
-            for node, age_ms in zip(digest.nodes, digest.ages_ms)
-        }
-        received = PeerStatesReceived(states, age_by_id)
+        received = PeerStatesReceived(*self._messages.decode_new(digest))
         new_states = self._parts.coordinator.ask(received)
         for state in new_states:
             self._job_registry.note_peer_jobs(state.jobs)
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -137,14 +137,27 @@
 
     def describe(self, endpoint, now):
         """Return an `Endpoint` with its limit, and with its cold time as known now."""
+        if not self._may_need_permits:
+            return (
+                endpoint._replace(cold_seconds=0.0)
+                if endpoint.cold_seconds
+                else endpoint
+            )
         state = self.cold.find(endpoint, now)
         return endpoint._replace(
             request_limit=self.find(endpoint),
             cold_seconds=0.0 if state is None else state.seconds,
         )
 
+    @property
+    def _may_need_permits(self):
+        """Whether any endpoint may need permits; most of the time none does."""
+        return self._limits.has_any or self.cold.has_any
+
     def note_result(self, result, now):
         """Record an `EndpointResult` that a peer reported."""
+        if self._settings.cold_starts is None:
+            return
         endpoint_id = result.endpoint_id
         endpoint = self._directory.get(endpoint_id, now)
         match result.outcome:
@@ -157,6 +170,8 @@
 
     def open(self, endpoints, is_batch, now):
         """Return the endpoints that need no permit, or one that may be asked for."""
+        if not self._may_need_permits:
+            return endpoints
         return [
             endpoint
             for endpoint in endpoints
@@ -175,6 +190,8 @@
 
     def grantable(self, endpoints, is_batch, now):
         """Return the endpoints that need no permit, and those with one left here."""
+        if not self._may_need_permits:
+            return endpoints
         granters = None
         rows = []
         for endpoint in endpoints:
@@ -192,6 +209,8 @@
 
     def take_own(self, endpoint_id, now):
         """Take the permits that `grantable` has found; return their sources."""
+        if not self._may_need_permits:
+            return frozenset()
         endpoint = self._directory.get(endpoint_id, now)
         if not self._needs_permit(endpoint, now):
             return frozenset()
@@ -206,8 +225,7 @@
     def notices(self, now):
         """Return the notices to gossip."""
         endpoints = self._directory.endpoints()
-        self.cold.keep_only(endpoints, now)
-        cold = [e for e in endpoints if self.cold.find(e, now) is not None]
+        cold = self.cold.find_all(endpoints, now)
         self._taken_at_by_id = {
             i: at
             for i, at in self._taken_at_by_id.items()
@@ -233,6 +251,8 @@
         request there would not know. In a large fleet schedulers are told so in load
         reports.
         """
+        if not self.cold.has_any:
+            return ()
         reports = []
         endpoints = self._directory.endpoints()
         endpoints = [e for e in endpoints if self.cold.is_reportable(e, now)]
--- a/packages/gateway/sequoiaglade_gateway/requests_in_flight.py
+++ b/packages/gateway/sequoiaglade_gateway/requests_in_flight.py
@@ -99,6 +99,8 @@
         self._admission.note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
+        if not (message.has_permit or message.has_cold_permit):
+            return placed
         return placed._replace(
             has_permit=message.has_permit, has_cold_permit=message.has_cold_permit
         )
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -138,10 +138,13 @@
 
     def _with_permits(self, placement, limits, now):
         sources = limits.take_own(placement.endpoint_id, now)
+        pace = self._paces.tell(placement.endpoint_id, now)
+        if not sources and pace is None:
+            return placement
         return placement._replace(
             has_permit=PermitSource.NAMED in sources,
             has_cold_permit=PermitSource.COLD in sources,
-            pace=self._paces.tell(placement.endpoint_id, now),
+            pace=pace,
         )
 
     def receive_report(self, report, now):
--- a/tests/features/steps/gossip_replay.py
+++ b/tests/features/steps/gossip_replay.py
@@ -166,8 +166,8 @@
         if table.is_large or node.sequence % MESSAGES_PER_RELAY == 0:
             others = table.heard_within(now, relay_seconds(table.is_large))
         # Small fleets send no ages.
-        ages = [table.age(s.node_id, now) if table.is_large else 0.0 for s in others]
-        return [(own, 0.0), *zip(others, ages)]
+        age_by_id = table.ages(others, now) if table.is_large else {}
+        return [(own, 0.0), *((s, age_by_id.get(s.node_id, 0.0)) for s in others)]
 
     def _receive_request(self, now, node, sender, digest, sent_at):
         if node.is_running:
