Take only lost connections as evidence of a new start

An endpoint that was silent, or a connection attempt that the caller's deadline cut short, counted as a broken connection, and so the endpoint as cold for the service's cold_seconds, at this node and at its scheduler.

Load reports tell it as "broken" with the new field is_abandoned, so that schedulers of older releases avoid the endpoint as before; reports of older nodes count as evidence as before. A connection attempt that was not accepted in its whole time still counts as a failed connection.

--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -24,6 +24,7 @@
 from ..evacuation_messages import FindEvacuated
 from ..interface import IncomingCall
 from ..messages import (
+    ABANDONED,
     BROKEN,
     DONE,
     NOT_SENT,
@@ -375,7 +376,7 @@
             case CallFault(Fault.NOT_RUN, reason):
                 return ItemOutcome.STOPPED, REFUSED, reason
             case CallFault(_, reason):
-                return ItemOutcome.BROKEN, BROKEN, reason
+                return ItemOutcome.BROKEN, _outcome_of(answer), reason
             case CompleteResponse(500):
                 return ItemOutcome.FAILED, DONE, "the endpoint answered 500"
             case CompleteResponse(422):
@@ -394,7 +395,7 @@
             for event in splitter.feed(chunk):
                 if is_misplaced(event, run.progress.resumed_after, new_event_count):
                     reason = "the resumed stream begins with content that is no event"
-                    return ItemOutcome.BROKEN, BROKEN, reason
+                    return ItemOutcome.BROKEN, ABANDONED, reason
                 if (
                     event.event_id is None
                     or event.event_id <= run.progress.last_event_id
@@ -410,18 +411,18 @@
                         f"event {event.event_id} came after "
                         f"{run.progress.last_event_id}"
                     )
-                    return ItemOutcome.BROKEN, BROKEN, reason
+                    return ItemOutcome.BROKEN, ABANDONED, reason
                 answer.note_event()
                 new_event_count += 1
                 if run.job.batch.is_output_excessive(item_id, result_bytes_max):
                     answer.log_abandoned("item output")
-                    return ItemOutcome.EXCESSIVE, BROKEN, "the output has no end"
+                    return ItemOutcome.EXCESSIVE, ABANDONED, "the output has no end"
         if run.attempt.is_aborted:
             return ItemOutcome.STOPPED, STOPPED, "stopped"
         if answer.fault is not None and answer.fault.fault is Fault.PATH_BROKEN:
             return ItemOutcome.STOPPED, STOPPED, answer.fault.reason
         if answer.fault is not None:
-            return ItemOutcome.BROKEN, BROKEN, answer.fault.reason
+            return ItemOutcome.BROKEN, _outcome_of(answer.fault), answer.fault.reason
         missing = missing_part(
             splitter.has_partial_event, new_event_count, answer.has_length
         )
@@ -456,5 +457,10 @@
         )
 
 
+def _outcome_of(fault):
+    """Return the outcome of a call that failed after its item may have been sent."""
+    return ABANDONED if fault.is_abandoned else BROKEN
+
+
 def _is_running_at(run, endpoint_id):
     return run.endpoint.endpoint_id == endpoint_id and not run.attempt.is_aborted
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -5,13 +5,13 @@
 from typing import NamedTuple
 
 import urllib3
-from urllib3.exceptions import HTTPError, ReadTimeoutError
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, ReadTimeoutError
 
 from sequoiaglade_decisions.gateway import Fault, ResponsePart
 from sequoiaglade_endpoints.connections import TrackedConnection
 
 from .body_buffer import BodyBuffer
-from .bounded_reads import BoundedResponse
+from .bounded_reads import BoundedResponse, BoundExceededError
 from .cold_endpoints import is_permit_expired, note_cold_response
 from .endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS
 from .forwarding import ForwardError
@@ -24,10 +24,15 @@
 
 
 class CallFault(NamedTuple):
-    """A call without a response to forward: its `Fault` and the reason."""
+    """A call without a response to forward: its `Fault` and the reason.
+
+    `is_abandoned` is whether this node ended the call, or the connection attempt, and
+    the endpoint has not closed or refused the connection.
+    """
 
     fault: Fault
     reason: str
+    is_abandoned: bool = False
 
 
 class CompleteResponse(NamedTuple):
@@ -81,10 +86,10 @@
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
         except (TimeoutError, ReadTimeoutError):
-            self.fault = CallFault(Fault.SILENT, "the stream stalled")
+            self.fault = CallFault(Fault.SILENT, "the stream stalled", True)
         except (HTTPError, OSError, ValueError) as error:
             reason = f"the stream was interrupted: {error}"
-            self.fault = CallFault(fault_of(error), reason)
+            self.fault = CallFault(fault_of(error), reason, _is_own_bound(error))
 
 
 def open_call(request, parts, attempt, patience, remaining_seconds, bounds):
@@ -115,7 +120,10 @@
             parts.paths.note_failed(request.endpoint.endpoint_id)
         # A cut of this node's links says nothing of the endpoint.
         fault = Fault.NO_PATH if parts.paths.is_cut_off else Fault.NOT_SENT
-        return CallFault(fault, f"no connection to {request.address}: {error}")
+        reason = f"no connection to {request.address}: {error}"
+        is_timeout = isinstance(error, TimeoutError | ConnectTimeoutError)
+        is_cut_short = is_timeout and remaining_seconds < CONNECT_SECONDS
+        return CallFault(fault, reason, is_cut_short)
     if is_direct:
         parts.paths.note_connected(request.endpoint.endpoint_id)
     if not attempt.may_send():
@@ -131,6 +139,10 @@
     outcome = _exchange(connection, request, parts, attempt, bounded)
     if not isinstance(outcome, EventStreamResponse):
         bounded.release()
+    if isinstance(outcome, CallFault) and outcome.fault is Fault.NOT_SENT:
+        # A peer did not connect; it does not tell whether the time was too short.
+        is_cut_short = remaining_seconds < CONNECT_SECONDS
+        outcome = outcome._replace(is_abandoned=is_cut_short)
     return outcome
 
 
@@ -161,7 +173,7 @@
     except (TimeoutError, ReadTimeoutError):
         _close(connection, response, attempt)
         reason = f"{request.address} did not answer in time"
-        return CallFault(Fault.SILENT, reason)
+        return CallFault(Fault.SILENT, reason, True)
     except http.client.HTTPException as error:
         bounded.log_abandoned("head format", reason=repr(error))
         reason = f"{request.address} sent an invalid head: {error!r}"
@@ -169,7 +181,7 @@
         reason = f"the call to {request.address} was interrupted: {error}"
         fault = fault_of(error)
         _close(connection, response, attempt)
-        return CallFault(fault, reason)
+        return CallFault(fault, reason, _is_own_bound(error))
     _close(connection, response, attempt)
     return CallFault(Fault.BROKEN, reason)
 
@@ -191,6 +203,12 @@
     return cause.fault if isinstance(cause, ForwardError) else Fault.BROKEN
 
 
+def _is_own_bound(error):
+    """Return whether this node ended the reading of a response by one of its bounds."""
+    cause = error.args[1] if len(error.args) > 1 else error
+    return isinstance(cause, BoundExceededError)
+
+
 def _read_head(connection, response, head, request, parts, attempt, bounded):
     if head.is_leaving:
         note_leaving(parts, request, head, response.status)
@@ -198,7 +216,7 @@
     if head.request_id not in (None, request.request_id):
         _close(connection, response, attempt)
         reason = f"{request.address} answered another request, {head.request_id!r}"
-        return CallFault(Fault.BROKEN, reason)
+        return CallFault(Fault.BROKEN, reason, True)
     if head.is_not_run:
         _close(connection, response, attempt)
         reason = f"{request.address} refused the request with {response.status}"
@@ -206,7 +224,8 @@
     is_success = 200 <= response.status < 300
     if is_success and not head.is_signed:
         _close(connection, response, attempt)
-        return CallFault(Fault.BROKEN, f"{request.address} sent no signature")
+        reason = f"{request.address} sent no signature"
+        return CallFault(Fault.BROKEN, reason, True)
     headers = parts.dialect.forwarded_headers(response.headers)
     content_type = response.headers.get("Content-Type", "")
     if is_success and content_type.startswith("text/event-stream"):
--- a/packages/gateway/sequoiaglade_gateway/endpoint_pacing.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_pacing.py
@@ -63,7 +63,7 @@
                 weight = self.weight(endpoint_id, now, loads)
                 self.paces.note_answer(endpoint_id, BATCH_LATENESS, 0.0, now, weight)
                 scheduling.note_answer(endpoint_id, BATCH_LATENESS, 0.0)
-            case messages.NOT_SENT | messages.BROKEN:
+            case messages.NOT_SENT | messages.BROKEN | messages.ABANDONED:
                 self.paces.note_failure(endpoint_id, now)
             case messages.REFUSED:
                 self.paces.note_refusal(endpoint_id, now)
--- a/packages/gateway/sequoiaglade_gateway/messages.py
+++ b/packages/gateway/sequoiaglade_gateway/messages.py
@@ -93,7 +93,8 @@
     `lateness` is the time to its first event as a multiple of what callers need, or 0,
     `answer_seconds` this time. `work_percent` is how long work takes at the endpoint in
     per cent of the usual time, as it stated `work_age_seconds` ago, or 0.
-    `run_seconds` is how long before its end it was sent, 0 if unknown.
+    `run_seconds` is how long before its end it was sent, 0 if unknown. `is_abandoned`
+    is whether the outcome is `BROKEN` since the node ended the call itself.
     """
 
     endpoint_id: str
@@ -104,6 +105,7 @@
     work_percent: float = 0.0
     work_age_seconds: float = 0.0
     run_seconds: float = 0.0
+    is_abandoned: bool = False
 
 
 class LoadReport(NamedTuple):
@@ -433,5 +435,8 @@
 NOT_SENT = "not_sent"
 REFUSED = "refused"
 BROKEN = "broken"
+# A failure like `BROKEN` or `NOT_SENT`, but this node ended the call or the connection
+# attempt, as the endpoint took too long or sent nothing that can be used.
+ABANDONED = "abandoned"
 STOPPED = "stopped"
 SILENT = "silent"
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -24,6 +24,7 @@
 from ..endpoint_requests import EndpointRequest
 from ..evacuations import PlacedAttempt
 from ..messages import (
+    ABANDONED,
     BROKEN,
     DONE,
     NOT_SENT,
@@ -165,7 +166,7 @@
             return
         outcome = _outcome_of(fault, attempt.is_aborted)
         # An endpoint that is only silent may go on: the request did not crash it.
-        is_crash = outcome == BROKEN and fault.fault is Fault.BROKEN
+        is_crash = outcome in (BROKEN, ABANDONED) and fault.fault is Fault.BROKEN
         ended = RequestEnded(
             in_flight_request.endpoint.endpoint_id,
             False,
@@ -433,10 +434,12 @@
             return DONE
         case CallFault(Fault.NO_PATH | Fault.PATH_BROKEN):
             return STOPPED
+        case CallFault(Fault.NOT_SENT | Fault.BROKEN | Fault.SILENT, _, True):
+            return ABANDONED
         case CallFault(Fault.NOT_SENT):
             return NOT_SENT
         case CallFault(Fault.NOT_RUN):
             return REFUSED
-        case CallFault(Fault.BROKEN | Fault.SILENT):
+        case CallFault(Fault.BROKEN):
             return BROKEN
     return DONE
--- a/packages/gateway/sequoiaglade_gateway/online/first_events.py
+++ b/packages/gateway/sequoiaglade_gateway/online/first_events.py
@@ -29,7 +29,7 @@
         if _has_misplaced(events, last_event_id):
             answer.close()
             reason = "the resumed stream begins with content that is no event"
-            return CallFault(Fault.BROKEN, reason)
+            return CallFault(Fault.BROKEN, reason, True)
         if any(_is_new(event, last_event_id) for event in events):
             if unnumbered:
                 events.insert(0, Event(None, (), bytes(unnumbered)))
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -107,7 +107,7 @@
                 continue
             if event.event_id > expected:
                 reason = f"event {event.event_id} came instead of {expected}"
-                return raw_events, CallFault(Fault.BROKEN, reason)
+                return raw_events, CallFault(Fault.BROKEN, reason, True)
             self._exchange.last_event_id = event.event_id
             self._event_count += 1
             self._stream.answer.note_event()
--- a/packages/gateway/sequoiaglade_gateway/peers/codec.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/codec.py
@@ -251,6 +251,7 @@
                 row.work_percent,
                 row.work_age_seconds,
                 row.run_seconds,
+                row.is_abandoned,
             )
             for row in message.results
         ),
--- a/packages/gateway/sequoiaglade_gateway/request_limits.py
+++ b/packages/gateway/sequoiaglade_gateway/request_limits.py
@@ -161,7 +161,7 @@
         endpoint_id = result.endpoint_id
         endpoint = self._directory.get(endpoint_id, now)
         match result.outcome:
-            case messages.NOT_SENT | messages.BROKEN:
+            case messages.NOT_SENT | messages.BROKEN if not result.is_abandoned:
                 self.cold.note_failure(endpoint_id, now)
             case messages.DONE if endpoint is not None:
                 if result.run_seconds:
--- a/packages/gateway/sequoiaglade_gateway/requests_in_flight.py
+++ b/packages/gateway/sequoiaglade_gateway/requests_in_flight.py
@@ -143,14 +143,19 @@
                     self._limits.cold.note_done(endpoint_id, message.sent_at, now)
             case messages.NOT_SENT:
                 self._note_failure(endpoint_id, now)
+                self._limits.cold.note_failure(endpoint_id, now)
             case messages.REFUSED:
                 self._loads.health.note_full(endpoint_id, now)
             case messages.BROKEN:
+                self._note_failure(endpoint_id, now)
+                self._limits.cold.note_failure(endpoint_id, now)
+                self._blame.note_crash(message, now)
+            case messages.ABANDONED:
+                # A connection that this node ended does not show a new start.
                 self._note_failure(endpoint_id, now)
                 self._blame.note_crash(message, now)
 
     def _note_failure(self, endpoint_id, now):
         is_limited = self._pacing.paces.is_limited(endpoint_id)
         self._loads.health.note_failure(endpoint_id, now, is_limited)
-        self._limits.cold.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
--- a/packages/gateway/sequoiaglade_gateway/scheduling.py
+++ b/packages/gateway/sequoiaglade_gateway/scheduling.py
@@ -18,7 +18,13 @@
 )
 
 from .endpoint_pacing import apply_result
-from .messages import EndpointResult, LoadReport, SchedulerQuery
+from .messages import (
+    ABANDONED,
+    BROKEN,
+    EndpointResult,
+    LoadReport,
+    SchedulerQuery,
+)
 
 # Results kept for the next report; reports are due many times a second.
 MAX_RESULTS = 200
@@ -161,8 +167,14 @@
 
     def note_end(self, endpoint_id, outcome, pause_seconds=0.0, run_seconds=0.0):
         """Note how a request ended, or that it waits, for the next report."""
+        is_abandoned = outcome == ABANDONED
         result = EndpointResult(
-            endpoint_id, outcome, pause_seconds, run_seconds=run_seconds
+            endpoint_id,
+            # Nodes of older releases know only this outcome.
+            BROKEN if is_abandoned else outcome,
+            pause_seconds,
+            run_seconds=run_seconds,
+            is_abandoned=is_abandoned,
         )
         self._note_result(result)
 
--- a/tests/features/gateway/cold_endpoints.feature
+++ b/tests/features/gateway/cold_endpoints.feature
@@ -60,6 +60,21 @@
       | 1.5   | 3   | 30   |
       | 0.2   | 4   | 30   |
 
+  # Silent endpoints, and connections that got no time, were taken for new starts.
+  Scenario Outline: A call ends since <cause>
+    Given a node and a scheduler that know an endpoint as warm
+    When a call to the endpoint ends since <cause>
+    Then the endpoint is avoided, and both nodes take it for <state>
+
+    Examples:
+      | cause                                    | state |
+      | the endpoint is silent                   | warm  |
+      | the caller's time was over at connecting | warm  |
+      | the endpoint sent no signature           | warm  |
+      | the connection was not accepted in time  | cold  |
+      | the connection was refused               | cold  |
+      | the connection was reset                 | cold  |
+
   Scenario: A node that is cut off from the endpoints presumes that all have restarted
     Given a fleet of 3 nodes and 4 endpoints, none of them cold
     When at a node other than the granter a connection to each endpoint fails
