Let soft pace limits preempt nothing, and count listed endpoints only

An online request stopped a batch item although an endpoint that had just started had free slots beyond its soft limit. Where a batch item would be preempted, a free slot within the firm limits goes before it now. Without batch items the order is as before: waiting at endpoints without a limit goes before slots beyond a soft limit.

Whether a start or lateness is common to a service counted endpoints that were no longer listed, up to 100 of them, so that it was seen too late or not.

pace_order.feature fails without the change in 4 of 6 scenarios. endpoint_pace (50) passes.

--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_pace.py
@@ -104,6 +104,10 @@
         """Note a listed endpoint; one with a new id or a later start has started."""
         self._limit_starts(self._starts.note(endpoint, now), now)
 
+    def note_unlisted(self, endpoint_id):
+        """Note that an endpoint is not listed any more."""
+        self._starts.note_unlisted(endpoint_id)
+
     def note_return(self, endpoint_ids, now):
         """Limit endpoints whose evacuation has ended."""
         for endpoint_id in endpoint_ids:
--- a/packages/decisions/sequoiaglade_decisions/gateway/endpoint_starts.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/endpoint_starts.py
@@ -27,6 +27,7 @@
     def __init__(self):
         self._has_list = False
         self._endpoint_by_id = {}
+        self._listed_ids = set()
         self._started_at_by_id = {}
 
     def note_list(self, endpoints, now, unix_seconds):
@@ -37,6 +38,7 @@
         all of them counted as started, a restarted node or fleet would throttle sound
         endpoints until each has answered.
         """
+        self._listed_ids = {endpoint.endpoint_id for endpoint in endpoints}
         if self._has_list:
             return [e for endpoint in endpoints for e in self.note(endpoint, now)]
         self._has_list = True
@@ -53,11 +55,16 @@
         """
         known = self._endpoint_by_id.get(endpoint.endpoint_id)
         self._endpoint_by_id[endpoint.endpoint_id] = endpoint
+        self._listed_ids.add(endpoint.endpoint_id)
         if known is not None and endpoint.born <= known.born:
             return []
         self._started_at_by_id[endpoint.endpoint_id] = now
         return [endpoint]
 
+    def note_unlisted(self, endpoint_id):
+        """Note that an endpoint is not listed any more."""
+        self._listed_ids.discard(endpoint_id)
+
     def is_recent(self, endpoint_id, now):
         """Return whether an endpoint has just started."""
         started_at = self._started_at_by_id.get(endpoint_id, float("-inf"))
@@ -72,8 +79,24 @@
         return 2 * sum(self.is_recent(i, now) for i in ids) > len(ids)
 
     def ids_of(self, service):
-        """Return the ids of a service's endpoints as a list."""
-        return [i for i, e in self._endpoint_by_id.items() if e.service == service]
+        """Return the ids of a service's listed endpoints as a list.
+
+        Those that have left are remembered, but serve nothing.
+
+        >>> from .endpoints import Endpoint
+        >>> starts = EndpointStarts()
+        >>> endpoints = [Endpoint(i, "s", "", "d", 8) for i in "abc"]
+        >>> starts.note_list(endpoints, now=0.0, unix_seconds=99.0)
+        []
+        >>> starts.note_unlisted("b")
+        >>> starts.ids_of("s")
+        ['a', 'c']
+        """
+        return [
+            i
+            for i, e in self._endpoint_by_id.items()
+            if e.service == service and i in self._listed_ids
+        ]
 
     def service_of(self, endpoint_id):
         """Return the service of an endpoint, None if it was never listed."""
@@ -94,6 +117,7 @@
 
     def forget(self, listed_ids):
         """Drop the endpoints that are not in `listed_ids`."""
+        self._listed_ids &= listed_ids
         for values in (self._endpoint_by_id, self._started_at_by_id):
             for endpoint_id in set(values) - listed_ids:
                 del values[endpoint_id]
--- a/packages/decisions/sequoiaglade_decisions/gateway/placement.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/placement.py
@@ -136,15 +136,17 @@
         if not candidates:
             return Full(AVOID_SECONDS, bool(endpoints))
         limits = self._paces.limits_for(candidates, now)
-        placed = self._choose_within(limits, candidates, now, spread, headroom)
-        if placed is None and limits:
-            firm = self._paces.firm_limits(candidates, now)
-            if firm != limits:
-                placed = self._choose_within(firm, candidates, now, spread, headroom)
+        firm = self._paces.firm_limits(candidates, now) if limits else limits
+        placed = self._choose_within(limits, firm, candidates, now, spread, headroom)
+        if placed is None and firm != limits:
+            placed = self._choose_within(firm, firm, candidates, now, spread, headroom)
         return placed or Full(self._retry_after.next_seconds(now), True)
 
-    def _choose_within(self, limit_by_id, candidates, now, spread, headroom):
-        """Return `Placed`, or None if all endpoints are full within their limits."""
+    def _choose_within(self, limit_by_id, firm, candidates, now, spread, headroom):
+        """Return `Placed`, or None if all endpoints are full within their limits.
+
+        `firm` are the limits within which a free slot goes before a preemption.
+        """
         ranked = []
         for endpoint in candidates:
             online, batch = self.counts(endpoint.endpoint_id, now)
@@ -167,7 +169,7 @@
             ]
             _, _, endpoint, *_ = min(local or similar, key=lambda row: row[1])
             return Placed(endpoint.endpoint_id)
-        return self._choose_when_full(ranked, limit_by_id, headroom, now)
+        return self._choose_when_full(ranked, limit_by_id, firm, headroom, now)
 
     def _weighted_load(self, endpoint, count, limited, now):
         ratio = self.health.pace_ratio(endpoint.endpoint_id)
@@ -188,11 +190,17 @@
         free = [row for row in sample if row[3] + row[4] < row[5]]
         return min(free, key=lambda row: row[:2])[2].endpoint_id if free else None
 
-    def _choose_when_full(self, ranked, limit_by_id, headroom, now):
+    def _choose_when_full(self, ranked, limit_by_id, firm, headroom, now):
         self._last_full_at = now
-        for _, _, endpoint, *_ in sorted(ranked, key=lambda row: row[:2]):
+        in_order = [row[2] for row in sorted(ranked, key=lambda row: row[:2])]
+        for endpoint in in_order:
             own_batch = self._own_by_id.get(endpoint.endpoint_id, (0, 0))[1]
             if own_batch:
+                free_id = None
+                if firm != limit_by_id:
+                    free_id = self._first_free(in_order, firm, now)
+                if free_id is not None:
+                    return Placed(free_id)
                 return Placed(endpoint.endpoint_id, preempts=True)
         rows = []
         for _, tie, endpoint, online, _, slots in ranked:
@@ -203,6 +211,13 @@
         excess, _, endpoint_id = min(rows)
         return Placed(endpoint_id) if excess < 0 else None
 
+    def _first_free(self, endpoints, limit_by_id, now):
+        for endpoint in endpoints:
+            count = sum(self.counts(endpoint.endpoint_id, now))
+            if count < limited_slots(endpoint, limit_by_id):
+                return endpoint.endpoint_id
+        return None
+
     def batch_nodes(self, endpoint_id, now):
         """Return the ids of peers with batch items at an endpoint, one per item."""
         nodes = []
--- a/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/scheduling.py
@@ -122,21 +122,23 @@
         if not candidates:
             return Full(AVOID_SECONDS, bool(endpoints))
         limits = self._paces.limits_for(candidates, now)
+        firm = self._paces.firm_limits(candidates, now) if limits else limits
         placed = self._choose_within(
-            limits, candidates, node_id, now, spread, headroom, domain
+            limits, firm, candidates, node_id, now, spread, headroom, domain
         )
-        if placed is None and limits:
-            firm = self._paces.firm_limits(candidates, now)
-            if firm != limits:
-                placed = self._choose_within(
-                    firm, candidates, node_id, now, spread, headroom, domain
-                )
+        if placed is None and firm != limits:
+            placed = self._choose_within(
+                firm, firm, candidates, node_id, now, spread, headroom, domain
+            )
         return placed or Full(self._retry_after.next_seconds(now), True)
 
     def _choose_within(
-        self, limit_by_id, candidates, node_id, now, spread, headroom, domain
+        self, limit_by_id, firm, candidates, node_id, now, spread, headroom, domain
     ):
-        """Return `Scheduled`, or None if all endpoints are full within their limits."""
+        """Return `Scheduled`, or None if all endpoints are full within their limits.
+
+        `firm` are the limits within which a free slot goes before a preemption.
+        """
         ranked = [
             (
                 self._weighted_load(e, domain, limit_by_id, now),
@@ -150,7 +152,7 @@
             endpoint_id = min(free, key=lambda row: row[:2])[2].endpoint_id
             self._count_placement(node_id, endpoint_id, False)
             return Scheduled(endpoint_id)
-        return self._choose_when_full(ranked, limit_by_id, node_id, headroom)
+        return self._choose_when_full(ranked, limit_by_id, firm, node_id, headroom)
 
     def choose_for_batch(
         self, endpoints, node_id, now, reserve, spread, domain="", is_late=False
@@ -181,11 +183,17 @@
         self._count_placement(node_id, endpoint_id, True)
         return endpoint_id
 
-    def _choose_when_full(self, ranked, limit_by_id, node_id, headroom):
+    def _choose_when_full(self, ranked, limit_by_id, firm, node_id, headroom):
         most_batch = max(
             ranked, key=lambda row: (self.counts(row[2].endpoint_id)[1], row[1])
         )
         endpoint_id = most_batch[2].endpoint_id
+        if firm != limit_by_id and self.counts(endpoint_id)[1]:
+            free = [row for row in ranked if self._free_slots(row[2], firm) > 0]
+            if free:
+                endpoint_id = min(free, key=lambda row: row[:2])[2].endpoint_id
+                self._count_placement(node_id, endpoint_id, False)
+                return Scheduled(endpoint_id)
         preempted_node = self._preempt_batch(endpoint_id)
         if preempted_node is not None:
             self._count_placement(node_id, endpoint_id, False)
--- a/packages/gateway/sequoiaglade_gateway/coordinator.py
+++ b/packages/gateway/sequoiaglade_gateway/coordinator.py
@@ -281,6 +281,7 @@
             ):
                 return self._evacuations.handle(message, now)
             case EndpointChanged(endpoint_id, None):
+                self._pacing.paces.note_unlisted(endpoint_id)
                 self._pacing.paces.forget_unlisted(self._directory.endpoints())
                 return self._directory.remove(endpoint_id, now)
             case EndpointChanged(_, endpoint):
