--- a/packages/gateway/sequoiaglade_gateway/requests_in_flight.py
+++ b/packages/gateway/sequoiaglade_gateway/requests_in_flight.py
@@ -57,7 +57,7 @@
                 message.service, now, message.version
             )
             endpoints = self._regions.allowed(message.regions, endpoints)
-        is_open = self._limits.open(endpoints, False, now)
+        is_open = self._open(endpoints, message, now)
         choice = self._loads.choose(
             is_open, now, message.spread, message.excluded, message.headroom
         )
@@ -76,7 +76,7 @@
         endpoints = self._regions.allowed(message.regions, endpoints)
         endpoints = [
             endpoint
-            for endpoint in self._limits.open(endpoints, True, now)
+            for endpoint in self._open(endpoints, message, now)
             if endpoint.endpoint_id not in message.excluded
         ]
         endpoint_id = self._loads.choose_for_batch(
@@ -86,6 +86,11 @@
             return None
         return self._begin(endpoint_id, False, True, now)
 
+    def _open(self, endpoints, message, now):
+        if message.was_denied:
+            return self._limits.open_here(endpoints, message.is_batch, now)
+        return self._limits.open(endpoints, message.is_batch, now)
+
     def begin_scheduled(self, message, now):
         """Begin the request of a `BeginRequest` where a scheduler has placed it.
 
@@ -99,6 +104,8 @@
         self._admission.note_admitted(message.place, now)
         is_batch = message.place.is_batch
         placed = self._begin(message.endpoint_id, False, is_batch, now)
+        if not (message.has_permit or message.has_cold_permit):
+            return placed
         return placed._replace(
             has_permit=message.has_permit, has_cold_permit=message.has_cold_permit
         )
@@ -141,14 +148,19 @@
                     self._limits.cold.note_done(endpoint_id, message.sent_at, now)
             case messages.NOT_SENT:
                 self._note_failure(endpoint_id, now)
+                self._limits.cold.note_failure(endpoint_id, now)
             case messages.REFUSED:
                 self._loads.health.note_full(endpoint_id, now)
             case messages.BROKEN:
+                self._note_failure(endpoint_id, now)
+                self._limits.cold.note_failure(endpoint_id, now)
+                self._blame.note_crash(message, now)
+            case messages.ABANDONED:
+                # A connection that this node ended does not show a new start.
                 self._note_failure(endpoint_id, now)
                 self._blame.note_crash(message, now)
 
     def _note_failure(self, endpoint_id, now):
         is_limited = self._pacing.paces.is_limited(endpoint_id)
         self._loads.health.note_failure(endpoint_id, now, is_limited)
-        self._limits.cold.note_failure(endpoint_id, now)
         self._log.info("endpoint avoided", endpoint_id=endpoint_id)
