Build the checks of settings when they are used

pydantic built the checks of each class of settings at import: also of parts that the checks of the whole settings contain, and of the settings of the product's own interface, which a gateway does not use.

Checks and messages are the same.

--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -3,18 +3,14 @@
 from typing import Annotated
 
 import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
-from sequoiaglade_node.settings import Address, Limits
+from sequoiaglade_node.listener_settings import Address, Limits, SettingsPart
 
 NodeId = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
 
 
-class _Part(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class Listeners(_Part):
+class Listeners(SettingsPart):
     """Addresses, each HOST:PORT, that the node listens on.
 
     `data` serves callers, `readiness` the platform's readiness checks, `directory`
@@ -27,21 +23,21 @@
     peer: Address
 
 
-class StoreAccess(_Part):
+class StoreAccess(SettingsPart):
     """The platform's store: its address and the maximum size of a value in bytes."""
 
     address: Address
     value_bytes: int = Field(default=1_048_576, ge=65_536)
 
 
-class Processor(_Part):
+class Processor(SettingsPart):
     """The instance's processor: its cores, and the share of their time for the node."""
 
     share: float = Field(default=1.0, gt=0, le=1)
     cores: float = Field(default=1.0, gt=0)
 
 
-class ColdStarts(_Part):
+class ColdStarts(SettingsPart):
     """How far the requests to a cold endpoint may exceed its rate.
 
     In one second it gets at most its rate times `overshoot`, plus `slack`, from all
@@ -52,7 +48,7 @@
     slack: float = Field(ge=0, le=1_000_000)
 
 
-class GatewaySettings(_Part):
+class GatewaySettings(SettingsPart):
     """All settings of a gateway node.
 
     Metrics are served under ``/metrics`` at the address `metrics`, if it is set.
@@ -87,8 +83,8 @@
     region_by_failure_domain: dict[str, str] | None = {}
     stable_milliseconds: int = Field(default=3000, ge=0, le=3_600_000)
     endpoint_pacing: bool = False
-    limits: Limits = Limits()
-    processor: Processor = Processor()
+    limits: Limits = Field(default_factory=Limits)
+    processor: Processor = Field(default_factory=Processor)
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/packages/node/sequoiaglade_node/settings.py
+++ b/packages/node/sequoiaglade_node/settings.py
@@ -4,13 +4,13 @@
 import socket
 from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, Field
+
+from .listener_settings import Address, Limits, SettingsPart
 
 HIGHEST_PORT = 65_535
 _UNSPECIFIED = bytes(4)
 
-Address = Annotated[str, Field(pattern=r"^[0-9A-Za-z_.\-\[\]:]*[0-9A-Za-z_.\-\]]:\d+$")]
-
 
 def _check_reachable(address):
     port = int(address.rpartition(":")[2])
@@ -25,11 +25,7 @@
 Url = Annotated[str, Field(pattern=r"^https?://[^/\s]+$")]
 
 
-class _Part(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class Listeners(_Part):
+class Listeners(SettingsPart):
     """Addresses, each HOST:PORT, that the node listens on.
 
     `data` serves callers, `control` health, metrics, discovery and operators, `peer`
@@ -41,7 +37,7 @@
     peer: Address
 
 
-class Advertised(_Part):
+class Advertised(SettingsPart):
     """Addresses by which others reach the listeners, if they differ from `listen`."""
 
     data: ReachableAddress | None = None
@@ -49,32 +45,7 @@
     peer: ReachableAddress | None = None
 
 
-class Limits(_Part):
-    """Limits on the requests of a node.
-
-    A body over `body_buffer_bytes` is buffered in a file while it arrives. `uploads`
-    limits the concurrent uploads of files, `arrival_seconds` the arrival of a request's
-    head. A call may wait `queue_seconds` for a thread, and again for a slot.
-    `answer_seconds` limits the wait for the start of an endpoint's response,
-    `stall_seconds` each wait for a further part of a stream.
-    """
-
-    data_threads: int = Field(default=512, ge=4, le=10_000)
-    connections: int = Field(default=4096, ge=16, le=100_000)
-    body_bytes: int = Field(default=8_388_608, ge=1024, le=1_073_741_824)
-    file_bytes: int = Field(default=268_435_456, ge=1024, le=4_294_967_296)
-    body_buffer_bytes: int = Field(default=65_536, ge=1024, le=1_048_576)
-    uploads: int = Field(default=16, ge=1, le=10_000)
-    header_bytes: int = Field(default=32_768, ge=1024, le=1_048_576)
-    arrival_seconds: float = Field(default=30.0, gt=0, le=3600)
-    answer_seconds: float = Field(default=60.0, gt=0, le=3600)
-    stall_seconds: float = Field(default=15.0, gt=0, le=3600)
-    queue_seconds: float = Field(default=10.0, gt=0, le=600)
-    batch_workers: int = Field(default=16, ge=0, le=1024)
-    batch_lease_seconds: float = Field(default=30.0, ge=1, le=600)
-
-
-class NodeSettings(_Part):
+class NodeSettings(SettingsPart):
     """All settings of a node.
 
     `advertise` contains the addresses by which callers and peers reach the node if
