Load OpenTelemetry after a gateway listens

The SDK, the Prometheus exporter and the API, whose spans a gateway does not export, took a tenth of the processor time until a gateway listened. They are loaded a second later, or when metrics are requested first; what is recorded before is kept and counts then. They are not loaded at all if no address for metrics is set. The interceptors for spans and the client of the product's own platform are imported by the nodes that use them.

--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -126,6 +126,7 @@
             self._start_watchers(stack)
             self._start_listeners(stack)
             self._stack = stack.pop_all()
+        self._parts.metrics.load_soon()
         settings = self._parts.settings
         structlog.get_logger().info(
             "node started",
@@ -179,7 +180,9 @@
     def _start_coordinator(self, stack):
         parts = self._parts
         incarnation = int(time.time() * 1000)
-        parts.metrics = stack.enter_context(GatewayMetrics(parts.settings.node_id))
+        parts.metrics = stack.enter_context(
+            GatewayMetrics(parts.settings.node_id, parts.settings.metrics is not None)
+        )
         actor = Coordinator.start(
             parts.settings, incarnation, count=parts.metrics.count
         )
--- a/packages/node/sequoiaglade_node/calls/tracing.py
+++ b/packages/node/sequoiaglade_node/calls/tracing.py
@@ -1,14 +1,12 @@
-"""Spans of calls between nodes, with the W3C trace context in the call metadata.
+"""Channels and servers of calls between nodes, with spans if these are exported.
 
 Only nodes that export traces create spans. On other nodes, channels and servers have no
-interceptors, so that calls have no extra cost. Periodic gossip and limit polls have no
-spans.
+interceptors, so that calls have no extra cost.
 """
 
-from typing import Any, NamedTuple
+import sys
 
 import grpc
-from opentelemetry import propagate, trace
 
 from .channels import RenewedChannel
 
@@ -16,9 +14,6 @@
 # be taken up there if this node is lost meanwhile.
 FIRST_RECONNECT_BACKOFF_MS = 100
 MAX_RECONNECT_BACKOFF_MS = 250
-UNTRACED_CALLS = frozenset(("Gossip/Exchange", "Limits/Poll"))
-
-_tracer = trace.get_tracer("sequoiaglade.node")
 
 
 def open_channel(address):
@@ -34,87 +29,25 @@
     channel = RenewedChannel(address, options)
     if not _is_exported():
         return channel
-    return grpc.intercept_channel(channel, _ClientSpans())
+    # Imports OpenTelemetry's API, which a node without traces does not load.
+    from .spans import ClientSpans
+
+    return grpc.intercept_channel(channel, ClientSpans())
 
 
 def server_interceptors():
     """Return the interceptors of a server that other nodes call."""
-    return (_ServerSpans(),) if _is_exported() else ()
-
-
-def call_name(method):
-    """Return the service and the method of a gRPC method path.
+    if not _is_exported():
+        return ()
+    # Imports OpenTelemetry's API, which a node without traces does not load.
+    from .spans import ServerSpans
 
-    >>> call_name("/sequoiaglade.v1.Limits/Grant")
-    'Limits/Grant'
-    """
-    return method.rpartition(".")[2]
+    return (ServerSpans(),)
 
 
 def _is_exported():
-    return not isinstance(trace.get_tracer_provider(), trace.ProxyTracerProvider)
-
-
-class _CallFields(NamedTuple):
-    method: str
-    timeout: float | None
-    metadata: Any
-    credentials: Any
-    wait_for_ready: bool | None
-    compression: Any
-
-
-class _CallDetails(_CallFields, grpc.ClientCallDetails):
-    pass
-
-
-class _ClientSpans(grpc.UnaryUnaryClientInterceptor):
-    def intercept_unary_unary(self, continuation, client_call_details, request):
-        name = call_name(client_call_details.method)
-        if name in UNTRACED_CALLS:
-            return continuation(client_call_details, request)
-        span = _tracer.start_span(f"node to node {name}", kind=trace.SpanKind.CLIENT)
-        carrier = {}
-        with trace.use_span(span):
-            propagate.inject(carrier)
-        call = continuation(_with_context(client_call_details, carrier), request)
-        call.add_done_callback(lambda done: _end(span, done))
-        return call
-
-
-class _ServerSpans(grpc.ServerInterceptor):
-    def intercept_service(self, continuation, handler_call_details):
-        handler = continuation(handler_call_details)
-        name = call_name(handler_call_details.method)
-        is_unary = handler is not None and handler.unary_unary is not None
-        if not is_unary or name in UNTRACED_CALLS:
-            return handler
-        context = propagate.extract(dict(handler_call_details.invocation_metadata))
-
-        def observed(request, call_context):
-            with _tracer.start_as_current_span(
-                f"node {name}", context=context, kind=trace.SpanKind.SERVER
-            ):
-                return handler.unary_unary(request, call_context)
-
-        return grpc.unary_unary_rpc_method_handler(
-            observed, handler.request_deserializer, handler.response_serializer
-        )
-
-
-def _with_context(details, carrier):
-    return _CallDetails(
-        details.method,
-        details.timeout,
-        [*(details.metadata or ()), *carrier.items()],
-        details.credentials,
-        details.wait_for_ready,
-        details.compression,
+    # Whoever sets a provider has loaded the API for that.
+    trace = sys.modules.get("opentelemetry.trace")
+    return trace is not None and not isinstance(
+        trace.get_tracer_provider(), trace.ProxyTracerProvider
     )
-
-
-def _end(span, call):
-    code = call.code()
-    if code is not None:
-        span.set_attribute("rpc.grpc.status_code", code.value[0])
-    span.end()
