--- a/packages/gateway/sequoiaglade_gateway/peers/gossip.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/gossip.py
@@ -27,9 +27,6 @@
 # A request takes most of a second, so that states of this age still have most of the
 # requests in flight.
 ROUND_SECONDS = 0.2
-# Pause before the first round. The directories of its peers name a node that starts
-# once they know its state and that it has a configuration, which it mostly has by then.
-FIRST_ROUND_SECONDS = 0.05
 # While endpoints are full, each free slot matters, so that ends of requests have to be
 # known as soon as their starts.
 BUSY_ROUND_SECONDS = 0.08
@@ -203,10 +200,8 @@
         return [seed for seed in self._parts.settings.seeds if seed != own]
 
     def _run(self):
-        pause = FIRST_ROUND_SECONDS
-        while not self._stopped.wait(pause):
+        while not self._stopped.wait(self._pause()):
             self.run_due_round()
-            pause = self._pause()
 
     def run_due_round(self):
         """Run a regular round and follow the changes that it brings."""
