Treat responses with a status outside 200 to 599 as invalid

http.client accepts statuses from 100 to 999, so an endpoint's 999 was passed on to callers, also through a peer and by nodes, and a refusal marked Not-Run with it was believed. 000, 099, 0, 1000 and -20 were refused by http.client already. The head's reader now raises for all statuses outside 200 to 599, which ends the attempt as broken.

early_responses.feature meets such an endpoint as the only one, and one that sends part of a response without a length and resets the connection during an upload.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -7,6 +7,10 @@
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+# Statuses that end a request; those below are interim, and those above undefined.
+STATUS_MIN = 200
+STATUS_MAX = 599
+
 _current = threading.local()
 
 
@@ -88,7 +92,10 @@
 
 
 class WholeHeadResponse(http.client.HTTPResponse):
-    """A response that is read only if its head is whole."""
+    """A response that is read only if its head is whole, with the status of a result.
+
+    http.client accepts statuses from 100 to 999, and skips no interim ones but 100.
+    """
 
     def begin(self):
         file = self.fp
@@ -98,6 +105,8 @@
         finally:
             if self.fp is not None:
                 self.fp = file
+        if not STATUS_MIN <= self.status <= STATUS_MAX:
+            raise http.client.BadStatusLine(f"status {self.status}")
 
 
 class _TrackedMixin:
