Check a configuration of gateways before it is deployed

Operators learned of faults in a configuration from gateways that ignored it, and of entries without effect not at all.

Nodes log them in one line for each version that they put in force.

--- a/packages/cli/sequoiaglade_cli/client.py
+++ b/packages/cli/sequoiaglade_cli/client.py
@@ -9,9 +9,10 @@
 
 
 class Reply(NamedTuple):
-    """A successful response, decoded from JSON."""
+    """A successful response, decoded from JSON, and the command's exit code."""
 
     value: Any
+    exit_code: int = 0
 
 
 class Problem(NamedTuple):
--- a/packages/cli/sequoiaglade_cli/main.py
+++ b/packages/cli/sequoiaglade_cli/main.py
@@ -8,6 +8,7 @@
 import sys
 
 from . import commands
+from .check import FORMATS, check
 from .client import NodeClient, Problem
 from .load import load
 from .output import print_value
@@ -32,7 +33,7 @@
         return outcome.exit_code
     if outcome.value is not None:
         print_value(outcome.value, options.output)
-    return 0
+    return outcome.exit_code
 
 
 def _parser():
@@ -70,6 +71,7 @@
         help="log file to search instead of querying a node; - is standard input",
     )
     explain.epilog = "example: sequoiaglade explain 9c41d07be2a35f68 --log node.log"
+    _add_check(groups)
     _add_load(groups)
     _add(groups, "replay", commands.replay_trace).add_argument("trace")
     return parser
@@ -129,6 +131,30 @@
     _add(group, "list", commands.key_list)
 
 
+def _add_check(groups):
+    parser = _add(groups, "check", check, is_operator=False)
+    parser.description = (
+        "Check a configuration of gateways on the users' platform with the rules of "
+        "the gateways, without contact to any of them."
+    )
+    parser.add_argument("file", help="JSON file with the configuration")
+    parser.add_argument(
+        "--active",
+        metavar="FILE",
+        help="JSON file with the version in force, to list the differences",
+    )
+    parser.add_argument(
+        "--strict", action="store_true", help="exit with 1 if there are warnings"
+    )
+    parser.add_argument(
+        "--format", choices=FORMATS, help="text, unless --output is json"
+    )
+    parser.epilog = (
+        "exit codes: 0 no errors, 1 warnings and --strict, 2 errors or unreadable "
+        "files. example: sequoiaglade check planned.json --active active.json"
+    )
+
+
 def _add_load(groups):
     parser = _add(groups, "load", load)
     parser.add_argument("scenario", nargs="?", help="YAML file with the load scenario")
--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -6,6 +6,14 @@
 
 from .attempts import AttemptCounts, Fault, NextStep, next_step
 from .cold_endpoints import ColdEndpoints, ColdReport, ColdState, Evidence
+from .configuration_differences import (
+    ConfigurationDifference,
+    find_configuration_differences,
+)
+from .configuration_findings import (
+    ConfigurationFinding,
+    find_configuration_warnings,
+)
 from .configuration_sources import ConfigurationSources
 from .directory_addresses import addresses_in_regions, running_nodes
 from .endpoint_pace import EndpointPaces
@@ -136,6 +144,8 @@
     "ColdRanks",
     "ColdReport",
     "ColdState",
+    "ConfigurationDifference",
+    "ConfigurationFinding",
     "ConfigurationSources",
     "ContactStep",
     "DeniedPermits",
@@ -219,6 +229,8 @@
     "bounded_results",
     "choose_targets",
     "eligible_nodes",
+    "find_configuration_differences",
+    "find_configuration_warnings",
     "encode_json",
     "forwarding_nodes",
     "group_count",
--- a/packages/decisions/sequoiaglade_decisions/gateway/routes.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/routes.py
@@ -105,6 +105,8 @@
 class FleetConfiguration:
     """One version of the operators' configuration, indexed for lookups.
 
+    `notes` are the `ConfigurationFinding` of the code that decoded it.
+
     >>> route = Route("r", "a.example", "/x/", RouteKind.SAFE, (("s", 1),), 1.0, 1.0)
     >>> config = FleetConfiguration(3, (route,), (), (Workspace("w", ("k",)),))
     >>> config.match("a.example:80", "/x/1").name, config.match("a.example", "/y")
@@ -113,9 +115,12 @@
     'w'
     """
 
-    def __init__(self, version, routes, services, workspaces):
+    def __init__(self, version, routes, services, workspaces, notes=()):
         self.version = version
+        self.notes = notes
         self.routes = routes
+        self.services = services
+        self.workspaces = workspaces
         self.service_by_name = {service.name: service for service in services}
         self.workspace_by_name = {w.name: w for w in workspaces}
         self._workspace_by_key = {k: w for w in workspaces for k in w.keys}
--- a/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
+++ b/packages/gateway/sequoiaglade_gateway/store_cache/cache.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from sequoiaglade_decisions.gateway import find_configuration_warnings
 from sequoiaglade_decisions.outcomes import Failure
 from sequoiaglade_platform import Document
 
@@ -15,6 +16,9 @@
     EndpointsListed,
 )
 
+# Warnings of a configuration that its log line names.
+WARNINGS_MAX = 20
+
 
 class StoreCache:
     """Local copy of the store's configuration and endpoint list.
@@ -99,6 +103,18 @@
             routes=len(configuration.routes),
             source=source,
         )
+        self._log_warnings(configuration)
+
+    def _log_warnings(self, configuration):
+        """Log the entries of a version that have no effect, in one line."""
+        found = find_configuration_warnings(configuration)
+        if found:
+            self._log.warning(
+                "configuration has warnings",
+                version=configuration.version,
+                count=len(found),
+                warnings=[f"{f.location}: {f.text}" for f in found[:WARNINGS_MAX]],
+            )
 
     def on_endpoints_listed(self, documents):
         """Replace the list of endpoints by the one in `documents`, from the store."""
