Bound what clients make a gateway hold

Cause: bodies, heads, chunk lines and jobs were held without a common bound; 200 bodies of 1 MB without their end took 234 MB, 24 jobs 300 MB, 250 heads 136 MB. Change: one budget (decisions/memory) for heads, bodies, responses that are not read and jobs while they are decoded, derived from memory_mb; timeouts for bodies without progress and unread responses; bounded chunk lines, trailers and requests read ahead; the allocator returns blocks of over 128 kB.

--- /dev/null
+++ b/packages/decisions/sequoiaglade_decisions/memory/__init__.py
@@ -0,0 +1,12 @@
+"""Decisions on the memory that clients make a process hold."""
+
+from .budget import MemoryBudget, Reservation, budget_bytes
+from .costs import decode_bytes, head_bytes
+
+__all__ = [
+    "MemoryBudget",
+    "Reservation",
+    "budget_bytes",
+    "decode_bytes",
+    "head_bytes",
+]
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -13,6 +13,7 @@
     encode_json,
     job_key,
 )
+from sequoiaglade_decisions.memory import decode_bytes
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
 from sequoiaglade_node.web import Response, json_response
 
@@ -35,6 +36,11 @@
 LOST_ANSWER_PAUSE_SECONDS = 0.1
 # Number of peers that are asked in turn to store a job.
 STORING_PEERS_MAX = 2
+# Retry-After of a job whose decoding takes more memory than there is for clients.
+MEMORY_RETRY_AFTER_SECONDS = 1.0
+# Submissions wait for the decoding of others for this long.
+DECODE_WAIT_SECONDS = 2.0
+JOB_REFUSAL = "the memory for jobs is used up"
 # Maximum number of jobs whose results or headers are cached for reads.
 CACHED_JOBS_MAX = 64
 
@@ -53,6 +59,7 @@
         self.note_headers = self._limits.note_headers
         self.reserve_for_peer = self._limits.answer_peer
         self._cache_lock = threading.Lock()
+        self._decode_lock = threading.Lock()
         self._pages_by_key = {}
         self._header_by_key = {}
         self._log = structlog.get_logger()
@@ -75,7 +82,10 @@
         return response
 
     def _submit(self, call, request, route, workspace, steps):
-        items = self._parts.dialect.read_items(request.stream.read())
+        items = self._read_items(request)
+        if items is None:
+            refusal = GatewayRefusal(503, JOB_REFUSAL, MEMORY_RETRY_AFTER_SECONDS)
+            return self._refuse(call, refusal)
         if not isinstance(items, tuple):
             return self._refuse(call, GatewayRefusal(400, items))
         name = workspace.name if workspace else ""
@@ -123,6 +133,29 @@
             case EndJob():
                 return self._end_job(call, key)
 
+    def _read_items(self, request):
+        """Return the items of a submission, its error as text, or None without memory.
+
+        One job is read and decoded at a time: decoding takes up to 30 times a job's
+        bytes, and several threads decode no faster than one.
+        """
+        memory = self._parts.client_memory
+        if not self._decode_lock.acquire(timeout=DECODE_WAIT_SECONDS):
+            memory.report("refused", JOB_REFUSAL)
+            return None
+        try:
+            if not request.may_read_body():
+                return None
+            body = request.stream.read()
+            size = decode_bytes(body)
+            with memory.working(size) as is_held:
+                if is_held:
+                    return self._parts.dialect.read_items(body)
+            memory.report("refused", JOB_REFUSAL, bytes=size)
+            return None
+        finally:
+            self._decode_lock.release()
+
     def _is_known(self, key):
         return self._registry.get(key) is not None or self._peer_of(key) is not None
 
--- a/packages/gateway/sequoiaglade_gateway/node.py
+++ b/packages/gateway/sequoiaglade_gateway/node.py
@@ -6,7 +6,8 @@
 
 import structlog
 
-from sequoiaglade_node.web import HangupWatcher, Listener
+from sequoiaglade_decisions.memory import budget_bytes
+from sequoiaglade_node.web import ClientMemory, HangupWatcher, Listener
 
 from .applications import (
     DataApplication,
@@ -39,6 +40,7 @@
     StreamNotes,
     VersionHistory,
 )
+from .own_memory import resident_bytes, return_large_blocks
 from .peers import FleetServicer, Gossip, PeerClient, start_peer_server
 from .placing import LoadReporter, Placer
 from .store_cache import (
@@ -76,6 +78,7 @@
     configuration_reader: Any
     hangups: Any
     response_memory: Any
+    client_memory: Any
     metrics: Any
     online: Any
     paths: Any
@@ -198,6 +201,9 @@
             )
         )
         parts.response_memory = ResponseMemory()
+        return_large_blocks()
+        total = budget_bytes(parts.settings.memory_mb, resident_bytes())
+        parts.client_memory = ClientMemory(total, parts.metrics.count)
         parts.hangups = stack.enter_context(HangupWatcher())
 
     def _start_batch(self, stack):
@@ -351,6 +357,7 @@
                 threads,
                 limits,
                 parts.dialect.read_deadline,
+                parts.client_memory,
             )
             self._listeners.append(stack.enter_context(listener))
 
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -20,6 +20,9 @@
 # Retry-After of a request whose route and workspace allow no common region. Only a new
 # configuration changes that.
 NO_REGION_RETRY_AFTER_SECONDS = 1.0
+# Retry-After of a request whose body does not fit into the memory for clients.
+MEMORY_RETRY_AFTER_SECONDS = 1.0
+NO_MEMORY = "the memory for clients is used up"
 
 
 class OnlineService:
@@ -89,6 +92,9 @@
     def _run_online(
         self, call, request, route, workspace, end_at, wait_seconds, configuration
     ):
+        if not request.may_read_body():
+            refusal = GatewayRefusal(503, NO_MEMORY, MEMORY_RETRY_AFTER_SECONDS)
+            return self._refuse(call, refusal, configuration)
         body = request.stream.read()
         request_fingerprint = fingerprint(
             workspace.name if workspace else "", call.target.encode() + body
--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -68,7 +68,8 @@
     empty or null if requests have no homes. An instance that was lost for
     `stable_milliseconds` is to be known as lost soon after. `endpoint_pacing` is
     whether the number of requests at an endpoint that has started or recovered follows
-    from its responses.
+    from its responses. `memory_mb` is the memory of the instance in megabytes, half of
+    which clients may make the process hold beyond what it holds idle.
     """
 
     node_id: NodeId
@@ -87,6 +88,7 @@
     region_by_failure_domain: dict[str, str] | None = {}
     stable_milliseconds: int = Field(default=3000, ge=0, le=3_600_000)
     endpoint_pacing: bool = False
+    memory_mb: int = Field(default=256, ge=96, le=1_048_576)
     limits: Limits = Limits()
     processor: Processor = Processor()
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
--- a/packages/node/sequoiaglade_node/settings.py
+++ b/packages/node/sequoiaglade_node/settings.py
@@ -54,7 +54,9 @@
 
     A body over `body_buffer_bytes` is buffered in a file while it arrives. `uploads`
     limits the concurrent uploads of files, `arrival_seconds` the arrival of a request's
-    head. A call may wait `queue_seconds` for a thread, and again for a slot.
+    head. A body of which nothing arrives for `body_idle_seconds` is refused, and a
+    connection whose response is not read for `unread_seconds` closed. A call may wait
+    `queue_seconds` for a thread, and again for a slot.
     `answer_seconds` limits the wait for the start of an endpoint's response,
     `stall_seconds` each wait for a further part of a stream.
     """
@@ -67,6 +69,8 @@
     uploads: int = Field(default=16, ge=1, le=10_000)
     header_bytes: int = Field(default=32_768, ge=1024, le=1_048_576)
     arrival_seconds: float = Field(default=30.0, gt=0, le=3600)
+    body_idle_seconds: float = Field(default=75.0, gt=0, le=3600)
+    unread_seconds: float = Field(default=75.0, gt=0, le=3600)
     answer_seconds: float = Field(default=60.0, gt=0, le=3600)
     stall_seconds: float = Field(default=15.0, gt=0, le=3600)
     queue_seconds: float = Field(default=10.0, gt=0, le=600)
--- a/packages/node/sequoiaglade_node/web/channels.py
+++ b/packages/node/sequoiaglade_node/web/channels.py
@@ -11,7 +11,7 @@
 
 from sequoiaglade_decisions.outcomes import Execution, Refusal, RefusalCode
 
-from .parsing import RequestTimeout, ThreadsBusy
+from .parsing import HeldBack, MemoryExhausted, RequestTimeout, ThreadsBusy
 from .refusals import refusal_body
 
 IDLE_SECONDS = 60.0
@@ -23,9 +23,20 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Environment key of the time at which a request arrived.
 ARRIVED_AT = "sequoiaglade.arrived_at"
+# Environment key of a function that reserves memory for reading the body; it returns
+# whether it has, and is called before the body is read.
+RESERVE_BODY = "sequoiaglade.reserve_body"
 # Part of the time that a caller still waits for which its request may wait for a
 # thread. The rest is left for another node.
 THREAD_WAIT_FRACTION = 0.25
+# Requests of a connection that are parsed before the first of them has run.
+REQUESTS_AHEAD = 2
+# Reservations change in steps of this size: most requests take one.
+RESERVED_STEP_BYTES = 4096
+# The parts of a head that handling it copies: the environment, names and values.
+HEAD_COPIES = 3
+# A body that is read is copied from its buffer, and once more for its fingerprint.
+BODY_COPIES = 2
 # Place of the milliseconds since data was last received in Linux's struct tcp_info.
 TCP_INFO_BYTES = 104
 LAST_DATA_RECEIVED_OFFSET = 52
@@ -67,6 +78,7 @@
         """Return the WSGI environment."""
         environ = super().get_environment()
         environ[ARRIVED_AT] = self.request.arrived_at
+        environ[RESERVE_BODY] = self.channel.reserve_body
         return environ
 
     def build_response_header(self):
@@ -113,11 +125,136 @@
     arrival_seconds = 30.0
     request_class = None
     must_reset = False
+    body_idle_seconds = 75.0
+    unread_seconds = 75.0
+    memory = None
+    _reserved = 0
+    _run_bytes = 0
+    _is_evicted = False
+    _is_resuming = False
     read_deadline = staticmethod(lambda headers: None)
 
     def parser_class(self, adj):
         """Return the parser of a new request whose first bytes were just read."""
-        return self.request_class(adj, time.monotonic() - _unread_seconds(self.socket))
+        if len(self.requests) >= REQUESTS_AHEAD:
+            return HeldBack()
+        arrived_at = time.monotonic() - _unread_seconds(self.socket)
+        request = self.request_class(adj, arrived_at)
+        if self.memory is not None:
+            # No closure over the request: the cycle would keep it until a collection.
+            request.reserve = self._reserve
+        return request
+
+    def readable(self):
+        """Return whether more may be read: not while requests are held back."""
+        if self._is_resuming or isinstance(self.request, HeldBack):
+            return False
+        return super().readable()
+
+    def service(self):
+        """Run the next request if its memory can be reserved; then account for it."""
+        request = self.requests[0]
+        if self.memory is None or request.error is not None:
+            super().service()
+        else:
+            self._run_bytes = HEAD_COPIES * request.head_cost
+            if not self._reserve(None, is_closable=False) or self._is_evicted:
+                self._run_bytes = 0
+                request.error = MemoryExhausted("the memory for clients is used up")
+                self._report("refused")
+            super().service()
+            self._run_bytes = 0
+        self._resume()
+        self._account()
+
+    def reserve_body(self):
+        """Reserve memory for reading the body of the request that runs.
+
+        Return whether it is reserved; if not, the request must be refused.
+        """
+        body = self.requests[0].body_rcv if self.requests else None
+        if self.memory is None or body is None:
+            return True
+        size = BODY_COPIES * len(body)
+        self._run_bytes += size
+        if self._reserve(None, is_closable=False):
+            return True
+        self._run_bytes -= size
+        self._report("refused")
+        return False
+
+    def write_soon(self, data):
+        """Queue a part of a response, with its memory."""
+        if self.memory is not None:
+            self._reserve(None, is_forced=True, more_bytes=len(data))
+        return super().write_soon(data)
+
+    def handle_write(self):
+        """Send what waits, and account for what remains."""
+        super().handle_write()
+        if self._reserved and self.socket is not None:
+            self._account()
+
+    def evict(self):
+        """Close the connection from any thread, as others need its memory."""
+        self._is_evicted = True
+        self._reserved = 0
+        self.must_reset = True
+        self.will_close = True
+        self.server.pull_trigger()
+
+    def _held_bytes(self):
+        requests = [*self.requests]
+        if self.request is not None and self.request not in requests:
+            requests.append(self.request)
+        held = sum(request.held_bytes for request in requests)
+        return held + self._run_bytes + self.total_outbufs_len
+
+    def _reserve(self, request, is_closable=True, is_forced=False, more_bytes=0):
+        """Return whether what the connection holds, with `request`, is reserved."""
+        held = self._held_bytes() + more_bytes
+        if request is not None and request is not self.request:
+            held += request.held_bytes
+        size = -(-held // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
+        is_unread = self.total_outbufs_len >= RESERVED_STEP_BYTES
+        is_closable = (is_closable and not self._run_bytes) or is_unread
+        if self._is_evicted:
+            return False
+        if not self.memory.reserve(self, size, is_closable, is_forced):
+            if request is not None:
+                self._report("refused")
+            return False
+        self._reserved = size
+        return True
+
+    def _account(self):
+        """Reserve what the connection still holds, at most what it had."""
+        if self.memory is None or self._is_evicted:
+            return
+        held = self._held_bytes()
+        if held and self.connected:
+            self._reserve(None, is_forced=True)
+        else:
+            self._reserved = 0
+            self.memory.release(self)
+
+    def _resume(self):
+        """Parse what was held back once no request is left."""
+        with self.requests_lock:
+            held_back = self.request
+            if not isinstance(held_back, HeldBack) or self.requests:
+                return
+            self._is_resuming = True
+            self.request = None
+        try:
+            self.received(held_back.data)
+        finally:
+            self._is_resuming = False
+        self.server.pull_trigger()
+
+    def _report(self, outcome, reason="the memory for clients is used up"):
+        if self.memory is not None:
+            self.memory.report(outcome, reason, held_bytes=self._held_bytes())
 
     @property
     def wait_until(self):
@@ -151,17 +288,30 @@
         elif self.socket is not None and (self.close_when_flushed or self.will_close):
             self._linger()
         super().handle_close()
+        if self.memory is not None:
+            self._reserved = 0
+            self.memory.release(self)
 
     def expire(self, now):
         """Refuse a request that arrives too slowly, or close an idle connection."""
         request = self.request
+        idle = now - self.last_activity
+        if self.total_outbufs_len and idle > self.unread_seconds:
+            self._report("closed", "the response is not read")
+            self.must_reset = True
+            self.will_close = True
+            return
+        if isinstance(request, HeldBack):
+            return
         if request is None:
             if not self.requests and now - self.last_activity > IDLE_SECONDS:
                 self.will_close = True
             return
         seconds = request.body_bytes_received / ARRIVAL_BYTES_PER_SECOND
         seconds += self.arrival_seconds
-        if now - request.created_at < seconds or self.requests:
+        is_idle = request.headers_finished and idle > self.body_idle_seconds
+        is_slow = now - request.created_at >= seconds
+        if not (is_idle or is_slow) or self.requests:
             return
         with self.requests_lock:
             request.error = RequestTimeout("the request took too long to arrive")
--- a/packages/node/sequoiaglade_node/web/listeners.py
+++ b/packages/node/sequoiaglade_node/web/listeners.py
@@ -14,6 +14,9 @@
 STOP_JOIN_SECONDS = 5.0
 IDLE_POLL_SECONDS = 0.05
 ACCEPTS_PER_PASS = 256
+# Bytes of a response that wait in memory for a client that reads slowly; its thread
+# waits beyond that. waitress keeps up to this size outside of files.
+UNREAD_BYTES = 1_048_576
 
 
 class Listener:
@@ -22,10 +25,13 @@
     Each listener has its own threads, so that health checks and operators are served
     even when all threads of the data listener are busy. `read_deadline` returns how
     many seconds the caller of a request waits, from its headers by their lower-case
-    names, or None; a request waits for a thread for a part of this time only.
+    names, or None; a request waits for a thread for a part of this time only. `memory`
+    is the `ClientMemory` of the process, or None for no budget.
     """
 
-    def __init__(self, application, address, threads, limits, read_deadline=None):
+    def __init__(
+        self, application, address, threads, limits, read_deadline=None, memory=None
+    ):
         host, _, port = address.rpartition(":")
         self._sockets = {}
         self._server = create_server(
@@ -44,6 +50,7 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
             log_socket_errors=False,
+            **({} if memory is None else {"outbuf_high_watermark": UNREAD_BYTES}),
             inbuf_overflow=limits.body_buffer_bytes,
             cleanup_interval=MAINTENANCE_SECONDS,
         )
@@ -52,6 +59,9 @@
         members = {
             "request_class": parser_class,
             "arrival_seconds": limits.arrival_seconds,
+            "body_idle_seconds": limits.body_idle_seconds,
+            "unread_seconds": limits.unread_seconds,
+            "memory": memory,
         }
         if read_deadline is not None:
             members["read_deadline"] = staticmethod(read_deadline)
--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -5,8 +5,18 @@
 from typing import NamedTuple
 
 from waitress.parser import HTTPRequestParser, ParsingError
-from waitress.utilities import Error, RequestEntityTooLarge
-
+from waitress.receiver import ChunkedReceiver
+from waitress.utilities import BadRequest, Error, RequestEntityTooLarge
+
+from sequoiaglade_decisions.memory import head_bytes
+
+# Bytes of the line before a chunk, with its extensions. The line is copied with each
+# read, so that a long one takes the thread that reads all connections.
+CHUNK_LINE_BYTES = 16_384
+# A buffer that grows takes up to an eighth more than it has.
+BUFFER_FACTOR = 1.125
+# A body in a file has a buffer and a descriptor.
+FILE_BYTES = 16_384
 UPLOAD_PATHS = ("/v1/files",)
 DISCARD_BYTES = 67_108_864
 
@@ -32,6 +42,13 @@
     reason = "Service Unavailable"
 
 
+class MemoryExhausted(Error):  # noqa: N818
+    """The memory for clients is used up."""
+
+    code = 503
+    reason = "Service Unavailable"
+
+
 class BodyBounds(NamedTuple):
     """The waitress adjustments that the parser reads, for one kind of path."""
 
@@ -80,6 +97,8 @@
 
     call_bounds = None
     gate = None
+    # Returns whether the connection may hold `held_bytes` of the request given.
+    reserve = staticmethod(lambda request: True)
 
     def __init__(self, adj, arrived_at=None):
         super().__init__(adj)
@@ -87,6 +106,8 @@
         self.arrived_at = time.monotonic() if arrived_at is None else arrived_at
         self._is_discarding = False
         self._holds_place = False
+        self.head_cost = 0
+        self.held_bytes = 0
 
     def parse_header(self, header_plus):
         """Refuse framing that parsers may interpret differently; select the limits."""
@@ -102,13 +123,53 @@
     def received(self, data):
         """Process data; return how many bytes of it belong to this request."""
         is_new = self.body_rcv is None
+        if is_new:
+            if not self._may_parse(data):
+                return len(data)
+        elif not self._is_discarding and not self._may_append(data):
+            self.error = MemoryExhausted("the memory for clients is used up")
+            self._discard()
         consumed = super().received(data)
         if is_new and self.body_rcv is not None and self.error is None:
             self._enter_gate()
-        if isinstance(self.error, (RequestEntityTooLarge, TooManyUploads)):
+        if isinstance(self.body_rcv, ChunkedReceiver):
+            self._check_chunk_line()
+        if isinstance(
+            self.error, (RequestEntityTooLarge, TooManyUploads, MemoryExhausted)
+        ):
             self._discard()
         return consumed
 
+    def _may_parse(self, data):
+        end = data.find(b"\r\n\r\n")
+        self.head_cost += head_bytes(data if end < 0 else data[:end])
+        self.held_bytes = self.head_cost
+        if self.reserve(self):
+            return True
+        self.header_plus = b""
+        self.held_bytes = 0
+        self.parse_header(b"GET / HTTP/1.0\r\n")
+        self.error = MemoryExhausted("the memory for clients is used up")
+        self.completed = True
+        return False
+
+    def _may_append(self, data):
+        size = len(self.body_rcv) + len(data)
+        if isinstance(self.body_rcv, ChunkedReceiver):
+            size += len(self.body_rcv.control_line) + len(self.body_rcv.trailer)
+        is_in_file = size > self.adj.inbuf_overflow
+        held = FILE_BYTES if is_in_file else int(BUFFER_FACTOR * size)
+        self.held_bytes = self.head_cost + held
+        return self.reserve(self)
+
+    def _check_chunk_line(self):
+        body = self.body_rcv
+        is_long = len(body.control_line) > CHUNK_LINE_BYTES
+        if is_long or len(body.trailer) > self.adj.max_request_header_size:
+            body.control_line = body.trailer = b""
+            self.error = BadRequest("a chunk's line or the trailers are too long")
+            self.completed = True
+
     def headers_by_name(self):
         """Return the headers by their lower-case names."""
         return {n.replace("_", "-").lower(): v for n, v in self.headers.items()}
@@ -135,6 +196,7 @@
             return
         if not self._is_discarding:
             self._is_discarding = True
+            self.held_bytes = self.head_cost
             body.getbuf().close()
             body.buf = _NullBuffer()
         size = max(self.content_length, self.body_bytes_received)
@@ -150,3 +212,33 @@
     gate = UploadLimiter(limits.uploads)
     members = {"call_bounds": bounds, "gate": gate}
     return type("ListenerParser", (BoundedParser,), members)
+
+
+class HeldBack:
+    """Bytes of pipelined requests that are parsed once those before have run.
+
+    It stands in for the parser of the next request.
+    """
+
+    completed = False
+    empty = False
+    expect_continue = False
+    headers_finished = False
+    error = None
+
+    def __init__(self):
+        self.data = b""
+
+    @property
+    def held_bytes(self):
+        """Number of the bytes."""
+        return len(self.data)
+
+    def received(self, data):
+        """Keep data; return its length."""
+        self.data += data
+        return len(data)
+
+    def close(self):
+        """Drop the data."""
+        self.data = b""
--- a/packages/node/sequoiaglade_node/web/requests.py
+++ b/packages/node/sequoiaglade_node/web/requests.py
@@ -8,7 +8,7 @@
 
 from sequoiaglade_decisions.outcomes import Refusal, RefusalCode
 
-from .channels import ARRIVED_AT
+from .channels import ARRIVED_AT, RESERVE_BODY
 
 _ODD_CHARACTERS = re.compile(r"[\x00-\x1f\x7f\\]")
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9_.:\-]{1,128}\Z")
@@ -40,6 +40,10 @@
         """Return the value of a header by its lower-case name, or None."""
         return self.headers.get(name)
 
+    def may_read_body(self):
+        """Reserve memory for the body; return whether there is enough."""
+        return self.environ.get(RESERVE_BODY, lambda: True)()
+
     def read_body(self, limit):
         """Return the body as bytes, or a `Refusal` if it has over `limit` bytes."""
         if self.content_length > limit:
