--- a/packages/node/sequoiaglade_node/web/channels.py
+++ b/packages/node/sequoiaglade_node/web/channels.py
@@ -9,6 +9,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask, WSGITask
 
+from sequoiaglade_decisions.memory import CLOSED_BYTES_MIN
 from sequoiaglade_decisions.outcomes import Execution, Refusal, RefusalCode
 
 from .parsing import HeldBack, MemoryExhausted, RequestTimeout, ThreadsBusy
@@ -137,7 +138,7 @@
     def parser_class(self, adj):
         """Return the parser of a new request whose first bytes were just read."""
         if len(self.requests) >= REQUESTS_AHEAD:
-            return HeldBack()
+            return HeldBack(adj)
         arrived_at = time.monotonic() - _unread_seconds(self.socket)
         request = self.request_class(adj, arrived_at)
         if self.memory is not None:
@@ -220,6 +221,9 @@
         is_closable = (is_closable and not self._run_bytes) or is_unread
         if self._is_evicted:
             return False
+        if size == self._reserved and size < CLOSED_BYTES_MIN:
+            # Holders of so little are not closed: the lock is taken for changes only.
+            return True
         if not self.memory.reserve(self, size, is_closable, is_forced):
             if request is not None:
                 self._report("refused")
@@ -273,7 +277,8 @@
     @property
     def is_busy(self):
         """Whether a request is arriving or its response is not completely sent."""
-        return bool(self.requests or self.request or self.total_outbufs_len)
+        has_request = self.requests or self.request or self._is_resuming
+        return bool(has_request or self.total_outbufs_len)
 
     def handle_close(self):
         """Close so that a caller that is still sending can read the response.
--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -214,19 +214,14 @@
     return type("ListenerParser", (BoundedParser,), members)
 
 
-class HeldBack:
+class HeldBack(HTTPRequestParser):
     """Bytes of pipelined requests that are parsed once those before have run.
 
     It stands in for the parser of the next request.
     """
 
-    completed = False
-    empty = False
-    expect_continue = False
-    headers_finished = False
-    error = None
-
-    def __init__(self):
+    def __init__(self, adj):
+        super().__init__(adj)
         self.data = b""
 
     @property
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -40,6 +40,7 @@
     RouteKind,
     job_holder,
 )
+from sequoiaglade_node.web import ClientMemory
 
 HOST, PATH = "batch.example", "/jobs/"
 # Interval of a gateway's rounds while time passes.
@@ -158,6 +159,7 @@
         parts.coordinator = DirectCoordinator(
             parts.settings, incarnation, self._steady_seconds
         )
+        parts.client_memory = ClientMemory(100_000_000)
         parts.dialect = SimpleNamespace(
             read_items=lambda body: simulation.items,
             results_body=lambda total, after, results: {
@@ -218,7 +220,11 @@
     def send_job(self, job_id):
         """Return the response to a job of the simulation's items."""
         call = SimpleNamespace(request_id=job_id, host=HOST, path=PATH + job_id)
-        request = SimpleNamespace(stream=io.BytesIO(), arrived_at=time.monotonic())
+        request = SimpleNamespace(
+            stream=io.BytesIO(),
+            arrived_at=time.monotonic(),
+            may_read_body=lambda: True,
+        )
         with self._simulation.acting(self):
             return self.batch.submit(call, request, self._simulation.route, None)
 
