--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -66,7 +66,8 @@
     whether the number of requests at an endpoint that has started or recovered follows
     from its responses. `quota_window_seconds` is the length of the windows in which a
     workspace may use its rate times the window plus its burst; None for token buckets
-    alone.
+    alone. `memory_mb` is the memory of the instance in megabytes, half of
+    which clients may make the process hold beyond what it holds idle.
     """
 
     node_id: NodeId
@@ -85,6 +86,7 @@
     region_by_failure_domain: dict[str, str] | None = {}
     stable_milliseconds: int = Field(default=3000, ge=0, le=3_600_000)
     endpoint_pacing: bool = False
+    memory_mb: int = Field(default=256, ge=16, le=1_048_576)
     quota_window_seconds: float | None = Field(default=None, gt=0, le=3600)
     limits: Limits = Field(default_factory=Limits)
     processor: Processor = Field(default_factory=Processor)
