--- a/packages/gateway/sequoiaglade_gateway/settings.py
+++ b/packages/gateway/sequoiaglade_gateway/settings.py
@@ -66,8 +66,8 @@
     whether the number of requests at an endpoint that has started or recovered follows
     from its responses. `quota_window_seconds` is the length of the windows in which a
     workspace may use its rate times the window plus its burst; None for token buckets
-    alone. `memory_mb` is the memory of the instance in megabytes, half of
-    which clients may make the process hold beyond what it holds idle.
+    alone. `memory_mb` is the memory of the instance in megabytes; clients may make the
+    process hold half of what remains beyond an idle process.
     """
 
     node_id: NodeId
