Mend what the reviews of quota windows and client limits found

Quotas: a lower limit and back, or a version without the workspace, emptied its window (223 admitted in 5 s, the bound is 205): each slice keeps the ratio of the limits. A bucket holds 1.5 bursts, not 2: all nodes that start again within 0.9 s stay below the bound. Retry-After and its times are bounded by the window, and unchanged without one. Debt follows the share; late counts are charged for the window only; a check of a window that has room costs no sum over its slices.

--- a/packages/decisions/sequoiaglade_decisions/gateway/quota_windows.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quota_windows.py
@@ -1,5 +1,6 @@
 """Admissions of a workspace within a sliding window, in a fleet with shares."""
 
+import bisect
 import math
 from collections import deque
 
@@ -12,6 +13,8 @@
         self.number = number
         self.share = share
         self.count = 0.0
+        # The limit now, as a multiple of the one under which it was admitted.
+        self.limit_ratio = 1.0
 
 
 class AdmissionWindow:
@@ -33,6 +36,8 @@
         self.seconds = seconds
         self._width = seconds / SLICES_PER_WINDOW
         self._slices = deque()
+        # Sum of all counts, which is as much as can count.
+        self._total = 0.0
 
     def add(self, count, now, share, seconds=0.0):
         """Count admissions, which were spread over the last `seconds`.
@@ -53,6 +58,9 @@
 
     def seconds_until(self, limit, now, share):
         """Return the seconds until no more than `limit` admissions count."""
+        self._drop_past(now)
+        if self._total <= limit:
+            return 0.0
         excess = self.used(now, share) - limit
         for row in self._slices:
             if excess <= 0:
@@ -63,12 +71,25 @@
                 return max(0.0, left_at - now)
         return 0.0 if excess <= 0 else self.seconds
 
-    def scale(self, factor):
-        """Multiply all counts, for a limit that was changed by this factor."""
+    def note_limit(self, ratio):
+        """Note that the limit is `ratio` times the one before.
+
+        Of what was admitted under a higher limit the same part of the lower one counts.
+
+        >>> window = AdmissionWindow(5.0)
+        >>> window.add(100, now=0.0, share=1.0)
+        >>> window.note_limit(0.1)
+        >>> window.used(now=1.0, share=1.0)
+        10.0
+        >>> window.note_limit(10.0)
+        >>> window.used(now=1.0, share=1.0)
+        100.0
+        """
         for row in self._slices:
-            row.count *= factor
+            row.limit_ratio *= ratio
 
     def _add_to_slice(self, number, count, share):
+        self._total += count
         for row in reversed(self._slices):
             if row.number == number:
                 row.count += count
@@ -90,11 +111,13 @@
     def _drop_past(self, now):
         oldest = self._number(now) - SLICES_PER_WINDOW
         while self._slices and self._slices[0].number < oldest:
-            self._slices.popleft()
+            self._total -= self._slices.popleft().count
+        if not self._slices:
+            self._total = 0.0
 
 
 def _counted(row, share):
-    return row.count * min(1.0, share / row.share)
+    return row.count * min(1.0, share / row.share) * min(1.0, row.limit_ratio)
 
 
 class ToldTimes:
@@ -111,20 +134,22 @@
     """
 
     def __init__(self):
-        self._times = deque()
+        self._times = []
 
-    def next_seconds(self, seconds_until, now, sharers=1, position=0.0):
-        """Return in how many seconds a refused caller may return.
+    def next_seconds(
+        self, seconds_until, now, sharers=1, position=0.0, longest=math.inf
+    ):
+        """Return in how many seconds a refused caller may return, at most `longest`.
 
         `seconds_until` returns the seconds until there is room behind a number of
         others. Each of `sharers` nodes refuses as many callers as this one, at other
         times: `position`, from 0 to 1, is where this caller is among theirs.
         """
-        while self._times and self._times[0] <= now:
-            self._times.popleft()
+        del self._times[: bisect.bisect_right(self._times, now)]
         ahead = (len(self._times) + position) * sharers
-        at = now + seconds_until(ahead)
-        if self._times:
-            at = max(at, self._times[-1])
-        self._times.append(at)
-        return at - now
+        seconds = seconds_until(ahead)
+        if seconds >= longest:
+            # Those who have no time of their own are not before others.
+            return longest
+        bisect.insort(self._times, now + seconds)
+        return seconds
--- a/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/quotas.py
@@ -7,19 +7,18 @@
 RESTART_FILL_FRACTION = 0.5
 # A bucket's debt is limited to the refill of this much time.
 DEBT_MAX_SECONDS = 2.0
-# Bursts that a bucket with a window holds. A larger one could admit a whole window's
-# limit at once; if all nodes were then killed together, the admissions after their
-# restart would exceed the limit of that window.
-WINDOW_BURSTS = 2
+# Bursts that a bucket with a window holds. With more, a peak right before all nodes are
+# killed and the admissions after their restart could exceed the limit of that window.
+WINDOW_BURSTS = 1.5
 
 
 class _Bucket:
     """A token bucket, and with a window its admissions in that window.
 
     A load peak of some seconds may take what the window has left of its limit, which is
-    more than the rate: the bucket then has the mean rate of a full window, and twice
-    the burst. Before `known_at` the admissions of a whole window are not known, and
-    the rate and the burst hold alone.
+    more than the rate: the bucket then has the mean rate of a full window, and
+    `WINDOW_BURSTS` times the burst. Before `known_at` the admissions of a whole window
+    are not known, and the rate and the burst hold alone.
     """
 
     def __init__(self, rate, burst, level, now, window_seconds=None, known_at=0.0):
@@ -31,15 +30,17 @@
         self._window = AdmissionWindow(window_seconds) if window_seconds else None
         self._known_at = known_at
 
-    def is_full(self, now):
-        """Whether it would be full by now at its whole rate."""
+    def is_unused(self, now):
+        """Whether a new bucket would be the same: nothing admitted lately counts."""
+        if self._window is not None and self._window.used(now, 1.0):
+            return False
         return self.level + (now - self.updated_at) * self.rate >= self.burst
 
     def limit(self, rate, burst):
         """Change the limit; what was admitted is scaled down to a lower one."""
         if self._window is not None:
             before, after = self._window_limit, rate * self._window.seconds + burst
-            self._window.scale(min(1.0, after / before))
+            self._window.note_limit(after / before)
         self.rate, self.burst = rate, burst
         self.level = min(self.level, self._capacity(self.updated_at))
 
@@ -47,25 +48,30 @@
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = now
         added = elapsed * self._pace(now) * share
-        self.level = min(self._capacity(now) * share, self.level + added)
+        # Also a small part of the fleet has room for one request, and pays off its debt
+        # within the same time.
+        capacity = max(1.0, self._capacity(now) * share)
+        debt_max = DEBT_MAX_SECONDS * self.rate * share
+        self.level = min(capacity, max(self.level, -debt_max) + added)
 
     def seconds_until(self, count, now, share):
         """Return the seconds until `count` requests may be admitted, 0 for now."""
         missing = count - self.level
         seconds = max(0.0, missing / (self._pace(now) * share))
         if self._window is not None:
-            room = self._window_limit * share - count
+            room = max(1.0, self._window_limit * share) - count
             seconds = max(seconds, self._window.seconds_until(room, now, share))
-            # Who is told a longer time would find a wholly new window.
-            seconds = min(seconds, self._window.seconds)
         return seconds
 
     def charge(self, count, now, share, seconds):
         """Count admissions of the last `seconds`."""
         self.refill(now, share)
-        self.level = max(self.level - count, -DEBT_MAX_SECONDS * self.rate)
         if self._window is not None:
             self._window.add(count, now, share, seconds)
+            if seconds > self._window.seconds:
+                # The others were admitted before the window.
+                count *= self._window.seconds / seconds
+        self.level = max(self.level - count, -DEBT_MAX_SECONDS * self.rate * share)
 
     @property
     def _window_limit(self):
@@ -177,7 +183,7 @@
         self._unlimited_by_workspace = {
             workspace: bucket
             for workspace, bucket in known.items()
-            if not bucket.is_full(now)
+            if not bucket.is_unused(now)
         }
 
     def take(self, workspace, now, share):
@@ -202,11 +208,14 @@
         `sharers` nodes refuse requests; see `ToldTimes`.
         """
         bucket = self._bucket_by_workspace[workspace]
+        if self._window_seconds is None:
+            return bucket.seconds_until(1, now, share)
         return bucket.told.next_seconds(
             lambda ahead: bucket.seconds_until(1 + ahead, now, share),
             now,
             sharers,
             position,
+            self._window_seconds,
         )
 
     def note_admitted(self, workspace, now, share):
--- a/packages/decisions/sequoiaglade_decisions/memory/budget.py
+++ b/packages/decisions/sequoiaglade_decisions/memory/budget.py
@@ -59,12 +59,21 @@
         self._holdings: dict[Any, _Holding] = {}
         self.held = 0
 
-    def reserve(self, holder, size, now, is_closable=True, is_forced=False):
+    def reserve(
+        self,
+        holder,
+        size,
+        now,
+        is_closable=True,
+        is_forced=False,
+        patience_seconds=0.0,
+    ):
         """Change the bytes that a holder has to `size`; return a `Reservation`.
 
         With `is_forced` they are held even if they do not fit, such as responses of
         requests that have run; others are closed for them as far as possible. A
-        refused holder keeps what it has.
+        refused holder keeps what it has. The holder counts as stalled
+        `patience_seconds` later than others, if its progress shows rarely.
         """
         before = self._holdings.get(holder)
         growth = size - (before.size if before else 0)
@@ -76,7 +85,7 @@
                 return Reservation(False)
         for closed in to_close:
             self.release(closed)
-        self._holdings[holder] = _Holding(size, now, is_closable)
+        self._holdings[holder] = _Holding(size, now + patience_seconds, is_closable)
         self.held += growth
         return Reservation(True, to_close)
 
--- a/packages/decisions/sequoiaglade_decisions/memory/costs.py
+++ b/packages/decisions/sequoiaglade_decisions/memory/costs.py
@@ -19,14 +19,14 @@
     return len(data) + FIELD_BYTES * data.count(b"\n")
 
 
-def decode_bytes(data):
-    """Return the bytes that decoding the JSON text `data` takes at most, roughly.
+def decode_bytes(text):
+    """Return the bytes that decoding the JSON `text` takes at most, roughly.
 
     It counts what begins a value, also inside texts, so that no text takes more than
     its estimate because of many short values.
 
-    >>> decode_bytes(b'{"a": 1, "b": []}')
+    >>> decode_bytes('{"a": 1, "b": []}')
     394
     """
-    values = data.count(b",") + data.count(b"[") + data.count(b"{")
-    return JSON_TEXT_FACTOR * len(data) + JSON_VALUE_BYTES * values
+    values = text.count(",") + text.count("[") + text.count("{")
+    return JSON_TEXT_FACTOR * len(text) + JSON_VALUE_BYTES * values
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -39,6 +39,9 @@
 STORING_PEERS_MAX = 2
 # Retry-After of a job whose decoding takes more memory than there is for clients.
 MEMORY_RETRY_AFTER_SECONDS = 1.0
+# Jobs of this size are decoded without a wait for others; at 30 times as much, all
+# threads that decode one take a small part of the memory.
+SMALL_JOB_BYTES = 16_384
 # Submissions wait for the decoding of others for this long.
 DECODE_WAIT_SECONDS = 2.0
 JOB_REFUSAL = "the memory for jobs is used up"
@@ -139,21 +142,24 @@
     def _read_items(self, request):
         """Return the items of a submission, its error as text, or None without memory.
 
-        One job is read and decoded at a time: decoding takes up to 30 times a job's
-        bytes, and several threads decode no faster than one.
+        One large job is read and decoded at a time: decoding takes up to 30 times a
+        job's bytes, and several threads decode no faster than one.
         """
         memory = self._parts.client_memory
+        if 0 < request.content_length <= SMALL_JOB_BYTES:
+            return self._parts.dialect.read_items(request.stream.read())
         if not self._decode_lock.acquire(timeout=DECODE_WAIT_SECONDS):
             memory.report("refused", JOB_REFUSAL)
             return None
         try:
             if not request.may_read_body():
                 return None
-            body = request.stream.read()
-            size = decode_bytes(body)
-            with memory.working(size) as is_held:
+            # The bytes are not needed beside the text.
+            text = request.stream.read().decode("utf-8-sig", "replace")
+            size = decode_bytes(text)
+            with memory.working(size, beside=2 * len(text)) as is_held:
                 if is_held:
-                    return self._parts.dialect.read_items(body)
+                    return self._parts.dialect.read_items(text)
             memory.report("refused", JOB_REFUSAL, bytes=size)
             return None
         finally:
--- a/packages/node/sequoiaglade_node/web/channels.py
+++ b/packages/node/sequoiaglade_node/web/channels.py
@@ -34,6 +34,9 @@
 REQUESTS_AHEAD = 2
 # Reservations change in steps of this size: most requests take one.
 RESERVED_STEP_BYTES = 4096
+# Linux reports progress of a client that reads steadily each time a third of the send
+# buffer, up to 4 MB, is free.
+UNREAD_PATIENCE_SECONDS = 10.0
 # The parts of a head that handling it copies: the environment, names and values.
 HEAD_COPIES = 3
 # A body that is read is copied from its buffer, and once more for its fingerprint.
@@ -130,7 +133,6 @@
     unread_seconds = 75.0
     memory = None
     _reserved = 0
-    _run_bytes = 0
     _is_evicted = False
     _is_resuming = False
     read_deadline = staticmethod(lambda headers: None)
@@ -148,7 +150,7 @@
 
     def readable(self):
         """Return whether more may be read: not while requests are held back."""
-        if self._is_resuming or isinstance(self.request, HeldBack):
+        if isinstance(self.request, HeldBack) or self._is_resuming:
             return False
         return super().readable()
 
@@ -158,13 +160,12 @@
         if self.memory is None or request.error is not None:
             super().service()
         else:
-            self._run_bytes = HEAD_COPIES * request.head_cost
+            request.run_bytes = HEAD_COPIES * request.head_cost
             if not self._reserve(None, is_closable=False) or self._is_evicted:
-                self._run_bytes = 0
+                request.run_bytes = 0
                 request.error = MemoryExhausted("the memory for clients is used up")
                 self._report("refused")
             super().service()
-            self._run_bytes = 0
         self._resume()
         self._account()
 
@@ -173,19 +174,22 @@
 
         Return whether it is reserved; if not, the request must be refused.
         """
-        body = self.requests[0].body_rcv if self.requests else None
-        if self.memory is None or body is None:
+        request = self.requests[0] if self.requests else None
+        if self.memory is None or request is None or request.body_rcv is None:
             return True
-        size = BODY_COPIES * len(body)
-        self._run_bytes += size
+        size = BODY_COPIES * len(request.body_rcv)
+        request.run_bytes += size
         if self._reserve(None, is_closable=False):
             return True
-        self._run_bytes -= size
+        request.run_bytes -= size
         self._report("refused")
         return False
 
     def write_soon(self, data):
         """Queue a part of a response, with its memory."""
+        if not self.total_outbufs_len:
+            # A request may run for longer than a client may leave a response unread.
+            self.last_activity = time.time()
         if self.memory is not None:
             self._reserve(None, is_forced=True, more_bytes=len(data))
         return super().write_soon(data)
@@ -206,10 +210,11 @@
 
     def _held_bytes(self):
         requests = [*self.requests]
-        if self.request is not None and self.request not in requests:
-            requests.append(self.request)
-        held = sum(request.held_bytes for request in requests)
-        return held + self._run_bytes + self.total_outbufs_len
+        arriving = self.request
+        if arriving is not None and arriving not in requests:
+            requests.append(arriving)
+        held = sum(request.held_bytes + request.run_bytes for request in requests)
+        return held + self.total_outbufs_len
 
     def _reserve(self, request, is_closable=True, is_forced=False, more_bytes=0):
         """Return whether what the connection holds, with `request`, is reserved."""
@@ -218,27 +223,31 @@
             held += request.held_bytes
         size = -(-held // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
         is_unread = self.total_outbufs_len >= RESERVED_STEP_BYTES
-        is_closable = (is_closable and not self._run_bytes) or is_unread
+        # What is complete is answered, at most with a refusal.
+        is_closable = (is_closable and not self.requests) or is_unread
         if self._is_evicted:
             return False
         if size == self._reserved and size < CLOSED_BYTES_MIN:
             # Holders of so little are not closed: the lock is taken for changes only.
             return True
-        if not self.memory.reserve(self, size, is_closable, is_forced):
+        patience = UNREAD_PATIENCE_SECONDS if is_unread else 0.0
+        if not self.memory.reserve(self, size, is_closable, is_forced, patience):
             if request is not None:
                 self._report("refused")
             return False
         self._reserved = size
+        if self._is_evicted or not self.connected:
+            # The connection was closed meanwhile, and has released what it had.
+            self.memory.release(self)
         return True
 
     def _account(self):
         """Reserve what the connection still holds, at most what it had."""
-        if self.memory is None or self._is_evicted:
+        if self.memory is None:
             return
-        held = self._held_bytes()
-        if held and self.connected:
+        if self._held_bytes() and self.connected and not self._is_evicted:
             self._reserve(None, is_forced=True)
-        else:
+        elif not self.requests:
             self._reserved = 0
             self.memory.release(self)
 
@@ -293,7 +302,7 @@
         elif self.socket is not None and (self.close_when_flushed or self.will_close):
             self._linger()
         super().handle_close()
-        if self.memory is not None:
+        if self.memory is not None and not self.requests:
             self._reserved = 0
             self.memory.release(self)
 
@@ -368,7 +377,11 @@
     """Expire connections; close idle ones early when the limit is nearly reached."""
     channels = list(server.active_channels.values())
     for channel in channels:
-        channel.expire(now)
+        try:
+            channel.expire(now)
+        except (OSError, RuntimeError, ValueError) as error:
+            # An error of one connection must not end the loop that serves all.
+            structlog.get_logger().error("connection not expired", reason=repr(error))
     excess = len(channels) - int(CROWDED_FRACTION * server.adj.connection_limit)
     if excess <= 0:
         return
--- a/packages/node/sequoiaglade_node/web/memory.py
+++ b/packages/node/sequoiaglade_node/web/memory.py
@@ -32,11 +32,21 @@
         self._line_count = 0
         self.total = total
 
-    def reserve(self, holder, size, is_closable=True, is_forced=False):
-        """Change the bytes that a holder has; return whether they are reserved."""
+    def reserve(
+        self, holder, size, is_closable=True, is_forced=False, patience_seconds=0.0
+    ):
+        """Change the bytes that a holder has; return whether they are reserved.
+
+        The holder counts as stalled `patience_seconds` later than others.
+        """
         with self._lock:
             reservation = self._budget.reserve(
-                holder, size, time.monotonic(), is_closable, is_forced
+                holder,
+                size,
+                time.monotonic(),
+                is_closable,
+                is_forced,
+                patience_seconds,
             )
         for closed in reservation.to_close:
             self.report("closed", "the memory for clients is used up")
@@ -49,13 +59,14 @@
             self._budget.release(holder)
 
     @contextlib.contextmanager
-    def working(self, size, seconds=JOB_WAIT_SECONDS):
+    def working(self, size, beside=0, seconds=JOB_WAIT_SECONDS):
         """Hold `size` bytes, or the greatest allowed part, while work is done.
 
-        Yield whether they were reserved within `seconds`.
+        `beside` is what the connection of the request holds. Yield whether the bytes
+        were reserved within `seconds`.
         """
         holder = _Work()
-        size = min(size, int(self.total * REQUEST_FRACTION))
+        size = min(size, max(0, int(self.total * REQUEST_FRACTION) - beside))
         end_at = time.monotonic() + seconds
         while not (is_held := self.reserve(holder, size, is_closable=False)):
             if time.monotonic() >= end_at:
--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -108,6 +108,8 @@
         self._holds_place = False
         self.head_cost = 0
         self.held_bytes = 0
+        # What handling the request takes while it runs.
+        self.run_bytes = 0
 
     def parse_header(self, header_plus):
         """Refuse framing that parsers may interpret differently; select the limits."""
@@ -199,6 +201,7 @@
             self.held_bytes = self.head_cost
             body.getbuf().close()
             body.buf = _NullBuffer()
+            self.reserve(self)
         size = max(self.content_length, self.body_bytes_received)
         is_over = bool(body.completed or body.error)
         self.completed = is_over or size > DISCARD_BYTES
@@ -223,6 +226,7 @@
     def __init__(self, adj):
         super().__init__(adj)
         self.data = b""
+        self.run_bytes = 0
 
     @property
     def held_bytes(self):
--- a/tests/features/steps/gateway_decision_steps.py
+++ b/tests/features/steps/gateway_decision_steps.py
@@ -95,6 +95,23 @@
             context.admitted_at.append(now)
 
 
+@when("a workspace sends 8 times its rate, and at 3.4 seconds {change} and back")
+def change_and_back(context, change):
+    changed = {"its rate is a tenth": {"w": (RATE / 10, BURST / 10)}}.get(change, {})
+    context.admitted_at = []
+    quotas = FleetQuotas(is_first_start=True, window_seconds=WINDOW_SECONDS)
+    quotas.configure({"w": (RATE, BURST)}, 0.0)
+    step = 1 / (8 * RATE)
+    for number in range(round(10.0 / step)):
+        now = number * step
+        if now - step < 3.4 <= now:
+            quotas.configure(changed, now)
+            quotas.configure({"w": (RATE, BURST)}, now)
+        # It has had time to fill its bucket.
+        if now > 2.0 and quotas.take("w", now, 1.0) is None:
+            context.admitted_at.append(now)
+
+
 @then("no window of 5 seconds admits more than the bound with this burst")
 def check_bound_with_burst(context):
     _check_bound(context, context.burst)
--- a/tests/features/steps/holder_simulation.py
+++ b/tests/features/steps/holder_simulation.py
@@ -233,6 +233,7 @@
             stream=io.BytesIO(),
             arrived_at=time.monotonic(),
             may_read_body=lambda: True,
+            content_length=0,
         )
         with self._simulation.acting(self):
             return self.batch.submit(call, request, self._simulation.route, None)
