--- a/tests/features/steps/client_limit_steps.py
+++ b/tests/features/steps/client_limit_steps.py
@@ -38,6 +38,8 @@
     limits = {"body_buffer_bytes": 1_048_576, "queue_seconds": 1.0}
     start(context, 1, [plan], limits=limits, settings={"memory_mb": size})
     ask_together(context, 16, 0)
+    # An idle process has the SDK of its metrics, which is loaded soon after the start.
+    context.gateways.metrics()
     context.memory_before = _resident_bytes(context, "VmRSS")
     context.descriptors_before = _descriptor_count(context)
     _reset_peak(context)
