--- a/tests/features/steps/gateway_evacuation_decision_steps.py
+++ b/tests/features/steps/gateway_evacuation_decision_steps.py
@@ -330,7 +330,7 @@
     coordinator = SimpleNamespace(ask=lambda message: told.append(message) or news)
     metrics = SimpleNamespace(count=lambda *labels: counted.update([labels]))
     dialect = SimpleNamespace(
-        read_configuration=lambda document: SimpleNamespace(version=3, routes=()),
+        read_configuration=lambda document: FleetConfiguration(3, (), (), ()),
         read_endpoint=lambda document: document.name,
     )
     evacuations = EvacuationCache(coordinator, metrics)
