--- a/packages/decisions/sequoiaglade_decisions/memory/budget.py
+++ b/packages/decisions/sequoiaglade_decisions/memory/budget.py
@@ -95,10 +95,6 @@
         if holding is not None:
             self.held -= holding.size
 
-    def holds(self, holder):
-        """Return whether a holder has a reservation."""
-        return holder in self._holdings
-
     def _make_room(self, holder, size, excess, now):
         """Return whether closing others makes room, and those to close."""
         others = [
--- a/packages/gateway/sequoiaglade_gateway/batch/service.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/service.py
@@ -19,7 +19,11 @@
 
 from ..interface import EndJob, ReadItem, ReadJob
 from ..messages import LiveNodes
-from ..online.refusals import GatewayRefusal, refusal_response
+from ..online.refusals import (
+    MEMORY_RETRY_AFTER_SECONDS,
+    GatewayRefusal,
+    refusal_response,
+)
 from ..peers.codec import decode_job
 from ..regions import JobHomes
 from .bodies import ItemBodies, find_holder
@@ -37,8 +41,6 @@
 LOST_ANSWER_PAUSE_SECONDS = 0.1
 # Number of peers that are asked in turn to store a job.
 STORING_PEERS_MAX = 2
-# Retry-After of a job whose decoding takes more memory than there is for clients.
-MEMORY_RETRY_AFTER_SECONDS = 1.0
 # Jobs of this size are decoded without a wait for others; at 30 times as much, all
 # threads that decode one take a small part of the memory.
 SMALL_JOB_BYTES = 16_384
--- a/packages/gateway/sequoiaglade_gateway/online/refusals.py
+++ b/packages/gateway/sequoiaglade_gateway/online/refusals.py
@@ -10,6 +10,8 @@
 RETRY_AFTER_JITTER = 0.5
 # Minimum Retry-After; a shorter one would be sent as zero.
 RETRY_AFTER_SECONDS_MIN = 0.02
+# Retry-After of what does not fit into the memory for clients.
+MEMORY_RETRY_AFTER_SECONDS = 1.0
 # Why a request is refused whose route and workspace have no region in common.
 NO_REGION = "no region is allowed by both the route and the workspace"
 
--- a/packages/gateway/sequoiaglade_gateway/online/service.py
+++ b/packages/gateway/sequoiaglade_gateway/online/service.py
@@ -10,7 +10,12 @@
 from ..messages import IsQuarantined
 from .exchange import Exchange
 from .prompt_parts import facts, find_refusal
-from .refusals import NO_REGION, GatewayRefusal, refusal_response
+from .refusals import (
+    MEMORY_RETRY_AFTER_SECONDS,
+    NO_REGION,
+    GatewayRefusal,
+    refusal_response,
+)
 from .requests import AdmittedRequest
 
 # Deadline of a request that states none.
@@ -20,8 +25,6 @@
 # Retry-After of a request whose route and workspace allow no common region. Only a new
 # configuration changes that.
 NO_REGION_RETRY_AFTER_SECONDS = 1.0
-# Retry-After of a request whose body does not fit into the memory for clients.
-MEMORY_RETRY_AFTER_SECONDS = 1.0
 NO_MEMORY = "the memory for clients is used up"
 
 
