Log what showed the end of a stream, and flaws of its framing

A stream that is whole, one whose chunk framing was cut and one that ended with its connection left the same lines. `stream ended` now tells the last event, the event after which the last attempt went on, and whether chunks, a length or the end of the connection showed the end; `item run ended` the latter in its reason.

Nothing else changes: what was read as complete still is.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -7,6 +7,8 @@
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from .chunked_body import ChunkedBody
+
 # Statuses that end a request; those below are interim, and those above undefined.
 STATUS_MIN = 200
 STATUS_MAX = 599
@@ -95,8 +97,12 @@
     """A response that is read only if its head is whole, with the status of a result.
 
     http.client accepts statuses from 100 to 999, and skips no interim ones but 100.
+    `note_flaw` is called with what is wrong with the framing of a body in chunks.
     """
 
+    def note_flaw(self, reason):
+        """Take a flaw of the body's framing."""
+
     def begin(self):
         file = self.fp
         self.fp = _HeadReader(file)
@@ -107,6 +113,8 @@
                 self.fp = file
         if not STATUS_MIN <= self.status <= STATUS_MAX:
             raise http.client.BadStatusLine(f"status {self.status}")
+        if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
+            self.fp = ChunkedBody(self.fp, self.note_flaw)
 
 
 class _TrackedMixin:
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -442,7 +442,7 @@
             missing = "the stream contains no event"
         if missing is not None:
             return ItemOutcome.BROKEN, BROKEN, missing
-        return ItemOutcome.DONE, DONE, "complete"
+        return ItemOutcome.DONE, DONE, f"complete, ended by {answer.framing}"
 
     def _endpoint_request(self, run):
         item = run.progress.item
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -2,6 +2,7 @@
 
 import http.client
 import time
+from enum import StrEnum
 from typing import NamedTuple
 
 import urllib3
@@ -35,6 +36,14 @@
     is_abandoned: bool = False
 
 
+class Framing(StrEnum):
+    """What shows the end of a response's body."""
+
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    CLOSE = "close"
+
+
 class CompleteResponse(NamedTuple):
     """A response that was read to its end."""
 
@@ -54,8 +63,12 @@
         self._bounded = bounded
         self.headers = headers
         self.fault = None
-        # False if only the end of the connection is the end of the stream.
-        self.has_length = response.chunked or response.length_remaining is not None
+        self.framing = _framing(response)
+
+    @property
+    def has_length(self):
+        """False if only the end of the connection is the end of the stream."""
+        return self.framing is not Framing.CLOSE
 
     def __enter__(self):
         return self
@@ -248,6 +261,12 @@
             _close(connection, response, attempt)
 
 
+def _framing(response):
+    if response.chunked:
+        return Framing.CHUNKS
+    return Framing.CLOSE if response.length_remaining is None else Framing.LENGTH
+
+
 def _body_chunks(response, bounded):
     if response.chunked:
         for chunk in response.read_chunked(READ_BYTES, decode_content=False):
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -76,7 +76,7 @@
         self._log = structlog.get_logger()
         self.last_event_id = request.call.last_event_id
         # The last event before the current attempt.
-        self._sent_after_event = self.last_event_id
+        self.sent_after_event = self.last_event_id
         # The version that began the stream; None before its first event.
         self._version = None
         self.is_client_disconnected = False
@@ -184,7 +184,7 @@
                 fingerprint=self.request.fingerprint,
                 service=self.request.service or "",
                 parts=() if self._is_answered else self.request.call.prompt_parts,
-                has_begun=self.last_event_id > self._sent_after_event,
+                has_begun=self.last_event_id > self.sent_after_event,
                 has_events=self.last_event_id > 0,
             )
         self._parts.coordinator.tell(ended)
@@ -311,7 +311,7 @@
 
     def _send(self, endpoint, permit_until):
         request = self.request
-        self._sent_after_event = self.last_event_id
+        self.sent_after_event = self.last_event_id
         seconds_left = request.end_at - time.monotonic()
         headers = self._parts.dialect.endpoint_headers(
             request.call,
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -47,6 +47,9 @@
             request_id=self._exchange.request.call.request_id,
             outcome=self._outcome,
             events=self._event_count,
+            last_event_id=self._exchange.last_event_id,
+            after_event=self._exchange.sent_after_event,
+            framing=self._stream.answer.framing.value,
             first_event_ms=round(self._exchange.first_event_seconds * 1000),
             longest_pause_ms=round(self._longest_pause * 1000),
         )
