--- /dev/null
+++ b/tests/features/steps/cut_calls.py
@@ -0,0 +1,125 @@
+"""Calls to an endpoint that cuts its response, by a gateway, its peer and a node."""
+
+import socketserver
+import threading
+from types import SimpleNamespace
+
+from fleet_adapter.dialect import PlatformDialect
+from sequoiaglade_gateway.bounded_reads import ResponseMemory
+from sequoiaglade_gateway.endpoint_calls import (
+    CallFault,
+    EventStreamResponse,
+    open_call,
+)
+from sequoiaglade_gateway.endpoint_requests import EndpointRequest
+from sequoiaglade_gateway.forwarding.sockets import ForwardedConnection
+from sequoiaglade_gateway.patient_socket import FixedPatience
+
+from sequoiaglade_decisions.gateway import Endpoint, Fault, ResponseBounds
+from sequoiaglade_decisions.outcomes import Failure
+from sequoiaglade_endpoints import Attempt, Call, EndpointClient
+from sequoiaglade_protocol import fleet_pb2
+
+SECONDS = 5.0
+BODY_BYTES_MAX = 10_000
+
+
+class _Cutter(socketserver.BaseRequestHandler):
+    """Reads a request and sends the first bytes of a response, as many as `kept`."""
+
+    def handle(self):
+        received = b""
+        while not received.endswith(b"\r\n\r\n"):
+            received += self.request.recv(65_536)
+        self.request.sendall(self.server.response[: self.server.kept])
+
+
+class _Server(socketserver.ThreadingTCPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+
+
+def serve(context, response):
+    """Start an endpoint, `context.cutter`, with the bytes of a response."""
+    server = context.stack.enter_context(_Server(("127.0.0.1", 0), _Cutter))
+    server.response = response
+    server.kept = len(response)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.stack.callback(server.shutdown)
+    context.cutter = server
+    context.address = "127.0.0.1:{}".format(server.server_address[1])
+
+
+def _ignore(*args, **options):
+    """Take what the call tells of the endpoint."""
+
+
+def _call_by_gateway(context, connection=None):
+    endpoint = Endpoint("runner-0", "writer", context.address, "d", 8)
+    headers = [("Host", "h"), ("Request-Id", "r-1")]
+    request = EndpointRequest(endpoint, "GET", "/once/1", headers, b"", "r-1")
+    parts = SimpleNamespace(
+        dialect=PlatformDialect(),
+        response_memory=ResponseMemory(),
+        coordinator=SimpleNamespace(tell=_ignore, ask=_ignore),
+        metrics=SimpleNamespace(count=_ignore),
+        paths=SimpleNamespace(
+            forwarded_connection=lambda *args: connection,
+            note_connected=_ignore,
+            note_failed=_ignore,
+            is_cut_off=False,
+        ),
+    )
+    bounds = ResponseBounds(None, None)
+    patience = FixedPatience(SECONDS)
+    outcome = open_call(request, parts, Attempt(), patience, SECONDS, bounds)
+    if isinstance(outcome, EventStreamResponse):
+        outcome = _read_stream(outcome)
+    is_unknown = isinstance(outcome, CallFault) and outcome.fault is Fault.BROKEN
+    return None if is_unknown else outcome
+
+
+def _read_stream(answer):
+    with answer:
+        body = b"".join(answer.chunks())
+    return answer.fault or body
+
+
+class _PeerCall:
+    """The replies of a peer to which an endpoint sent some bytes before it closed."""
+
+    def __init__(self, data):
+        end = fleet_pb2.ForwardEnd(kind=fleet_pb2.ForwardEnd.CLOSED)
+        self._replies = [fleet_pb2.ForwardReply(data=data)] if data else []
+        self._replies.append(fleet_pb2.ForwardReply(end=end))
+
+    def __iter__(self):
+        return iter(self._replies)
+
+    def cancel(self):
+        """End the call, which needs nothing."""
+
+
+def _call_through_peer(context):
+    data = context.cutter.response[: context.cutter.kept]
+    connection = ForwardedConnection("h", 1, lambda sent: _PeerCall(data))
+    return _call_by_gateway(context, connection)
+
+
+def _call_by_node(context):
+    call = Call(f"http://{context.address}", "GET", "/once/1", (), b"", "r-1")
+    with EndpointClient(SECONDS, SECONDS) as client:
+        outcome = client.run(call._replace(is_repeatable=False))
+        if isinstance(outcome, Failure):
+            return None
+        with outcome:
+            body = outcome.read_body(BODY_BYTES_MAX)
+        return None if isinstance(body, Failure) else (outcome.status, body)
+
+
+# Each function returns the whole response, or None if it is broken.
+CALLS = {
+    "by a gateway": _call_by_gateway,
+    "by a gateway, through its peer": _call_through_peer,
+    "by a node": _call_by_node,
+}
