Read the framing of responses in chunks strictly

Callers saw: a stream, in chunks, that ended as complete after some of its events; whole bodies and results of items were shortened in the same way.

Cause: urllib3 and http.client read the line of a chunk's size up to its end or that of the connection, and take `int(line, 16)`.

Change: all calls to endpoints read a body in chunks as a `ChunkedBody`, which requires the grammar of RFC 9112, section 7.1, to its last line end, and raises an error in place of any other bytes. The response is then broken like one that is reset: it is resumed, asked for again, or left incomplete towards the caller. A body whose last event has arrived but not the empty line after it counts as broken as well; a resumable stream is taken up elsewhere at the price of a run without events.

--- a/packages/endpoints/sequoiaglade_endpoints/chunked_body.py
+++ b/packages/endpoints/sequoiaglade_endpoints/chunked_body.py
@@ -3,10 +3,10 @@
 import re
 from enum import Enum, auto
 
-# A size, with extensions after a semicolon, each of which begins with its name.
-_SIZE_LINE = re.compile(
-    rb"([0-9A-Fa-f]+)(?:[ \t]*;[ \t]*[!#$%&'*+.^_`|~0-9A-Za-z-][^\r\n]*)?\r\n"
-)
+_NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+# A size, with extensions after a semicolon, which begin with the name of one.
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:[ \t]*;[ \t]*" + _NAME + rb"[^\r\n]*)?\r\n")
+_TRAILER_LINE = re.compile(_NAME + rb":[^\r\n]*\r\n")
 _LINE_END = b"\r\n"
 # Bytes of a line that a reason quotes.
 _QUOTED_BYTES_MAX = 32
@@ -22,25 +22,30 @@
     NOTHING = auto()
 
 
+class FramingError(OSError):
+    """Ends the reading of a body whose framing is cut or invalid."""
+
+
 class ChunkedBody:
-    r"""The file of a response whose body is in chunks; notes flaws of the framing.
+    r"""The file of a response whose body is in chunks; its framing has to be whole.
 
     http.client and urllib3 read sizes with `int`, also those of a line that the end of
     the connection cuts, and take the end of the connection as that of the trailers.
-    `note_flaw` is called with what is wrong with the framing.
+    A `FramingError` is raised in place of what they would read.
 
     >>> import io
-    >>> body = ChunkedBody(io.BytesIO(b"00000002\r\nab\r\n000"), print)
+    >>> body = ChunkedBody(io.BytesIO(b"00000002\r\nab\r\n000"))
     >>> body.readline(100), body.read(2), body.read(2)
     (b'00000002\r\n', b'ab', b'\r\n')
     >>> body.readline(100)
-    the connection ended within the line of a chunk's size, b'000'
-    b'000'
+    Traceback (most recent call last):
+        ...
+    sequoiaglade_endpoints.chunked_body.FramingError: the connection ended within the
+    size of a chunk, b'000'
     """
 
-    def __init__(self, file, note_flaw):
+    def __init__(self, file):
         self._file = file
-        self._note_flaw = note_flaw
         self._next = _Next.SIZE
         self._left = 0
 
@@ -87,16 +92,15 @@
     def _take_size(self, line):
         match = _SIZE_LINE.fullmatch(line)
         if match is None:
-            self._note_flaw(_size_flaw(line))
-            return
+            raise FramingError(_flaw(line, "the size of a chunk"))
         self._left = int(match[1], 16)
         self._next = _Next.DATA if self._left else _Next.TRAILER
 
     def _take_trailer(self, line):
         if line == _LINE_END:
             self._next = _Next.NOTHING
-        elif not line.endswith(_LINE_END):
-            self._note_flaw("the connection ended within the last chunk")
+        elif not _TRAILER_LINE.fullmatch(line):
+            raise FramingError(_flaw(line, "a trailer"))
 
     def _take_data(self, data):
         if self._next is _Next.DATA:
@@ -105,12 +109,12 @@
                 self._next = _Next.DATA_END
         elif self._next is _Next.DATA_END:
             if data not in (_LINE_END, b""):
-                self._note_flaw(f"a chunk is followed by {data!r}")
+                raise FramingError(f"a chunk is followed by {data!r}")
             self._next = _Next.SIZE
 
 
-def _size_flaw(line):
+def _flaw(line, part):
     quoted = repr(line[:_QUOTED_BYTES_MAX])
     if line.endswith(b"\n"):
-        return f"{quoted} is no size of a chunk"
-    return f"the connection ended within the line of a chunk's size, {quoted}"
+        return f"{quoted} is not {part}"
+    return f"the connection ended within {part}, {quoted}"
--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -97,12 +97,9 @@
     """A response that is read only if its head is whole, with the status of a result.
 
     http.client accepts statuses from 100 to 999, and skips no interim ones but 100.
-    `note_flaw` is called with what is wrong with the framing of a body in chunks.
+    A body in chunks is read as a `ChunkedBody`.
     """
 
-    def note_flaw(self, reason):
-        """Take a flaw of the body's framing."""
-
     def begin(self):
         file = self.fp
         self.fp = _HeadReader(file)
@@ -114,7 +111,7 @@
         if not STATUS_MIN <= self.status <= STATUS_MAX:
             raise http.client.BadStatusLine(f"status {self.status}")
         if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
-            self.fp = ChunkedBody(self.fp, self.note_flaw)
+            self.fp = ChunkedBody(self.fp)
 
 
 class _TrackedMixin:
--- a/packages/gateway/sequoiaglade_gateway/bounded_reads.py
+++ b/packages/gateway/sequoiaglade_gateway/bounded_reads.py
@@ -59,7 +59,6 @@
             response = WholeHeadResponse(sock, *args, **options)
             reader = _BoundedReader(response.fp.detach(), self)
             response.fp = io.BufferedReader(reader)
-            response.note_flaw = self.log_flaw
             return response
 
         connection.response_class = response_class
@@ -113,15 +112,6 @@
         """Record bytes as received from the connection."""
         self._progress.receive(size, time.monotonic())
 
-    def log_flaw(self, reason):
-        """Log what is wrong with the framing of the body."""
-        structlog.get_logger().warning(
-            "response framing invalid",
-            request_id=self._request.request_id,
-            address=self._request.address,
-            reason=reason,
-        )
-
     def log_abandoned(self, bound, **details):
         """Log the bound that ended the call."""
         structlog.get_logger().warning(
