Refuse responses whose length or transfer coding can't be read

Callers saw, in our own test: a body that was cut counted as whole, where the head named a length like `126 bytes`, `-126`, `+42` or `4_2`, or a transfer coding other than chunks.

Cause: the same class as the framing of chunks: http.client takes a length or coding that it can't read for none, or reads it with `int`; without either a body ends with its connection.

Evidence: 9 rows of cut_chunks.feature, for a gateway, through its peer and by a node; all failed before. The row through a peer failed as a broken path, for another reason.

Change: such a head is invalid, and the call is broken like any with an invalid head.

Run: cut_chunks, cut_heads and unframed_responses features, 143 scenarios passed.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -1,6 +1,7 @@
 """HTTP connections whose current attempt another thread can abort."""
 
 import http.client
+import re
 import socket
 import threading
 
@@ -12,6 +13,7 @@
 # Statuses that end a request; those below are interim, and those above undefined.
 STATUS_MIN = 200
 STATUS_MAX = 599
+_LENGTH = re.compile(r"[0-9]+")
 
 _current = threading.local()
 
@@ -70,6 +72,10 @@
     """Ends the reading of a response whose head is incomplete."""
 
 
+class InvalidFramingHeaderError(http.client.HTTPException):
+    """The head names a length or a transfer coding that can't be read."""
+
+
 class _HeadReader:
     """Reads the lines of a head, and raises an error if the connection ends within it.
 
@@ -96,8 +102,9 @@
 class WholeHeadResponse(http.client.HTTPResponse):
     """A response that is read only if its head is whole, with the status of a result.
 
-    http.client accepts statuses from 100 to 999, and skips no interim ones but 100.
-    A body in chunks is read as a `ChunkedBody`.
+    http.client accepts statuses from 100 to 999, and skips no interim ones but 100. It
+    reads a body whose length or transfer coding it can't read up to the end of the
+    connection. A body in chunks is read as a `ChunkedBody`.
     """
 
     def begin(self):
@@ -110,10 +117,31 @@
                 self.fp = file
         if not STATUS_MIN <= self.status <= STATUS_MAX:
             raise http.client.BadStatusLine(f"status {self.status}")
-        if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
+        if _is_chunked(self.headers):
             self.fp = ChunkedBody(self.fp)
 
 
+def _is_chunked(headers):
+    """Return whether a body is in chunks; raise an error if its framing is unreadable.
+
+    >>> _is_chunked({"Transfer-Encoding": "Chunked"}), _is_chunked({})
+    (True, False)
+    >>> _is_chunked({"Content-Length": "4_2"})
+    Traceback (most recent call last):
+        ...
+    sequoiaglade_endpoints.connections.InvalidFramingHeaderError: Content-Length '4_2'
+    """
+    coding = headers.get("Transfer-Encoding")
+    if coding is not None:
+        if coding.strip().lower() != "chunked":
+            raise InvalidFramingHeaderError(f"Transfer-Encoding {coding!r}")
+        return True
+    length = headers.get("Content-Length")
+    if length is not None and not _LENGTH.fullmatch(length.strip()):
+        raise InvalidFramingHeaderError(f"Content-Length {length!r}")
+    return False
+
+
 class _TrackedMixin:
     response_class = WholeHeadResponse
     _attempt = None
--- a/tests/features/gateway/cut_chunks.feature
+++ b/tests/features/gateway/cut_chunks.feature
@@ -58,6 +58,24 @@
       | -0   | an empty line     | by a node    |
       | 0_0  | an empty line     | by a node    |
 
+  # http.client takes a length or a coding that it can't read for none.
+  Scenario Outline: A body with "<field>" that is cut is taken for one without a length <by>
+    Given an endpoint that cuts a whole body with "<field>" in its head
+    When a call is made <by> for the whole response
+    Then no call gets a whole response
+
+    Examples:
+      | field                      | by                             |
+      | Content-Length: 126 bytes  | by a gateway                   |
+      | Content-Length: -126       | by a gateway                   |
+      | Content-Length:            | by a gateway                   |
+      | Content-Length: 4_2        | by a gateway                   |
+      | Content-Length: +42        | by a gateway                   |
+      | Transfer-Encoding: chunk   | by a gateway                   |
+      | Transfer-Encoding: deflate | by a gateway                   |
+      | Content-Length: 126 bytes  | by a gateway, through its peer |
+      | Content-Length: +42        | by a node                      |
+
   Scenario: A chunk that is followed by other bytes than a line end is taken for a whole one
     Given an endpoint whose chunks are longer than their sizes
     When a call is made by a gateway for the whole response
--- a/tests/features/steps/cut_chunk_steps.py
+++ b/tests/features/steps/cut_chunk_steps.py
@@ -73,6 +73,12 @@
     serve(context, sent + line.encode() + REST_BY_NAME[rest])
 
 
+@given('an endpoint that cuts a whole body with "{field}" in its head')
+def given_framing_field(context, field):
+    head = _head("a whole body").replace(b"Transfer-Encoding: chunked", field.encode())
+    serve(context, head + b"".join(EVENTS[: CUT_EVENT - 1]))
+
+
 @given("an endpoint whose chunks are longer than their sizes")
 def given_long_chunks(context):
     event = EVENTS[0]
