Keep a call through a peer until its response is read

Callers saw, in our own test: while a gateway is cut off from the endpoints and asks peers, each response that ends with its connection broke off: those without a length, and those with `Connection: close`, which all responses of a leaving endpoint have.

Cause: http.client closes the connection once it has such a head, and relies on the file that it reads from to keep the socket. `ForwardedSocket.close` ended the call at once. What was already buffered was still read, so that short responses passed.

Change: the files of a `ForwardedSocket` keep its call, as those of a socket do; `shutdown` still ends it at once.

The steps' peer passes a response on in pieces of 100 bytes and stops when it is cancelled; before it sent all at once, which hid the fault.

--- a/packages/gateway/sequoiaglade_gateway/forwarding/sockets.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/sockets.py
@@ -48,7 +48,9 @@
     """The part of a socket's interface that an HTTP request of one connection needs.
 
     What is sent is kept until the first read, which passes it to `open_call`; that
-    returns an iterator over `ForwardReply`, a call that `cancel` ends.
+    returns an iterator over `ForwardReply`, a call that `cancel` ends. As of a socket,
+    the files are closed before `close` has an effect: http.client closes the connection
+    once it has the head of a response that ends with it.
     """
 
     def __init__(self, open_call):
@@ -59,6 +61,8 @@
         self._rest = b""
         self._end = None
         self._seconds = None
+        self._open_files = 0
+        self._is_closing = False
         self._is_closed = threading.Event()
 
     def settimeout(self, seconds):
@@ -91,8 +95,9 @@
         raise ForwardError(fault, self._end.reason)
 
     def makefile(self, *args, **options):
-        """Return a file to close; reads are made by `recv_into`."""
-        return io.BytesIO()
+        """Return a file that keeps the call; reads are made by `recv_into`."""
+        self._open_files += 1
+        return _Keeper(self._release)
 
     def shutdown(self, how):
         """End the call; a thread that waits for bytes fails."""
@@ -101,8 +106,17 @@
             self._call.cancel()
 
     def close(self):
-        """End the call."""
-        self.shutdown(None)
+        """End the call once all files are closed."""
+        self._is_closing = True
+        self._end_unused()
+
+    def _release(self):
+        self._open_files -= 1
+        self._end_unused()
+
+    def _end_unused(self):
+        if self._is_closing and not self._open_files:
+            self.shutdown(None)
 
     def _begin(self):
         if self._is_closed.is_set():
@@ -151,6 +165,19 @@
         return False
 
 
+class _Keeper(io.RawIOBase):
+    """A file of a `ForwardedSocket`, which calls `release` when it is closed."""
+
+    def __init__(self, release):
+        super().__init__()
+        self._release = release
+
+    def close(self):
+        if not self.closed:
+            super().close()
+            self._release()
+
+
 class _PathEnd:
     """The end of a call whose peer did not tell how the connection ended."""
 
--- a/tests/features/steps/cut_calls.py
+++ b/tests/features/steps/cut_calls.py
@@ -21,6 +21,8 @@
 from sequoiaglade_protocol import fleet_pb2
 
 SECONDS = 5.0
+# Bytes of a response that a peer passes on at once.
+PIECE_BYTES = 100
 BODY_BYTES_MAX = 10_000
 
 
@@ -86,18 +88,27 @@
 
 
 class _PeerCall:
-    """The replies of a peer to which an endpoint sent some bytes before it closed."""
+    """The replies of a peer to which an endpoint sent some bytes before it closed.
+
+    There are no more after the call was cancelled.
+    """
 
     def __init__(self, data):
-        end = fleet_pb2.ForwardEnd(kind=fleet_pb2.ForwardEnd.CLOSED)
-        self._replies = [fleet_pb2.ForwardReply(data=data)] if data else []
-        self._replies.append(fleet_pb2.ForwardReply(end=end))
+        self._data = data
+        self._is_cancelled = False
 
     def __iter__(self):
-        return iter(self._replies)
+        for start in range(0, len(self._data), PIECE_BYTES):
+            piece = self._data[start : start + PIECE_BYTES]
+            yield fleet_pb2.ForwardReply(data=piece)
+            if self._is_cancelled:
+                return
+        end = fleet_pb2.ForwardEnd(kind=fleet_pb2.ForwardEnd.CLOSED)
+        yield fleet_pb2.ForwardReply(end=end)
 
     def cancel(self):
-        """End the call, which needs nothing."""
+        """End the call."""
+        self._is_cancelled = True
 
 
 def _call_through_peer(context):
--- a/tests/features/steps/cut_chunk_steps.py
+++ b/tests/features/steps/cut_chunk_steps.py
@@ -79,6 +79,19 @@
     serve(context, head + b"".join(EVENTS[: CUT_EVENT - 1]))
 
 
+@given("an endpoint that answers with {content}, framed by {framing}")
+def given_framing(context, content, framing):
+    says_close = "Connection: close\r\n" if "Connection: close" in framing else ""
+    body, field = b"".join(EVENTS), ""
+    if framing.endswith("chunks"):
+        body, field = _chunks(EVENTS) + b"0\r\n\r\n", "Transfer-Encoding: chunked\r\n"
+    elif framing.endswith("a length"):
+        field = f"Content-Length: {len(body)}\r\n"
+    fields = (says_close + field).encode()
+    head = _head(content).replace(b"Transfer-Encoding: chunked\r\n", fields)
+    serve(context, head + body)
+
+
 @given("an endpoint whose chunks are longer than their sizes")
 def given_long_chunks(context):
     event = EVENTS[0]
