Take a response without a length for cut if its endpoint is gone

Callers saw, in our own test: a stream, in chunks, that ended as complete after 4 of 12 events; also a resumable one, one through a peer, a body and the output of items.

Cause: the endpoint sent neither a length nor chunks and its process was killed. The kernel closes the connections of a killed process regularly, unless unread bytes wait, and after a whole event a regular close counted as the end.

Change: when a response without framing ends, the gateway, or the peer that forwards, opens a connection to the endpoint. If it is refused, and the endpoint is not known to leave, the process ended and the response is broken; one that leaves may refuse connections while it ends its last streams. An endpoint that stays up, such as a process behind a listener of its parent, can't be told from the end, as before.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -88,7 +88,7 @@
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .store_followers import POLL_SECONDS, FollowerContact, store_followers
-from .stream_ends import is_misplaced, missing_part
+from .stream_ends import is_lost, is_misplaced, missing_part
 from .stream_versions import (
     RecentVersions,
     StreamVersions,
@@ -237,6 +237,7 @@
     "group_of",
     "granter_share",
     "guard_step",
+    "is_lost",
     "is_misplaced",
     "job_holder",
     "job_key",
--- a/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
@@ -1,4 +1,4 @@
-"""Whether a stream whose connection ended regularly is complete."""
+"""Whether a response whose connection ended regularly is complete."""
 
 
 def missing_part(has_partial_event, new_event_count, has_length):
@@ -23,6 +23,25 @@
     return None
 
 
+def is_lost(endpoint, accepts_connections):
+    """Return whether an endpoint's process ended when it closed a connection.
+
+    The kernel closes the connections of a killed process regularly. `endpoint` is the
+    `Endpoint` that is listed since, None if there is none. One that leaves may accept
+    no connections either while it ends its last responses.
+
+    >>> from sequoiaglade_decisions.gateway import Endpoint
+    >>> endpoint = Endpoint("e-0", "writer", "10.0.0.1:80", "d", 8)
+    >>> is_lost(endpoint, accepts_connections=False), is_lost(endpoint, True)
+    (True, False)
+    >>> is_lost(endpoint._replace(is_draining=True), False), is_lost(None, False)
+    (False, False)
+    """
+    if accepts_connections or endpoint is None:
+        return False
+    return not (endpoint.is_draining or endpoint.is_leaving)
+
+
 def is_misplaced(event, resumed_after, new_event_count):
     """Return whether an `Event` shows that a stream does not go on where it broke.
 
--- a/packages/endpoints/sequoiaglade_endpoints/chunked_body.py
+++ b/packages/endpoints/sequoiaglade_endpoints/chunked_body.py
@@ -114,6 +114,8 @@
 
 
 def _flaw(line, part):
+    if not line:
+        return f"the connection ended before {part}"
     quoted = repr(line[:_QUOTED_BYTES_MAX])
     if line.endswith(b"\n"):
         return f"{quoted} is not {part}"
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -14,6 +14,7 @@
 from .body_buffer import BodyBuffer
 from .bounded_reads import BoundedResponse, BoundExceededError
 from .cold_endpoints import is_permit_expired, note_cold_response
+from .endpoint_ends import check_not_lost
 from .endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS
 from .forwarding import ForwardError
 from .leaving import note_leaving
@@ -56,11 +57,12 @@
 class EventStreamResponse:
     """A stream of events whose headers were read; a context manager that closes it."""
 
-    def __init__(self, connection, response, headers, attempt, bounded):
+    def __init__(self, connection, response, headers, attempt, bounded, check_close):
         self._connection = connection
         self._response = response
         self._attempt = attempt
         self._bounded = bounded
+        self._check_close = check_close
         self.headers = headers
         self.fault = None
         self.framing = _framing(response)
@@ -95,7 +97,7 @@
         Afterwards `fault` is a `CallFault` if the stream is incomplete, else None.
         """
         try:
-            yield from _body_chunks(self._response, self._bounded)
+            yield from _body_chunks(self._response, self._bounded, self._check_close)
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
         except (TimeoutError, ReadTimeoutError):
@@ -149,7 +151,13 @@
     connection.sock = PatientSocket(connection.sock, patience)
     bounded = BoundedResponse(request, attempt, bounds, parts.response_memory)
     bounded.install(connection)
-    outcome = _exchange(connection, request, parts, attempt, bounded)
+
+    def check_close():
+        # A peer that forwards checks it itself.
+        if is_direct and not attempt.is_aborted:
+            check_not_lost(parts, request.endpoint)
+
+    outcome = _exchange(connection, request, parts, attempt, bounded, check_close)
     if not isinstance(outcome, EventStreamResponse):
         bounded.release()
     if isinstance(outcome, CallFault) and outcome.fault is Fault.NOT_SENT:
@@ -159,7 +167,7 @@
     return outcome
 
 
-def _exchange(connection, request, parts, attempt, bounded):
+def _exchange(connection, request, parts, attempt, bounded, check_close):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
@@ -179,7 +187,9 @@
         note_request_limit(parts, request, head, sent_at)
         note_cold_response(parts, request, head, sent_at)
         _note_work_time(parts, request, head)
-        return _read_head(connection, response, head, request, parts, attempt, bounded)
+        return _read_head(
+            connection, response, head, request, parts, attempt, bounded, check_close
+        )
     except ForwardError as error:
         _close(connection, response, attempt)
         return CallFault(error.fault, str(error))
@@ -222,7 +232,9 @@
     return isinstance(cause, BoundExceededError)
 
 
-def _read_head(connection, response, head, request, parts, attempt, bounded):
+def _read_head(
+    connection, response, head, request, parts, attempt, bounded, check_close
+):
     if head.is_leaving:
         note_leaving(parts, request, head, response.status)
     # A refusal of another request says nothing about this one, which may run.
@@ -243,15 +255,18 @@
     content_type = response.headers.get("Content-Type", "")
     if is_success and content_type.startswith("text/event-stream"):
         bounded.begin(ResponsePart.EVENTS)
-        return EventStreamResponse(connection, response, headers, attempt, bounded)
+        return EventStreamResponse(
+            connection, response, headers, attempt, bounded, check_close
+        )
     bounded.begin(ResponsePart.BODY)
-    return _read_complete(connection, response, head, headers, attempt, bounded)
+    body_chunks = _body_chunks(response, bounded, check_close)
+    return _read_complete(connection, response, head, headers, attempt, body_chunks)
 
 
-def _read_complete(connection, response, head, headers, attempt, bounded):
+def _read_complete(connection, response, head, headers, attempt, body_chunks):
     with BodyBuffer() as buffer:
         try:
-            for chunk in _body_chunks(response, bounded):
+            for chunk in body_chunks:
                 buffer.append(chunk)
             if attempt.is_aborted:
                 return CallFault(Fault.BROKEN, "the call was aborted")
@@ -267,15 +282,18 @@
     return Framing.CLOSE if response.length_remaining is None else Framing.LENGTH
 
 
-def _body_chunks(response, bounded):
+def _body_chunks(response, bounded, check_close):
     if response.chunked:
         for chunk in response.read_chunked(READ_BYTES, decode_content=False):
             bounded.note_chunk()
             yield chunk
         return
+    is_ended_by_close = _framing(response) is Framing.CLOSE
     while chunk := response.read1(READ_BYTES, decode_content=False):
         bounded.note_chunk()
         yield chunk
+    if is_ended_by_close:
+        check_close()
     if response.length_remaining:
         raise OSError(f"{response.length_remaining} bytes are missing")
 
--- /dev/null
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
@@ -0,0 +1,71 @@
+"""Whether an endpoint's end cut a response that ends with its connection."""
+
+import enum
+import socket
+
+from sequoiaglade_decisions.gateway import is_lost
+
+from .access_messages import FindEndpoint
+from .endpoint_requests import CONNECT_SECONDS
+
+# The kernel may close the listening socket of a killed process some time after its
+# connections, and resets those that were opened in between.
+LISTENER_CLOSE_SECONDS = 0.05
+
+
+class EndpointLostError(OSError):
+    """Ends the reading of a response whose endpoint ended with it."""
+
+
+def check_not_lost(parts, endpoint):
+    """Raise `EndpointLostError` if an endpoint closed a connection as it ended.
+
+    This takes a further connection to it.
+    """
+    accepts = _accepts_connections(endpoint.address)
+    known = None
+    if not accepts:
+        known = parts.coordinator.ask(FindEndpoint(endpoint.endpoint_id))
+    is_cut = is_lost(known, accepts)
+    parts.metrics.count("response end", "endpoint lost" if is_cut else "believed")
+    if is_cut:
+        reason = "accepts no connections since it closed the response's"
+        raise EndpointLostError(f"{endpoint.address} {reason}")
+
+
+class _Look(enum.Enum):
+    """What became of a connection that was opened to see whether it is accepted."""
+
+    KEPT = enum.auto()
+    CLOSED = enum.auto()
+    REFUSED = enum.auto()
+
+
+def _accepts_connections(address):
+    """Return whether an endpoint accepts connections; one that is slow counts as such.
+
+    One that has too many connections closes further ones.
+    """
+    look = _look(address)
+    if look is _Look.CLOSED:
+        look = _look(address)
+    return look is not _Look.REFUSED
+
+
+def _look(address):
+    host, _, port = address.rpartition(":")
+    try:
+        sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
+    except ConnectionRefusedError:
+        return _Look.REFUSED
+    except OSError:
+        return _Look.KEPT
+    with sock:
+        sock.settimeout(LISTENER_CLOSE_SECONDS)
+        try:
+            sock.recv(1)
+        except TimeoutError:
+            return _Look.KEPT
+        except OSError:
+            return _Look.CLOSED
+    return _Look.CLOSED
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 
 from ..access_messages import FindEndpoint
 from ..cold_endpoints import is_permit_expired, note_cold_response
+from ..endpoint_ends import check_not_lost
 from ..endpoint_requests import CONNECT_SECONDS, SOCKET_OPTIONS, EndpointRequest
 from ..evacuation_messages import IsEvacuated
 from ..leaving import note_leaving
@@ -122,28 +123,36 @@
                 sent_at = time.monotonic()
                 sock.settimeout(max(end_at - sent_at, 0.01))
                 sock.sendall(request.data)
-                yield from self._read(sock, endpoint, request, sent_at, end_at)
+                has_framing = yield from self._read(
+                    sock, endpoint, request, sent_at, end_at
+                )
+                if not has_framing and context.is_active():
+                    check_not_lost(self._parts, endpoint)
             except OSError as error:
                 return _end(fleet_pb2.ForwardEnd.BROKEN, f"interrupted: {error}")
         return _end(fleet_pb2.ForwardEnd.CLOSED)
 
     def _read(self, sock, endpoint, request, sent_at, end_at):
-        head = b""
+        """Yield the pieces of the response; return whether its head names its end."""
+        head, has_framing = b"", False
         while True:
             sock.settimeout(max(end_at - time.monotonic(), 0.01))
             data = sock.recv(READ_BYTES)
             if not data:
-                return
+                return has_framing
             if head is not None:
                 head += data
                 if HEAD_END in head:
-                    self._note_head(head, endpoint, request, sent_at)
+                    has_framing = self._note_head(head, endpoint, request, sent_at)
                 if HEAD_END in head or len(head) > HEAD_BYTES_MAX:
                     head = None
             yield fleet_pb2.ForwardReply(data=data)
 
     def _note_head(self, head, endpoint, request, sent_at):
-        """Note what the endpoint says of itself, which binds this node as well."""
+        """Note what the endpoint says of itself, which binds this node as well.
+
+        Return whether the head names what ends the body.
+        """
         status_line, _, fields = head.partition(b"\r\n")
         try:
             status = int(status_line.split()[1])
@@ -154,13 +163,14 @@
                 request_id=request.request_id,
                 error=repr(error),
             )
-            return
+            return False
         facts = self._parts.dialect.read_head(headers)
         sent = EndpointRequest(endpoint, "", "", [], b"", request.request_id)
         if facts.is_leaving:
             note_leaving(self._parts, sent, facts, status)
         note_request_limit(self._parts, sent, facts, sent_at)
         note_cold_response(self._parts, sent, facts, sent_at)
+        return "Transfer-Encoding" in headers or "Content-Length" in headers
 
 
 def _refusal(endpoint, request):
