--- a/packages/gateway/sequoiaglade_gateway/bounded_reads.py
+++ b/packages/gateway/sequoiaglade_gateway/bounded_reads.py
@@ -41,10 +41,12 @@
     """The bounds of one response, checked before each read from its connection.
 
     `install` makes the connection's response use them; `release` is to be called at the
-    end of the call.
+    end of the call. `check_close` is to be called where the end of the connection is
+    that of the body, and raises an `OSError` if the body is cut.
     """
 
-    def __init__(self, request, attempt, bounds, memory):
+    def __init__(self, request, attempt, bounds, memory, check_close):
+        self.check_close = check_close
         self._request = request
         self._attempt = attempt
         self._bounds = bounds
--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -57,12 +57,11 @@
 class EventStreamResponse:
     """A stream of events whose headers were read; a context manager that closes it."""
 
-    def __init__(self, connection, response, headers, attempt, bounded, check_close):
+    def __init__(self, connection, response, headers, attempt, bounded):
         self._connection = connection
         self._response = response
         self._attempt = attempt
         self._bounded = bounded
-        self._check_close = check_close
         self.headers = headers
         self.fault = None
         self.framing = _framing(response)
@@ -97,7 +96,7 @@
         Afterwards `fault` is a `CallFault` if the stream is incomplete, else None.
         """
         try:
-            yield from _body_chunks(self._response, self._bounded, self._check_close)
+            yield from _body_chunks(self._response, self._bounded)
             if self._attempt.is_aborted:
                 self.fault = CallFault(Fault.BROKEN, "the call was aborted")
         except (TimeoutError, ReadTimeoutError):
@@ -149,15 +148,17 @@
         parts.metrics.count("cold permit", "expired")
         return CallFault(Fault.NO_PATH, "the permit for the cold endpoint is over")
     connection.sock = PatientSocket(connection.sock, patience)
-    bounded = BoundedResponse(request, attempt, bounds, parts.response_memory)
-    bounded.install(connection)
 
     def check_close():
         # A peer that forwards checks it itself.
         if is_direct and not attempt.is_aborted:
             check_not_lost(parts, request.endpoint)
 
-    outcome = _exchange(connection, request, parts, attempt, bounded, check_close)
+    bounded = BoundedResponse(
+        request, attempt, bounds, parts.response_memory, check_close
+    )
+    bounded.install(connection)
+    outcome = _exchange(connection, request, parts, attempt, bounded)
     if not isinstance(outcome, EventStreamResponse):
         bounded.release()
     if isinstance(outcome, CallFault) and outcome.fault is Fault.NOT_SENT:
@@ -167,7 +168,7 @@
     return outcome
 
 
-def _exchange(connection, request, parts, attempt, bounded, check_close):
+def _exchange(connection, request, parts, attempt, bounded):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
@@ -187,9 +188,7 @@
         note_request_limit(parts, request, head, sent_at)
         note_cold_response(parts, request, head, sent_at)
         _note_work_time(parts, request, head)
-        return _read_head(
-            connection, response, head, request, parts, attempt, bounded, check_close
-        )
+        return _read_head(connection, response, head, request, parts, attempt, bounded)
     except ForwardError as error:
         _close(connection, response, attempt)
         return CallFault(error.fault, str(error))
@@ -232,9 +231,7 @@
     return isinstance(cause, BoundExceededError)
 
 
-def _read_head(
-    connection, response, head, request, parts, attempt, bounded, check_close
-):
+def _read_head(connection, response, head, request, parts, attempt, bounded):
     if head.is_leaving:
         note_leaving(parts, request, head, response.status)
     # A refusal of another request says nothing about this one, which may run.
@@ -255,18 +252,15 @@
     content_type = response.headers.get("Content-Type", "")
     if is_success and content_type.startswith("text/event-stream"):
         bounded.begin(ResponsePart.EVENTS)
-        return EventStreamResponse(
-            connection, response, headers, attempt, bounded, check_close
-        )
+        return EventStreamResponse(connection, response, headers, attempt, bounded)
     bounded.begin(ResponsePart.BODY)
-    body_chunks = _body_chunks(response, bounded, check_close)
-    return _read_complete(connection, response, head, headers, attempt, body_chunks)
+    return _read_complete(connection, response, head, headers, attempt, bounded)
 
 
-def _read_complete(connection, response, head, headers, attempt, body_chunks):
+def _read_complete(connection, response, head, headers, attempt, bounded):
     with BodyBuffer() as buffer:
         try:
-            for chunk in body_chunks:
+            for chunk in _body_chunks(response, bounded):
                 buffer.append(chunk)
             if attempt.is_aborted:
                 return CallFault(Fault.BROKEN, "the call was aborted")
@@ -282,7 +276,7 @@
     return Framing.CLOSE if response.length_remaining is None else Framing.LENGTH
 
 
-def _body_chunks(response, bounded, check_close):
+def _body_chunks(response, bounded):
     if response.chunked:
         for chunk in response.read_chunked(READ_BYTES, decode_content=False):
             bounded.note_chunk()
@@ -293,7 +287,7 @@
         bounded.note_chunk()
         yield chunk
     if is_ended_by_close:
-        check_close()
+        bounded.check_close()
     if response.length_remaining:
         raise OSError(f"{response.length_remaining} bytes are missing")
 
