Take a connection that the kernel gives up for broken

Callers saw, in our own test: a stream, in chunks, that ended as complete after 4 of 12 events. Its endpoint had sent neither a length nor chunks and was suspended.

Cause: what is sent to an endpoint that acknowledges nothing, or takes no bytes, for 3 s makes the kernel give the connection up. Python tells that by a `TimeoutError` with ETIMEDOUT, once; the next read returns a regular end. `PatientSocket` took each `TimeoutError` for a silence and read on.

Evidence: timed_out_connections.feature, on a real kernel: a request of 200 kB whose endpoint answers before it reads, and is suspended after 4 events.

Change: only time-outs of Python's own, which have no error number, are silences. The call then fails as silent, which blames no crash on the request.

--- a/packages/gateway/sequoiaglade_gateway/patient_socket.py
+++ b/packages/gateway/sequoiaglade_gateway/patient_socket.py
@@ -66,7 +66,11 @@
         while True:
             try:
                 count = operation(buffer)
-            except TimeoutError:
+            except TimeoutError as error:
+                # The kernel gave the connection up. It reports this only once, and a
+                # regular end at the next read.
+                if error.errno is not None:
+                    raise
                 silent_seconds += self._seconds
                 self._set_timeout(self._patience.next_seconds(silent_seconds))
             else:
--- a/tests/features/steps/killed_endpoint_steps.py
+++ b/tests/features/steps/killed_endpoint_steps.py
@@ -13,6 +13,7 @@
 # Some events have been sent then, and some have not.
 SECONDS_TO_END = 4.5 * EVENT_SECONDS
 START_SECONDS = 5.0
+LONG_BODY = bytes(200_000)
 
 
 def _start_processes(context, count, framing):
@@ -71,9 +72,9 @@
     _drop_runs(context.processes[0])
 
 
-def _request(context, path, end):
+def _request(context, path, end, body=b"{}"):
     with ThreadPoolExecutor(1) as pool:
-        asked = pool.submit(context.gateways.send, path)
+        asked = pool.submit(context.gateways.send, path, body=body)
         process = wait_running(context.processes, START_SECONDS)
         time.sleep(SECONDS_TO_END)
         end(process)
@@ -85,6 +86,11 @@
     _request(context, path, RunnerProcess.kill)
 
 
+@when('a caller sends 200 kB to "{path}" and the endpoint is suspended meanwhile')
+def request_suspended(context, path):
+    _request(context, path, RunnerProcess.suspend, LONG_BODY)
+
+
 @when('a caller requests "{path}" and the endpoint leaves and stops meanwhile')
 def request_stopped(context, path):
     def leave(process):
