--- a/tests/features/gateway/response_ends.feature
+++ b/tests/features/gateway/response_ends.feature
@@ -40,3 +40,5 @@
       | an item that is shortened             | ends as complete after event 2 of 3           | broken |
       | an early end of a killed process      | ends as complete after event 2 of 3           | end of a process, without framing |
       | an early end by its own word          | ends as complete after event 2 of 3           | own end without framing |
+      | a run that ended at once              | ends as complete after event 2 of 3           | own end of a run that ended at once |
+      | a run that ended at once, not resumed | ends as complete after event 2 of 3           | broken |
--- a/tests/features/steps/response_end_steps.py
+++ b/tests/features/steps/response_end_steps.py
@@ -44,6 +44,7 @@
         FIRST[:2],
         True,
     ),
+    "a run that ended at once": (PLAN._replace(rerun="empty"), FIRST[:2], True),
     "an early end by its own word": (UNFRAMED, FIRST[:2], True),
 }
 
@@ -95,12 +96,12 @@
 @given("an answer that has {flaw}")
 def given_answer(context, flaw):
     is_item = flaw == "an item that is shortened"
-    key = "a stream that ends early" if is_item else flaw
+    key = "a stream that ends early" if is_item else flaw.removesuffix(", not resumed")
     context.plan, contents, is_complete = CASES[key]
     body = b"".join(contents)
     end = "" if is_complete else "the connection ended"
     headers = {"server-stamp": "emulated.7"}
-    context.route = "resume"
+    context.route = "once" if flaw.endswith(", not resumed") else "resume"
     context.answer = StrictAnswer(200, headers, body, end, 0.0, 1.0)
     if is_item:
         context.route = "batch"
@@ -115,6 +116,6 @@
     if flaw:
         kind_found = "broken"
         if is_early:
-            kind_found = classify(context.plan, process == 7)
+            kind_found = classify(context.route, context.plan, process == 7)
     assert str(flaw) == found, flaw
     assert str(kind_found) == kind, kind_found
--- a/tests/soak/response_ends.py
+++ b/tests/soak/response_ends.py
@@ -109,6 +109,8 @@
             self._run_threads(seconds)
             # The endpoints note within a poll that a process has ended.
             time.sleep(0.2)
+            ended = [len(row.ended_at_by_pid) for row in self._endpoints]
+            self.counts["processes of endpoints ended"] = sum(ended)
             for row in self._judged:
                 self._judge(*row)
         if self._errors:
@@ -240,7 +242,7 @@
         if not flaw:
             return
         has_ended = any(pid in row.ended_at_by_pid for row in self._endpoints)
-        kind = classify(plan, has_ended) if is_early else BROKEN
+        kind = classify(route, plan, has_ended) if is_early else BROKEN
         lines = tuple(self._log_lines(request_id))
         finding = Finding(kind, flaw, request_id, route, plan, gateway, lines)
         self.findings.append(finding)
