--- a/tests/soak/response_ends.py
+++ b/tests/soak/response_ends.py
@@ -132,8 +132,10 @@
             threads.append(threading.Thread(target=self._guard, args=arguments))
         for thread in threads:
             thread.start()
-        self._has_ended.wait(seconds)
-        self._has_ended.set()
+        try:
+            self._has_ended.wait(seconds)
+        finally:
+            self._has_ended.set()
         for thread in threads:
             thread.join()
 
