Count a connection that is reset while it is opened as closed

Cause: the check whether an endpoint is still there may connect just as the listener of the killed process closes. `create_connection` itself raises ConnectionResetError then, and any error but a refusal counted as an endpoint that accepts connections.

Change: the error counts as a connection that was closed, and a second one decides.

Run: ended_processes and killed_endpoints features, 16 scenarios passed.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
@@ -58,6 +58,8 @@
         sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
     except ConnectionRefusedError:
         return _Look.REFUSED
+    except ConnectionResetError:
+        return _Look.CLOSED
     except OSError:
         return _Look.KEPT
     with sock:
