Refuse responses whose head hides or contradicts its framing

Callers saw, in our own test: a body that was cut counted as whole, where a line of the head was no field, such as `Content-Length : 126`, where the length was folded into the field before it, or where a second length could not be read.

Cause: the parser of heads drops all fields behind a line that it can't read, so that a framed body counts as one that ends with its connection; only the first of several lengths was looked at.

Evidence: 6 new rows of cut_chunks.feature, of which 5 failed before.

Change: such a head is invalid. Fields that may come once must agree.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -1,5 +1,6 @@
 """HTTP connections whose current attempt another thread can abort."""
 
+import email.errors
 import http.client
 import re
 import socket
@@ -13,7 +14,12 @@
 # Statuses that end a request; those below are interim, and those above undefined.
 STATUS_MIN = 200
 STATUS_MAX = 599
-_LENGTH = re.compile(r"[0-9]+")
+_LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
+_LINE_END = re.compile(r"[\r\n]")
+_HIDING_DEFECTS = (
+    email.errors.MissingHeaderBodySeparatorDefect,
+    email.errors.FirstHeaderLineIsContinuationDefect,
+)
 
 _current = threading.local()
 
@@ -124,21 +130,31 @@
 def _is_chunked(headers):
     """Return whether a body is in chunks; raise an error if its framing is unreadable.
 
-    >>> _is_chunked({"Transfer-Encoding": "Chunked"}), _is_chunked({})
-    (True, False)
-    >>> _is_chunked({"Content-Length": "4_2"})
+    The parser of heads drops all fields behind a line that is none, such as one with a
+    blank before the colon, and adds a line that begins with a blank to the field before
+    it: either may hide a length.
+
+    >>> headers = http.client.HTTPMessage()
+    >>> _is_chunked(headers)
+    False
+    >>> headers["Content-Length"] = "4_2"
+    >>> _is_chunked(headers)
     Traceback (most recent call last):
         ...
-    sequoiaglade_endpoints.connections.InvalidFramingHeaderError: Content-Length '4_2'
+    sequoiaglade_endpoints.connections.InvalidFramingHeaderError: Content-Length ['4_2']
     """
-    coding = headers.get("Transfer-Encoding")
-    if coding is not None:
-        if coding.strip().lower() != "chunked":
-            raise InvalidFramingHeaderError(f"Transfer-Encoding {coding!r}")
+    if any(isinstance(defect, _HIDING_DEFECTS) for defect in headers.defects):
+        raise InvalidFramingHeaderError("a line of the head is no field")
+    if any(_LINE_END.search(value) for value in headers.values()):
+        raise InvalidFramingHeaderError("a line of the head begins with a blank")
+    codings = headers.get_all("Transfer-Encoding", ())
+    if codings:
+        if [coding.strip().lower() for coding in codings] != ["chunked"]:
+            raise InvalidFramingHeaderError(f"Transfer-Encoding {codings!r}")
         return True
-    length = headers.get("Content-Length")
-    if length is not None and not _LENGTH.fullmatch(length.strip()):
-        raise InvalidFramingHeaderError(f"Content-Length {length!r}")
+    lengths = headers.get_all("Content-Length", ())
+    if len(set(lengths)) > 1 or not all(map(_LENGTH.fullmatch, lengths)):
+        raise InvalidFramingHeaderError(f"Content-Length {lengths!r}")
     return False
 
 
--- a/tests/features/gateway/cut_chunks.feature
+++ b/tests/features/gateway/cut_chunks.feature
@@ -73,6 +73,12 @@
       | Content-Length: +42        | by a gateway                   |
       | Transfer-Encoding: chunk   | by a gateway                   |
       | Transfer-Encoding: deflate | by a gateway                   |
+      | Content-Length : 126       | by a gateway                   |
+      | no field\r\nContent-Length: 126 | by a gateway                   |
+      | X-A: 1\r\n Content-Length: 126  | by a gateway                   |
+      | Content-Length: 126\r\nContent-Length: 1260 | by a gateway                   |
+      | Content-Length: 126\r\nContent-Length: abc  | by a gateway                   |
+      | Transfer-Encoding : chunked | by a gateway                   |
       | Content-Length: 126 bytes  | by a gateway, through its peer |
       | Content-Length: +42        | by a node                      |
 
--- a/tests/features/steps/cut_chunk_steps.py
+++ b/tests/features/steps/cut_chunk_steps.py
@@ -75,7 +75,8 @@
 
 @given('an endpoint that cuts a whole body with "{field}" in its head')
 def given_framing_field(context, field):
-    head = _head("a whole body").replace(b"Transfer-Encoding: chunked", field.encode())
+    lines = field.replace(r"\r\n", "\r\n").encode()
+    head = _head("a whole body").replace(b"Transfer-Encoding: chunked", lines)
     serve(context, head + b"".join(EVENTS[: CUT_EVENT - 1]))
 
 
