Repeat a request whose leaving endpoint ended with its response

Callers saw, in our own test: a resumable stream that ended as complete after 5 of 12 events, though another endpoint was free. Its endpoint had announced that it leaves, or had been taken off the list, and its process was killed.

Cause: an endpoint that leaves may refuse connections while it ends its last responses, so that all ends of such endpoints were believed. And a process that had started again at its address counted as the one that responded.

Change: only responses to requests that may not be repeated are believed then; the others are asked for once more, at the price of a run without events if they were whole. An endpoint whose entry tells another start is another process.

--- a/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
@@ -23,23 +23,35 @@
     return None
 
 
-def is_lost(endpoint, accepts_connections):
+def is_lost(endpoint, listed, accepts_connections, is_repeatable):
     """Return whether an endpoint's process ended when it closed a connection.
 
     The kernel closes the connections of a killed process regularly. `endpoint` is the
-    `Endpoint` that is listed since, None if there is none. One that leaves may accept
-    no connections either while it ends its last responses.
+    `Endpoint` that responded, `listed` the one that is listed under its id now, None if
+    there is none. An endpoint that leaves may accept no connections either while it
+    ends its last responses: these are believed, unless the request may be repeated.
 
     >>> from sequoiaglade_decisions.gateway import Endpoint
-    >>> endpoint = Endpoint("e-0", "writer", "10.0.0.1:80", "d", 8)
-    >>> is_lost(endpoint, accepts_connections=False), is_lost(endpoint, True)
-    (True, False)
-    >>> is_lost(endpoint._replace(is_draining=True), False), is_lost(None, False)
-    (False, False)
+    >>> endpoint = Endpoint("e-0", "writer", "10.0.0.1:80", "d", 8, born=1)
+    >>> [is_lost(endpoint, endpoint, accepts, False) for accepts in (True, False)]
+    [False, True]
+    >>> leaving = endpoint._replace(is_draining=True)
+    >>> [is_lost(endpoint, leaving, False, repeatable) for repeatable in (False, True)]
+    [False, True]
+
+    A new start under the same id is another process.
+
+    >>> is_lost(endpoint, endpoint._replace(born=2), True, False)
+    True
     """
-    if accepts_connections or endpoint is None:
+    if listed is not None and 0 not in (endpoint.born, listed.born):
+        if endpoint.born != listed.born:
+            return True
+    if accepts_connections:
         return False
-    return not (endpoint.is_draining or endpoint.is_leaving)
+    if is_repeatable:
+        return True
+    return listed is not None and not (listed.is_draining or listed.is_leaving)
 
 
 def is_misplaced(event, resumed_after, new_event_count):
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -466,6 +466,7 @@
             item.item_id,
             run.permit_until,
             run.regions,
+            is_repeatable=True,
         )
 
 
--- a/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
@@ -17,20 +17,19 @@
     """Ends the reading of a response whose endpoint ended with it."""
 
 
-def check_not_lost(parts, endpoint):
+def check_not_lost(parts, endpoint, is_repeatable):
     """Raise `EndpointLostError` if an endpoint closed a connection as it ended.
 
-    This takes a further connection to it.
+    This takes a further connection to it. `is_repeatable` is whether its request may be
+    sent again.
     """
     accepts = _accepts_connections(endpoint.address)
-    known = None
-    if not accepts:
-        known = parts.coordinator.ask(FindEndpoint(endpoint.endpoint_id))
-    is_cut = is_lost(known, accepts)
+    listed = parts.coordinator.ask(FindEndpoint(endpoint.endpoint_id))
+    is_cut = is_lost(endpoint, listed, accepts, is_repeatable)
     parts.metrics.count("response end", "endpoint lost" if is_cut else "believed")
     if is_cut:
-        reason = "accepts no connections since it closed the response's"
-        raise EndpointLostError(f"{endpoint.address} {reason}")
+        reason = f"{endpoint.address} ended with the connection of its response"
+        raise EndpointLostError(reason)
 
 
 class _Look(enum.Enum):
--- a/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_requests.py
@@ -24,7 +24,8 @@
 
     It needs a permit if the endpoint is cold, and is not sent after `permit_until`, a
     monotonic time.
-    `regions` are its `allowed_regions`, None for none.
+    `regions` are its `allowed_regions`, None for none. `is_repeatable` is whether it
+    may be sent again after it may have run.
     """
 
     endpoint: Any
@@ -35,6 +36,7 @@
     request_id: str
     permit_until: float | None = None
     regions: frozenset[str] | None = frozenset()
+    is_repeatable: bool = False
 
     @property
     def address(self):
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -127,7 +127,7 @@
                     sock, endpoint, request, sent_at, end_at
                 )
                 if not has_framing and context.is_active():
-                    check_not_lost(self._parts, endpoint)
+                    check_not_lost(self._parts, endpoint, request.is_repeatable)
             except OSError as error:
                 return _end(fleet_pb2.ForwardEnd.BROKEN, f"interrupted: {error}")
         return _end(fleet_pb2.ForwardEnd.CLOSED)
--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -329,6 +329,7 @@
             request.call.request_id,
             permit_until,
             self._regions(),
+            request.route.is_repeatable,
         )
         patience = AttemptPatience(
             self._parts,
--- a/packages/gateway/sequoiaglade_gateway/peers/client.py
+++ b/packages/gateway/sequoiaglade_gateway/peers/client.py
@@ -167,6 +167,7 @@
             timeout_ms=int(seconds * MS_PER_SECOND),
             has_permit=request.endpoint.request_limit is not None,
             permit_left_ms=_permit_left_ms(request),
+            is_repeatable=request.is_repeatable,
         )
         stub = fleet_pb2_grpc.FleetStub(self._channel(address))
         return stub.Forward(message, timeout=seconds)
--- a/tests/features/gateway/killed_endpoints.feature
+++ b/tests/features/gateway/killed_endpoints.feature
@@ -32,6 +32,16 @@
     When a caller requests "/once/1" and the endpoint leaves and stops meanwhile
     Then the response is 200, signed and complete with 12 events
 
+  Scenario: A resumable stream without a length ends where its leaving endpoint was killed
+    Given 1 gateway and 2 endpoint processes whose responses end with the connection
+    When a caller requests "/resume/1" and the endpoint is listed as draining and killed
+    Then the response is 200, signed and complete with 12 events
+
+  Scenario: A resumable stream without a length ends where its removed endpoint was killed
+    Given 1 gateway and 2 endpoint processes whose responses end with the connection
+    When a caller requests "/resume/1" and the endpoint is removed from the list and killed
+    Then the response is 200, signed and complete with 12 events
+
   Scenario: A stream through a peer is complete though its endpoint was killed
     Given 2 gateways, one cut off, and 1 endpoint process whose responses end with the connection
     When a caller requests "/once/1" and the endpoint is killed meanwhile
--- a/tests/features/steps/killed_endpoint_steps.py
+++ b/tests/features/steps/killed_endpoint_steps.py
@@ -13,6 +13,8 @@
 # Some events have been sent then, and some have not.
 SECONDS_TO_END = 4.5 * EVENT_SECONDS
 START_SECONDS = 5.0
+# Gateways hear of a change of the list within this time; the stream goes on meanwhile.
+TOLD_SECONDS = 2 * EVENT_SECONDS
 LONG_BODY = bytes(200_000)
 
 
@@ -100,6 +102,26 @@
     _request(context, path, leave)
 
 
+@when('a caller requests "{path}" and the endpoint is listed as draining and killed')
+def request_drained(context, path):
+    def leave(process):
+        process.register("draining")
+        time.sleep(TOLD_SECONDS)
+        process.kill()
+
+    _request(context, path, leave)
+
+
+@when('a caller requests "{path}" and the endpoint is removed from the list and killed')
+def request_removed(context, path):
+    def leave(process):
+        context.gateways.store.remove("servers", process.runner_id)
+        time.sleep(TOLD_SECONDS)
+        process.kill()
+
+    _request(context, path, leave)
+
+
 @when("a job of 4 items is submitted at gateway 0 and an endpoint is killed meanwhile")
 def submit_killed(context):
     submit(context, [f"item-{n}" for n in range(4)], 0)
