--- a/tests/features/steps/resumed_stream_steps.py
+++ b/tests/features/steps/resumed_stream_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from emulator import ResumeAnswers, RunnerPlan
+from emulator.chunks import ChunkParser
 from emulator.endless import format_event
 from emulator.fleet import HOST
 from gateway_batch_steps import results
@@ -88,16 +89,9 @@
 
 
 def _join_chunks(data):
-    """Return the data of chunks, and whether their end is there."""
-    found = b""
-    while data:
-        size, _, data = data.partition(b"\r\n")
-        count = int(size, 16)
-        if not count:
-            return found, True
-        found += data[:count]
-        data = data[count + 2 :]
-    return found, False
+    """Return the data of chunks, and whether they are whole."""
+    parser = ChunkParser()
+    return parser.feed(data), parser.is_whole
 
 
 @then("it gets the first 2 events, byte by byte, and sees that more are missing")
