--- a/tests/features/gateway/hunt.feature
+++ b/tests/features/gateway/hunt.feature
@@ -83,6 +83,38 @@
       | CONFIG  | a gateway serves the route of an invalid document       |
       | UNASKED | an item runs 4 s after the end of its job               |
 
+  Scenario: Seeds from 3000 on cut responses in chunks, half of them beside another kind
+    Then all days of seeds 3000 to 3399 have the kind "ChunksCut"
+    And 170 to 230 of them have a second kind, of 23 kinds in all
+    And they draw all spellings of sizes
+
+  # On the code before the fix of issue 47 these days broke ORDER or MIXED.
+  Scenario: Days whose runners cut responses in chunks keep the rules
+    When the hunt plays 2 days from seed 3000, all at once
+    Then all days kept the rules
+    And responses in chunks were cut on each of these days
+
+  Scenario Outline: The check of cut chunks finds a day that breaks a rule
+    Given the records of a day that kept the rules
+    When <change>
+    Then the rule "MIXED" is broken, and no other
+
+    Examples:
+      | change                                                |
+      | a response whose chunks were cut is complete          |
+      | an item is completed whose chunks were cut            |
+      | a response is complete of which chunks and then a part without a length were cut |
+
+  Scenario Outline: The check of cut chunks finds no rule broken
+    Given the records of a day that kept the rules
+    When <change>
+    Then no rule is broken
+
+    Examples:
+      | change                                                             |
+      | a response whose chunks were cut after its last event is complete  |
+      | a response whose chunks were cut went on at another runner         |
+
   Scenario Outline: The check of responses without a length finds no rule broken
     Given the records of a day that kept the rules
     When <change>
--- a/tests/features/gateway/hunt_deployments.feature
+++ b/tests/features/gateway/hunt_deployments.feature
@@ -3,6 +3,9 @@
   Scenario: Seeds from 1000 to 1999 draw the days that they drew before the newest kinds
     Then the days of seeds 1000 to 1999 have the digest "cd28a3b4422c9b89"
 
+  Scenario: Seeds from 2000 to 2999 draw the days that they drew before cuts of chunks
+    Then the days of seeds 2000 to 2999 have the digest "39ab31d18e77cf71"
+
   Scenario: Seeds from 2000 on have a newest kind of fault
     Then all days of seeds 2000 to 2399 have a newest kind of fault, each of them alone
     And some of them are beside each other newest, later and first kind but "PromptPartCrashes"
--- a/tests/features/steps/gateway_hunt_check_steps.py
+++ b/tests/features/steps/gateway_hunt_check_steps.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 from emulator.endless import EndlessCall
 from emulator.hunt.checks import Evidence, find_broken_rules
-from emulator.hunt.days import EVENT_COUNT, draw_day
+from emulator.hunt.days import draw_day
 from emulator.hunt.records import Attempt, Disturbance, Job, JobRead, OnlineRequest
+from emulator.hunt.scale import EVENT_COUNT
 from emulator.runner_plan import Crash, ReceivedRequest
 
 EVENTS = tuple((number, "v1") for number in range(1, EVENT_COUNT + 1))
--- a/tests/features/steps/gateway_hunt_steps.py
+++ b/tests/features/steps/gateway_hunt_steps.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from behave import then, when
-from emulator.hunt.days import draw_day
+from emulator.chunks import SIZE_FORMATS
+from emulator.hunt.days import draw_chunk_spellings, draw_day
 from emulator.hunt.later_kinds import LATER_KINDS, NEWEST_KINDS
 
 ROOT = Path(__file__).resolve().parent.parent.parent.parent
@@ -115,3 +116,31 @@
         kind for day in context.days if len(day.faults) == 2 for kind in day.kinds
     }
     assert paired == (old | later) - {excluded}, paired
+
+
+@then('all days of seeds {first:d} to {last:d} have the kind "{kind}"')
+def check_kind(context, first, last, kind):
+    context.days = [draw_day(seed) for seed in range(first, last + 1)]
+    assert all(kind in day.kinds for day in context.days)
+
+
+@then("{low:d} to {high:d} of them have a second kind, of {count:d} kinds in all")
+def check_second_kinds(context, low, high, count):
+    paired = [day for day in context.days if len(day.faults) == 2]
+    assert low <= len(paired) <= high, len(paired)
+    kinds = {kind for day in context.days for kind in day.kinds}
+    assert len(kinds) == count, sorted(kinds)
+
+
+@then("they draw all spellings of sizes")
+def check_spellings(context):
+    drawn = [draw_chunk_spellings(day.seed) for day in context.days]
+    assert {spelling for row in drawn for spelling in row} == set(SIZE_FORMATS)
+    assert drawn == [draw_chunk_spellings(day.seed) for day in context.days]
+
+
+@then("responses in chunks were cut on each of these days")
+def check_cuts(context):
+    for seed in context.seeds:
+        path = context.folder / f"seed-{seed}.json"
+        assert json.loads(path.read_text(encoding="utf-8"))["chunk_cuts"], seed
