Let stand-in endpoints pad sizes of chunks and close within them

`size_digits` pads sizes with zeros, `cut_size` closes a stream within the zeros. Two rows of answers.feature read such streams through a node.

The rows were not run on the code before the fix; a node also requires the end marker of a stream.

--- a/packages/standins/sequoiaglade_standins/endpoint.py
+++ b/packages/standins/sequoiaglade_standins/endpoint.py
@@ -197,9 +197,7 @@
                 stray = self._chunk_body(response_id + "0", body, "stray ", None)
                 self._send_event(json.dumps(stray))
             if state != "running":
-                if self.state.faults.cut_event:
-                    self.wfile.write(b'10\r\ndata: {"id": "cu\r\n')
-                self.abort()
+                self._break_stream()
                 return state
             self._send_event(
                 json.dumps(self._chunk_body(response_id, body, word, None))
@@ -209,12 +207,25 @@
             return "truncated"
         self._send_event(json.dumps(self._chunk_body(response_id, body, "", "stop")))
         self._send_event("[DONE]")
-        self.wfile.write(b"0\r\n\r\n")
+        self.wfile.write(self._size_line(0) + b"\r\n")
         return "done"
 
+    def _break_stream(self):
+        faults = self.state.faults
+        if faults.cut_size:
+            self.wfile.write(b"0" * (faults.size_digits - 1))
+            self.close_connection = True
+            return
+        if faults.cut_event:
+            self.wfile.write(b'10\r\ndata: {"id": "cu\r\n')
+        self.abort()
+
     def _send_event(self, text):
         data = f"data: {text}\n\n".encode()
-        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.write(self._size_line(len(data)) + data + b"\r\n")
+
+    def _size_line(self, size):
+        return b"%0*x\r\n" % (self.state.faults.size_digits, size)
 
     def _send_head(self, *header_lists):
         self.send_response(200)
--- a/packages/standins/sequoiaglade_standins/engine.py
+++ b/packages/standins/sequoiaglade_standins/engine.py
@@ -21,6 +21,8 @@
     ``double``: complete responses are sent twice.
     ``short_length``: complete responses declare half their length.
     ``cut_event``: a stream that is reset ends in the middle of an event.
+    ``size_digits``: sizes of chunks are padded with zeros to this number of digits.
+    ``cut_size``: a stream that breaks is closed within the zeros of such a size.
     ``stall_after``: number of tokens after which streams stop sending (-1: never).
     ``stray_after``: number of tokens after which a stream contains an event of another
     request (-1: never). The id of that event is the request's id with one character
@@ -41,6 +43,8 @@
     double: bool = False
     short_length: bool = False
     cut_event: bool = False
+    size_digits: int = 0
+    cut_size: bool = False
     stall_after: int = -1
     stray_after: int = -1
     fail_status: int = 0
--- a/tests/features/answers/answers.feature
+++ b/tests/features/answers/answers.feature
@@ -25,6 +25,8 @@
       | break_after=3                       |
       | break_after=0                       |
       | break_after=3 cut_event=true        |
+      | break_after=3 size_digits=8 cut_size=true |
+      | size_digits=8 truncate=true         |
       | stall_after=3                       |
       | truncate=true                       |
 
