Do not end a resumed stream with one that stops before it

Callers saw, in our own test: a stream that ended as complete after 2 of 6 events, and items listed with them. It had broken, and the next endpoint ignored where to go on, sent the first event again and ended.

Cause: a resumed stream without a new event counts as one that broke between its last event and its end, also if what it sent again ends before.

Change: such a response is a broken attempt, online and for items. One without any event that its framing ends still states that nothing is missing.

--- a/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/__init__.py
@@ -88,7 +88,7 @@
 )
 from .store_contact import ContactStep, StoreCall, StoreContact
 from .store_followers import POLL_SECONDS, FollowerContact, store_followers
-from .stream_ends import is_lost, is_misplaced, missing_part
+from .stream_ends import is_lost, is_misplaced, is_repetition, missing_part
 from .stream_versions import (
     RecentVersions,
     StreamVersions,
@@ -239,6 +239,7 @@
     "guard_step",
     "is_lost",
     "is_misplaced",
+    "is_repetition",
     "job_holder",
     "job_key",
     "json_size",
--- a/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
+++ b/packages/decisions/sequoiaglade_decisions/gateway/stream_ends.py
@@ -23,6 +23,19 @@
     return None
 
 
+def is_repetition(last_seen, resumed_after):
+    """Return whether a resumed stream has old events only, and not the last one.
+
+    An endpoint that ignores where the stream is to go on begins it anew. If its
+    response ends before the last event that the caller has, it is not the whole stream.
+    `last_seen` is the last event of the response, 0 without one.
+
+    >>> is_repetition(2, 4), is_repetition(4, 4), is_repetition(0, 4)
+    (True, False, False)
+    """
+    return 0 < last_seen < resumed_after
+
+
 def is_lost(endpoint, listed, accepts_connections, is_repeatable):
     """Return whether an endpoint's process ended when it closed a connection.
 
--- a/packages/gateway/sequoiaglade_gateway/batch/runner.py
+++ b/packages/gateway/sequoiaglade_gateway/batch/runner.py
@@ -13,6 +13,7 @@
     ItemOutcome,
     ResponseBounds,
     is_misplaced,
+    is_repetition,
     missing_part,
     page_bytes_max,
 )
@@ -402,16 +403,16 @@
         splitter = EventSplitter()
         item_id = run.progress.item.item_id
         result_bytes_max = page_bytes_max(self._parts.settings.store.value_bytes)
-        new_event_count = 0
+        new_event_count = last_seen = 0
         for chunk in answer.chunks():
             for event in splitter.feed(chunk):
                 if is_misplaced(event, run.progress.resumed_after, new_event_count):
                     reason = "the resumed stream begins with content that is no event"
                     return ItemOutcome.BROKEN, ABANDONED, reason
-                if (
-                    event.event_id is None
-                    or event.event_id <= run.progress.last_event_id
-                ):
+                if event.event_id is None:
+                    continue
+                last_seen = event.event_id
+                if event.event_id <= run.progress.last_event_id:
                     continue
                 with self._registry.lock:
                     data = "\n".join(event.data)
@@ -440,6 +441,8 @@
         )
         if missing is None and not run.progress.last_event_id:
             missing = "the stream contains no event"
+        if missing is None and is_repetition(last_seen, run.progress.resumed_after):
+            missing = f"the resumed stream ended after event {last_seen}"
         if missing is not None:
             return ItemOutcome.BROKEN, BROKEN, missing
         return ItemOutcome.DONE, DONE, f"complete, ended by {answer.framing}"
--- a/packages/gateway/sequoiaglade_gateway/online/first_events.py
+++ b/packages/gateway/sequoiaglade_gateway/online/first_events.py
@@ -7,6 +7,7 @@
     EventSplitter,
     Fault,
     is_misplaced,
+    is_repetition,
     missing_part,
 )
 
@@ -24,6 +25,7 @@
     splitter = EventSplitter()
     chunks = answer.chunks()
     unnumbered = bytearray()
+    last_seen = 0
     for chunk in chunks:
         events = splitter.feed(chunk)
         if _has_misplaced(events, last_event_id):
@@ -37,7 +39,11 @@
         for event in events:
             if event.event_id is None:
                 unnumbered += event.raw
+            else:
+                last_seen = event.event_id
     missing = missing_part(splitter.has_partial_event, 0, answer.has_length)
+    if missing is None and is_repetition(last_seen, last_event_id):
+        missing = f"the resumed stream ended after event {last_seen}"
     if last_event_id and answer.fault is None and missing is None:
         # The stream broke between its last event and its end.
         return StartedStream(answer, splitter, chunks, [])
--- a/tests/features/gateway/resumed_streams.feature
+++ b/tests/features/gateway/resumed_streams.feature
@@ -20,6 +20,7 @@
       | an error event before the next events    |
       | the head of an error in the event stream |
       | an unfinished event                      |
+      | the first event again and an end         |
       | a text that is no head                   |
       | half of a head                           |
       | an answer to another request             |
@@ -42,4 +43,5 @@
       | an event stream of one error event       |
       | an error event and an end without length |
       | the head of an error in the event stream |
+      | the first event again and an end         |
       | half of a head                           |
--- a/tests/features/steps/resumed_stream_steps.py
+++ b/tests/features/steps/resumed_stream_steps.py
@@ -52,6 +52,7 @@
     ),
     "an error event before the next events": _chunked(ERROR_EVENT, *EVENTS[2:]),
     "the head of an error in the event stream": _chunked(ERROR_HEAD, *EVENTS[2:]),
+    "the first event again and an end": _chunked(EVENTS[0]),
     "an unfinished event": _chunked(EVENTS[2][:-1]),
     "a text that is no head": b"overloaded\r\n\r\n",
     "half of a head": _head(200, *CHUNKED)[:60],
