Refuse requests whose only transfer coding is not chunks

Callers saw, in our own test: a request with an empty Transfer-Encoding, or a comma alone, ran with an empty body, or with the bytes of its Content-Length beside it, and its body was read as the next request. One with `chunked, chunked` ran with the outer chunks removed.

Cause: waitress takes an empty list of codings for none, counts a coding that is named twice once, and removes the field before the parser here looks for both fields.

Evidence: cut_uploads.feature, "Requests with a transfer coding other than chunks are refused", failed before: the runner ran 4 rows with bodies that were changed. The other scenarios of this commit passed before: requests with a length or in chunks, cut after each byte, and lengths that can't be read.

Change: a request with a Transfer-Encoding is refused with 400 or 501, and its connection closed, unless the field is there once and names chunks alone.

Run: cut_uploads feature, 7 scenarios passed.

--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -4,7 +4,7 @@
 import time
 from typing import NamedTuple
 
-from waitress.parser import HTTPRequestParser, ParsingError
+from waitress.parser import HTTPRequestParser, ParsingError, get_header_lines
 from waitress.receiver import ChunkedReceiver
 from waitress.utilities import BadRequest, Error, RequestEntityTooLarge
 
@@ -119,6 +119,8 @@
             raise ParsingError("both Content-Length and Transfer-Encoding are given")
         if "TRANSFER_ENCODING" in self.headers:
             raise ParsingError("Transfer-Encoding is not part of HTTP/1.0")
+        if b"transfer-encoding" in header_plus.lower():
+            _check_coding(header_plus)
         if not self.path.startswith(UPLOAD_PATHS):
             self.adj = self.call_bounds
 
@@ -207,6 +209,28 @@
         self.completed = is_over or size > DISCARD_BYTES
 
 
+def _check_coding(header_plus):
+    r"""Raise an error unless a head's only transfer coding is chunks, named once.
+
+    waitress takes an empty list of codings for none, and reads what follows as the next
+    request; it reads chunks within chunks as if they were named once.
+
+    >>> _check_coding(b"POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n")
+    >>> _check_coding(b"POST / HTTP/1.1\r\nTransfer-Encoding: ,\r\n\r\n")
+    Traceback (most recent call last):
+        ...
+    waitress.parser.ParsingError: Transfer-Encoding is not chunked
+    """
+    fields = (line.partition(b":") for line in get_header_lines(header_plus))
+    values = [
+        value.strip(b" \t").lower()
+        for name, _, value in fields
+        if name.lower() == b"transfer-encoding"
+    ]
+    if values not in ([], [b"chunked"]):
+        raise ParsingError("Transfer-Encoding is not chunked")
+
+
 def make_parser_class(limits, url_scheme="http"):
     """Return a `BoundedParser` class with the `limits` of a listener."""
     bounds = BodyBounds(
--- /dev/null
+++ b/tests/features/gateway/cut_uploads.feature
@@ -0,0 +1,51 @@
+Feature: A request that is cut or framed ambiguously is not run
+
+  Scenario Outline: A request with <body> is cut after each of its bytes
+    Given 1 gateway and 1 runner
+    When a request with <body> is sent once whole, and cut after each of its bytes
+    Then the runner has run the whole request, and the gateway refused or closed the others
+
+    Examples:
+      | body                          |
+      | a length                      |
+      | chunks, plain sizes           |
+      | chunks, sizes with zeros      |
+      | chunks, extensions            |
+      | chunks, trailers              |
+
+  # A parser that takes no coding for none reads the body as the next request.
+  Scenario: Requests with a transfer coding other than chunks are refused
+    Given 1 gateway and 1 runner
+    When requests with these fields are sent, and further requests as their bodies
+      | fields                                                                |
+      | Transfer-Encoding:                                                    |
+      | Transfer-Encoding: ,                                                  |
+      | Transfer-Encoding:; Content-Length: 5                                 |
+      | Transfer-Encoding: ,; Content-Length: 5                               |
+      | Transfer-Encoding: chunked, chunked                                   |
+      | Transfer-Encoding: chunked; Transfer-Encoding: chunked                |
+      | Transfer-Encoding:; Transfer-Encoding: chunked                        |
+      | Transfer-Encoding: chunked,                                           |
+      | Transfer-Encoding: gzip, chunked                                      |
+      | Transfer-Encoding: chunked, gzip                                      |
+      | Transfer-Encoding: identity                                           |
+      | Transfer-Encoding: chunk                                              |
+      | Transfer-Encoding: chunked; Content-Length: 5                         |
+    Then each is refused as not run, and the runner has run nothing
+
+  Scenario: Requests with a length that can't be read are refused
+    Given 1 gateway and 1 runner
+    When requests with these fields are sent, and further requests as their bodies
+      | fields                              |
+      | Content-Length:                     |
+      | Content-Length: +5                  |
+      | Content-Length: -5                  |
+      | Content-Length: 5_0                 |
+      | Content-Length: 0x5                 |
+      | Content-Length: 5, 5                |
+      | Content-Length: 5 5                 |
+      | Content-Length: 5;                  |
+      | Content-Length: 5.0                 |
+      | Content-Length: 5; Content-Length: 5 |
+      | Content-Length: 5; Content-Length: 6 |
+    Then each is refused as not run, and the runner has run nothing
