End a request that asks to continue but has no body with its head

Callers saw, in our own test: a request with `Expect: 100-continue` and no body got no response. If another one followed on the connection, one request ran with the body of the second and the headers of both, such as `Host: h, h`; a key that only the first one had would have counted for it.

Cause: waitress sends "100 Continue" also for a request that is complete, and marks it as incomplete for that. What follows is then read as more of its head.

Evidence: cut_uploads.feature, "A request that asks to continue but has no body is not merged with the next", failed before.

Change: a request that is complete or refused after its head does not ask to continue.

--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -137,6 +137,9 @@
             self.error = MemoryExhausted("the memory for clients is used up")
             self._discard()
         consumed = super().received(data)
+        if is_new and self.completed:
+            # waitress would ask for a body and add the next head to this one.
+            self.expect_continue = False
         if is_new and self.body_rcv is not None and self.error is None:
             self._enter_gate()
         if isinstance(self.body_rcv, CheckedChunks):
--- a/tests/features/gateway/cut_uploads.feature
+++ b/tests/features/gateway/cut_uploads.feature
@@ -76,3 +76,9 @@
       | 0x5\r\nhello\r\n0\r\n\r\n                     |
       | 5 \r\nhello\r\n0\r\n\r\n                      |
     Then each is refused as not run, and the runner has run nothing
+
+  # waitress took what follows such a head for more of it: one request with both heads.
+  Scenario: A request that asks to continue but has no body is not merged with the next
+    Given 1 gateway and 1 runner
+    When a request that asks to continue without a body is sent, and then another one
+    Then both requests get a response of their own
