Refuse requests whose length has very many digits

Callers saw, in our own test: no response to a request with a length of 5000 digits; the connection was closed, and the log had an uncaught error.

Cause: int() reads at most 4300 digits, and waitress expects no error of it.

Change: an error of this kind while a head is parsed refuses the request with 400.

--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -114,7 +114,11 @@
 
     def parse_header(self, header_plus):
         """Refuse framing that parsers may interpret differently; select the limits."""
-        super().parse_header(header_plus)
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            # int() reads at most 4300 digits; urllib raises it for some addresses.
+            raise ParsingError("the length or the address is invalid") from error
         has_length = "CONTENT_LENGTH" in self.headers
         if self.chunked and has_length:
             raise ParsingError("both Content-Length and Transfer-Encoding are given")
--- a/tests/features/gateway/cut_uploads.feature
+++ b/tests/features/gateway/cut_uploads.feature
@@ -50,6 +50,12 @@
       | Content-Length: 5; Content-Length: 6 |
     Then each is refused as not run, and the runner has run nothing
 
+  # int() reads at most 4300 digits; the connection was closed without a response.
+  Scenario: Requests with a length of very many digits are refused
+    Given 1 gateway and 1 runner
+    When a request with a length of 5000 digits is sent
+    Then each is refused as not run, and the runner has run nothing
+
   # waitress reads a line with a line feed before its end as a size, and skips empty lines.
   Scenario: Requests whose chunks break the grammar are refused
     Given 1 gateway and 1 runner
