--- a/packages/endpoints/sequoiaglade_endpoints/__init__.py
+++ b/packages/endpoints/sequoiaglade_endpoints/__init__.py
@@ -1,7 +1,7 @@
 """Adapter to the endpoints, which are model engines or plain HTTP services."""
 
 from .client import EndpointClient
-from .connections import Attempt
+from .connections import Attempt, WholeHeadResponse
 from .interface import Call, LoadReport, SkippedHeaders
 from .response import EndpointResponse
 
@@ -12,4 +12,5 @@
     "EndpointResponse",
     "LoadReport",
     "SkippedHeaders",
+    "WholeHeadResponse",
 ]
--- a/tests/features/steps/cut_calls.py
+++ b/tests/features/steps/cut_calls.py
@@ -1,5 +1,6 @@
 """Calls to an endpoint that cuts its response, by a gateway, its peer and a node."""
 
+import re
 import socketserver
 import threading
 from types import SimpleNamespace
@@ -30,9 +31,13 @@
     """Reads a request and sends the first bytes of a response, as many as `kept`."""
 
     def handle(self):
-        received = b""
-        while not received.endswith(b"\r\n\r\n"):
-            received += self.request.recv(65_536)
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += self.request.recv(65_536)
+        head, _, body = head.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)\r\ncontent-length: *([0-9]+)", head)
+        while length is not None and len(body) < int(length[1]):
+            body += self.request.recv(65_536)
         self.request.sendall(self.server.response[: self.server.kept])
 
 
