Refuse responses with a line in their head that can't be read

Callers saw, in our own test: a body that was cut counted as whole where a line before the Content-Length was no field, such as `garbage` or `Content-Length : 16`; and a body was shortened where a length had a carriage return within it, `8\r6`. Statuses like `+200` and `2_00` were read as 200.

Cause: http.client's parser ends the fields at a line that it can't read, so that those behind it are lost, and splits a line at a carriage return. It reads statuses with int().

Change: a head is read only if its lines are a status line and fields, also folded ones, and ends with a line feed as before. Other heads are invalid, and the call is broken.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -14,6 +14,12 @@
 STATUS_MIN = 200
 STATUS_MAX = 599
 _LENGTH = re.compile(r"[0-9]+")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] +[0-9]{3}(?: [^\r\n]*)?\r?\n")
+# A field, the rest of one that is folded, or the end of the head.
+_FIELD_LINE = re.compile(rb"(?:[!-9;-~]+:|[ \t])[^\r\n]*\r?\n|\r?\n")
+
+# Bytes of a line that a reason quotes.
+_QUOTED_BYTES_MAX = 32
 
 _current = threading.local()
 
@@ -76,16 +82,23 @@
     """The head names a length or a transfer coding that can't be read."""
 
 
+class InvalidHeadLineError(http.client.HTTPException):
+    """A line of the head is neither a status line nor a field."""
+
+
 class _HeadReader:
-    """Reads the lines of a head, and raises an error if the connection ends within it.
+    """Reads the lines of a head, and raises an error if it is cut or can't be read.
 
-    http.client takes the end of the connection as that of the head. It recognizes one
-    that ends before the first byte itself.
+    http.client takes the end of the connection as that of the head, and so a line that
+    it can't read: the fields behind it, such as the length, are lost. It splits a line
+    at a carriage return, and reads statuses with `int`. It recognizes a connection that
+    ends before the first byte itself.
     """
 
     def __init__(self, file):
         self._file = file
         self._has_begun = False
+        self._line = _STATUS_LINE
 
     def readline(self, limit):
         line = self._file.readline(limit)
@@ -93,8 +106,16 @@
         if is_cut and (line or self._has_begun):
             raise IncompleteHeadError("the connection ended within the head")
         self._has_begun = True
+        if line.endswith(b"\n"):
+            self._check(line)
         return line
 
+    def _check(self, line):
+        if not self._line.fullmatch(line):
+            raise InvalidHeadLineError(repr(line[:_QUOTED_BYTES_MAX]))
+        # Another status line follows the head of an interim response.
+        self._line = _FIELD_LINE if line.strip() else _STATUS_LINE
+
     def close(self):
         self._file.close()
 
--- a/tests/features/gateway/cut_heads.feature
+++ b/tests/features/gateway/cut_heads.feature
@@ -21,3 +21,37 @@
       | 200    | the length 0 | by a node                      |
       | 200    | chunks       | by a node                      |
       | 204    | no length    | by a node                      |
+
+  # http.client's parser ends the fields at a line that it can't read, and splits a line at
+  # a carriage return.
+  Scenario Outline: A body that is cut is whole by a head with the line <line>, <by>
+    Given an endpoint that cuts a body with the line <line> in its head
+    When a call is made <by> for the whole response
+    Then no call gets a whole response
+
+    Examples:
+      | line                                | by                             |
+      | garbage                             | by a gateway                   |
+      | gar bage: x                         | by a gateway                   |
+      | From x                              | by a gateway                   |
+      | Content-Length : 16                 | by a gateway                   |
+      | Transfer-Encoding : chunked         | by a gateway                   |
+      | Content-Length: 8\r6                | by a gateway                   |
+      | X: y\rContent-Length: 8             | by a gateway                   |
+      | Content-Length: 8\r6                | by a gateway, through its peer |
+      | Content-Length: 8\r6                | by a node                      |
+
+  # http.client reads the status by int().
+  Scenario Outline: A response with the status line <line> is read <by>
+    Given an endpoint that sends the status line <line>
+    When a call is made <by> for the whole response
+    Then no call gets a whole response
+
+    Examples:
+      | line              | by           |
+      | HTTP/1.1 2_00 O   | by a gateway |
+      | HTTP/1.1 +200 O   | by a gateway |
+      | HTTP/1.1 0200 O   | by a gateway |
+      | HTTP/1.1 20       | by a gateway |
+      | HTTP/1. 200 O     | by a gateway |
+      | HTTP/1.1 +200 O   | by a node    |
--- a/tests/features/steps/cut_head_steps.py
+++ b/tests/features/steps/cut_head_steps.py
@@ -26,6 +26,31 @@
     serve(context, "\r\n".join(lines).encode())
 
 
+@given("an endpoint that cuts a body with the line {line} in its head")
+def given_line(context, line):
+    # behave takes the escape of a cell as it is written.
+    line = line.replace("\\r", "\r")
+    serve(context, _head("HTTP/1.1 200 OK", line, "Content-Length: 16") + b'{"a": 1}')
+
+
+@given("an endpoint that sends the status line {line}")
+def given_status_line(context, line):
+    serve(context, _head(line, "Content-Length: 8") + b'{"a": 1}')
+
+
+def _head(status_line, *fields):
+    lines = (
+        status_line,
+        "Request-Id: r-1",
+        "Server-Stamp: emulated",
+        "Content-Type: application/json",
+        *fields,
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode()
+
+
 @when("a call is made {by} for each number of bytes that the head can be cut to")
 def call_cut(context, by):
     context.outcome_by_kept = {}
