Let the command line fail if a node's answer is cut

Operators saw, in our own test: a command that lists lines, such as results or decisions, succeeded without any line if the connection ended within the head of the answer.

Cause: the same as for endpoints: http.client takes the end of the connection as that of the head, and without a length what follows is whole.

Change: the command line uses the pools whose responses have to be whole. They move from the platform's client to sequoiaglade_endpoints, which the package may import for this.

--- a/packages/cli/sequoiaglade_cli/client.py
+++ b/packages/cli/sequoiaglade_cli/client.py
@@ -5,6 +5,8 @@
 
 import urllib3
 
+from sequoiaglade_endpoints import WHOLE_RESPONSE_POOLS
+
 TIMEOUT_SECONDS = 30.0
 
 
@@ -34,6 +36,7 @@
         self._url = url.rstrip("/")
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._pool = urllib3.PoolManager(timeout=TIMEOUT_SECONDS, retries=False)
+        self._pool.pool_classes_by_scheme = WHOLE_RESPONSE_POOLS
 
     def __enter__(self):
         return self
--- a/packages/endpoints/sequoiaglade_endpoints/__init__.py
+++ b/packages/endpoints/sequoiaglade_endpoints/__init__.py
@@ -4,8 +4,10 @@
 from .connections import Attempt, WholeHeadResponse
 from .interface import Call, LoadReport, SkippedHeaders
 from .response import EndpointResponse
+from .whole_responses import WHOLE_RESPONSE_POOLS
 
 __all__ = [
+    "WHOLE_RESPONSE_POOLS",
     "Attempt",
     "Call",
     "EndpointClient",
--- a/packages/platform/sequoiaglade_platform/client.py
+++ b/packages/platform/sequoiaglade_platform/client.py
@@ -7,10 +7,9 @@
 
 import urllib3
 from opentelemetry import trace
-from urllib3.connection import HTTPConnection, HTTPSConnection
 
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
-from sequoiaglade_endpoints import WholeHeadResponse
+from sequoiaglade_endpoints import WHOLE_RESPONSE_POOLS
 
 from .interface import Change, Instance, StoredObject
 
@@ -25,29 +24,6 @@
 )
 
 
-class _Connection(HTTPConnection):
-    """HTTP connection on which an answer that is cut raises an error."""
-
-    response_class = WholeHeadResponse
-
-
-class _SecureConnection(HTTPSConnection):
-    """Like `_Connection`, over TLS."""
-
-    response_class = WholeHeadResponse
-
-
-class _Pool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _Connection
-
-
-class _SecurePool(urllib3.HTTPSConnectionPool):
-    ConnectionCls = _SecureConnection
-
-
-_POOL_CLASS_BY_SCHEME = {"http": _Pool, "https": _SecurePool}
-
-
 class PlatformClient:
     """Client of the object API; a context manager that owns its connections.
 
@@ -65,7 +41,7 @@
             timeout=timeout,
             headers={"User-Agent": client_id},
         )
-        self._pool.pool_classes_by_scheme = _POOL_CLASS_BY_SCHEME
+        self._pool.pool_classes_by_scheme = WHOLE_RESPONSE_POOLS
 
     def __enter__(self):
         return self
--- a/tests/features/gateway/cut_heads.feature
+++ b/tests/features/gateway/cut_heads.feature
@@ -55,3 +55,13 @@
       | HTTP/1.1 20       | by a gateway |
       | HTTP/1. 200 O     | by a gateway |
       | HTTP/1.1 +200 O   | by a node    |
+
+  Scenario Outline: A node's answer to the command line, <framing>, is cut after each of its bytes
+    Given a node that answers the command line, <framing>
+    When the lines are read for each number of bytes that the answer can be cut to
+    Then the command fails each time, and has all lines of the whole answer
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
--- a/tests/features/steps/cut_head_steps.py
+++ b/tests/features/steps/cut_head_steps.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 from cut_calls import CALLS, serve
 
+from sequoiaglade_cli.client import NodeClient, Problem
+
 FIELDS_BY_FRAMING = {
     "a length": ("Content-Length: 12",),
     "the length 0": ("Content-Length: 0",),
@@ -63,3 +65,28 @@
 def check_no_response(context):
     found = {kept: o for kept, o in context.outcome_by_kept.items() if o is not None}
     assert not found, found
+
+
+@given("a node that answers the command line, {framing}")
+def given_node(context, framing):
+    body = b"Content-Length: 6\r\n\r\na1\na2\n"
+    if framing == "in chunks":
+        body = b"Transfer-Encoding: chunked\r\n\r\n3\r\na1\n\r\n3\r\na2\n\r\n0\r\n\r\n"
+    serve(context, b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + body)
+
+
+@when("the lines are read for each number of bytes that the answer can be cut to")
+def read_lines(context):
+    context.lines_by_kept = {}
+    for kept in range(len(context.cutter.response) + 1):
+        context.cutter.kept = kept
+        with NodeClient(f"http://{context.address}") as client:
+            context.lines_by_kept[kept] = client.lines("/v1/lines")
+
+
+@then("the command fails each time, and has all lines of the whole answer")
+def check_lines(context):
+    whole = context.lines_by_kept.pop(len(context.cutter.response))
+    assert whole == ["a1", "a2"], whole
+    found = {k: o for k, o in context.lines_by_kept.items() if type(o) is not Problem}
+    assert not found, found
