--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -1,6 +1,5 @@
 """HTTP connections whose current attempt another thread can abort."""
 
-import email.errors
 import http.client
 import re
 import socket
@@ -16,10 +15,12 @@
 STATUS_MAX = 599
 _LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
 _LINE_END = re.compile(r"[\r\n]")
-_HIDING_DEFECTS = (
-    email.errors.MissingHeaderBodySeparatorDefect,
-    email.errors.FirstHeaderLineIsContinuationDefect,
-)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] +[0-9]{3}(?: [^\r\n]*)?\r?\n")
+# A field, the rest of one that is folded, or the end of the head.
+_FIELD_LINE = re.compile(rb"(?:[!-9;-~]+:|[ \t])[^\r\n]*\r?\n|\r?\n")
+
+# Bytes of a line that a reason quotes.
+_QUOTED_BYTES_MAX = 32
 
 _current = threading.local()
 
@@ -82,16 +83,23 @@
     """The head names a length or a transfer coding that can't be read."""
 
 
+class InvalidHeadLineError(http.client.HTTPException):
+    """A line of the head is neither a status line nor a field."""
+
+
 class _HeadReader:
-    """Reads the lines of a head, and raises an error if the connection ends within it.
+    """Reads the lines of a head, and raises an error if it is cut or can't be read.
 
-    http.client takes the end of the connection as that of the head. It recognizes one
-    that ends before the first byte itself.
+    http.client takes the end of the connection as that of the head, and so a line that
+    it can't read: the fields behind it, such as the length, are lost. It splits a line
+    at a carriage return, and reads statuses with `int`. It recognizes a connection that
+    ends before the first byte itself.
     """
 
     def __init__(self, file):
         self._file = file
         self._has_begun = False
+        self._line = _STATUS_LINE
 
     def readline(self, limit):
         line = self._file.readline(limit)
@@ -99,8 +107,16 @@
         if is_cut and (line or self._has_begun):
             raise IncompleteHeadError("the connection ended within the head")
         self._has_begun = True
+        if line.endswith(b"\n"):
+            self._check(line)
         return line
 
+    def _check(self, line):
+        if not self._line.fullmatch(line):
+            raise InvalidHeadLineError(repr(line[:_QUOTED_BYTES_MAX]))
+        # Another status line follows the head of an interim response.
+        self._line = _FIELD_LINE if line.strip() else _STATUS_LINE
+
     def close(self):
         self._file.close()
 
@@ -130,9 +146,8 @@
 def _is_chunked(headers):
     """Return whether a body is in chunks; raise an error if its framing is unreadable.
 
-    The parser of heads drops all fields behind a line that is none, such as one with a
-    blank before the colon, and adds a line that begins with a blank to the field before
-    it: either may hide a length.
+    The parser of heads adds a line that begins with a blank to the field before it,
+    which may hide a length.
 
     >>> headers = http.client.HTTPMessage()
     >>> _is_chunked(headers)
@@ -143,8 +158,6 @@
         ...
     sequoiaglade_endpoints.connections.InvalidFramingHeaderError: Content-Length ['4_2']
     """
-    if any(isinstance(defect, _HIDING_DEFECTS) for defect in headers.defects):
-        raise InvalidFramingHeaderError("a line of the head is no field")
     if any(_LINE_END.search(value) for value in headers.values()):
         raise InvalidFramingHeaderError("a line of the head begins with a blank")
     codings = headers.get_all("Transfer-Encoding", ())
--- a/packages/node/sequoiaglade_node/web/parsing.py
+++ b/packages/node/sequoiaglade_node/web/parsing.py
@@ -4,12 +4,13 @@
 import time
 from typing import NamedTuple
 
-from waitress.parser import HTTPRequestParser, ParsingError
-from waitress.receiver import ChunkedReceiver
+from waitress.parser import HTTPRequestParser, ParsingError, get_header_lines
 from waitress.utilities import BadRequest, Error, RequestEntityTooLarge
 
 from sequoiaglade_decisions.memory import head_bytes
 
+from .chunks import CheckedChunks
+
 # Bytes of the line before a chunk, with its extensions. The line is copied with each
 # read, so that a long one takes the thread that reads all connections.
 CHUNK_LINE_BYTES = 16_384
@@ -113,12 +114,20 @@
 
     def parse_header(self, header_plus):
         """Refuse framing that parsers may interpret differently; select the limits."""
-        super().parse_header(header_plus)
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            # int() reads at most 4300 digits; urllib raises it for some addresses.
+            raise ParsingError("the length or the address is invalid") from error
         has_length = "CONTENT_LENGTH" in self.headers
         if self.chunked and has_length:
             raise ParsingError("both Content-Length and Transfer-Encoding are given")
         if "TRANSFER_ENCODING" in self.headers:
             raise ParsingError("Transfer-Encoding is not part of HTTP/1.0")
+        if b"transfer-encoding" in header_plus.lower():
+            _check_coding(header_plus)
+        if self.chunked:
+            self.body_rcv = CheckedChunks(self.body_rcv.getbuf())
         if not self.path.startswith(UPLOAD_PATHS):
             self.adj = self.call_bounds
 
@@ -132,9 +141,12 @@
             self.error = MemoryExhausted("the memory for clients is used up")
             self._discard()
         consumed = super().received(data)
+        if is_new and self.completed:
+            # waitress would ask for a body and add the next head to this one.
+            self.expect_continue = False
         if is_new and self.body_rcv is not None and self.error is None:
             self._enter_gate()
-        if isinstance(self.body_rcv, ChunkedReceiver):
+        if isinstance(self.body_rcv, CheckedChunks):
             self._check_chunk_line()
         if isinstance(
             self.error, (RequestEntityTooLarge, TooManyUploads, MemoryExhausted)
@@ -157,7 +169,7 @@
 
     def _may_append(self, data):
         size = len(self.body_rcv) + len(data)
-        if isinstance(self.body_rcv, ChunkedReceiver):
+        if isinstance(self.body_rcv, CheckedChunks):
             size += len(self.body_rcv.control_line) + len(self.body_rcv.trailer)
         is_in_file = size > self.adj.inbuf_overflow
         held = FILE_BYTES if is_in_file else int(BUFFER_FACTOR * size)
@@ -207,6 +219,28 @@
         self.completed = is_over or size > DISCARD_BYTES
 
 
+def _check_coding(header_plus):
+    r"""Raise an error unless a head's only transfer coding is chunks, named once.
+
+    waitress takes an empty list of codings for none, and reads what follows as the next
+    request; it reads chunks within chunks as if they were named once.
+
+    >>> _check_coding(b"POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n")
+    >>> _check_coding(b"POST / HTTP/1.1\r\nTransfer-Encoding: ,\r\n\r\n")
+    Traceback (most recent call last):
+        ...
+    waitress.parser.ParsingError: Transfer-Encoding is not chunked
+    """
+    fields = (line.partition(b":") for line in get_header_lines(header_plus))
+    values = [
+        value.strip(b" \t").lower()
+        for name, _, value in fields
+        if name.lower() == b"transfer-encoding"
+    ]
+    if values not in ([], [b"chunked"]):
+        raise ParsingError("Transfer-Encoding is not chunked")
+
+
 def make_parser_class(limits, url_scheme="http"):
     """Return a `BoundedParser` class with the `limits` of a listener."""
     bounds = BodyBounds(
--- a/packages/platform/sequoiaglade_platform/client.py
+++ b/packages/platform/sequoiaglade_platform/client.py
@@ -9,6 +9,7 @@
 from opentelemetry import trace
 
 from sequoiaglade_decisions.outcomes import Failure, FailureCode
+from sequoiaglade_endpoints import WHOLE_RESPONSE_POOLS
 
 from .interface import Change, Instance, StoredObject
 
@@ -40,6 +41,7 @@
             timeout=timeout,
             headers={"User-Agent": client_id},
         )
+        self._pool.pool_classes_by_scheme = WHOLE_RESPONSE_POOLS
 
     def __enter__(self):
         return self
