Do not take the end of an endpoint's time for that of a stream

Callers saw, in our own test: a stream, in chunks of plain sizes, that ended as complete after 5 of 12 events at the request's deadline.

Cause: endpoints stop their work at the deadline that they are given. One that ends its response regularly there, with the last chunk, is not told from one that has finished.

That endpoints of the users do so is not known.

Change: a stream that ends within 50 ms of the request's deadline, by which the clocks of endpoints may differ, or later, is late: it is left incomplete. Its caller is about to give up. A stream that is whole and ends in these 50 ms is broken off as well.

--- a/packages/gateway/sequoiaglade_gateway/online/exchange.py
+++ b/packages/gateway/sequoiaglade_gateway/online/exchange.py
@@ -194,6 +194,10 @@
             return False
         return is_suspect(self._parts, self.request, self.last_event_id > 0)
 
+    def is_time_over(self):
+        """Return whether the endpoint may have ended its work at the deadline."""
+        return time.monotonic() >= self.request.end_at - CLOCK_MARGIN_SECONDS
+
     def note_whole_answer(self):
         """Note that the response ended, or that its events have lasted."""
         if not self._is_answered:
--- a/packages/gateway/sequoiaglade_gateway/online/stream.py
+++ b/packages/gateway/sequoiaglade_gateway/online/stream.py
@@ -92,6 +92,8 @@
         )
         if missing is not None:
             return CallFault(Fault.BROKEN, missing)
+        if self._exchange.is_time_over():
+            return CallFault(Fault.LATE, "the stream ended at its deadline", True)
         self._exchange.note_whole_answer()
         if count > 1:
             self._exchange.report_event_interval(
--- a/tests/features/gateway/killed_endpoints.feature
+++ b/tests/features/gateway/killed_endpoints.feature
@@ -27,6 +27,12 @@
     When a caller requests "/once/1" and the endpoint is killed meanwhile
     Then the response is incomplete
 
+  # The endpoint stops its work there, and ends its response regularly.
+  Scenario: A stream that its endpoint ends at the deadline is complete
+    Given 1 gateway and 1 endpoint process whose responses are in chunks
+    When a caller requests "/once/1" with a deadline of 0.3 seconds
+    Then the response is incomplete
+
   Scenario: The last stream of an endpoint that stops is broken
     Given 1 gateway and 1 endpoint process whose responses end with the connection
     When a caller requests "/once/1" and the endpoint leaves and stops meanwhile
--- a/tests/features/steps/killed_endpoint_steps.py
+++ b/tests/features/steps/killed_endpoint_steps.py
@@ -88,6 +88,11 @@
     _request(context, path, RunnerProcess.kill)
 
 
+@when('a caller requests "{path}" with a deadline of {seconds:g} seconds')
+def request_by(context, path, seconds):
+    context.answers = [context.gateways.send(path, deadline=seconds)]
+
+
 @when('a caller sends 200 kB to "{path}" and the endpoint is suspended meanwhile')
 def request_suspended(context, path):
     _request(context, path, RunnerProcess.suspend, LONG_BODY)
