Log what was found at the end of a response without framing

A body that was cut, or believed, left no line: `stream ended` is of streams alone. `response ended by close` tells whether the endpoint accepts connections since, whether it is listed, and whether the response counted as cut.

--- a/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_calls.py
@@ -152,7 +152,7 @@
     def check_close():
         # A peer that forwards checks it itself.
         if is_direct and not attempt.is_aborted:
-            check_not_lost(parts, request.endpoint, request.is_repeatable)
+            check_not_lost(parts, request)
 
     bounded = BoundedResponse(
         request, attempt, bounds, parts.response_memory, check_close
--- a/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
+++ b/packages/gateway/sequoiaglade_gateway/endpoint_ends.py
@@ -3,6 +3,8 @@
 import enum
 import socket
 
+import structlog
+
 from sequoiaglade_decisions.gateway import is_lost
 
 from .access_messages import FindEndpoint
@@ -17,15 +19,24 @@
     """Ends the reading of a response whose endpoint ended with it."""
 
 
-def check_not_lost(parts, endpoint, is_repeatable):
+def check_not_lost(parts, request):
     """Raise `EndpointLostError` if an endpoint closed a connection as it ended.
 
-    This takes a further connection to it. `is_repeatable` is whether its request may be
-    sent again.
+    `request` is the `EndpointRequest` to which it responded. This takes a further
+    connection to the endpoint.
     """
+    endpoint = request.endpoint
     accepts = _accepts_connections(endpoint.address)
     listed = parts.coordinator.ask(FindEndpoint(endpoint.endpoint_id))
-    is_cut = is_lost(endpoint, listed, accepts, is_repeatable)
+    is_cut = is_lost(endpoint, listed, accepts, request.is_repeatable)
+    structlog.get_logger().info(
+        "response ended by close",
+        request_id=request.request_id,
+        endpoint_id=endpoint.endpoint_id,
+        accepts_connections=accepts,
+        is_listed=listed is not None,
+        is_cut=is_cut,
+    )
     parts.metrics.count("response end", "endpoint lost" if is_cut else "believed")
     if is_cut:
         reason = f"{endpoint.address} ended with the connection of its response"
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -95,7 +95,14 @@
         if request.permit_left_ms:
             permit_until = began_at + request.permit_left_ms / MS_PER_SECOND
         sent = EndpointRequest(
-            endpoint, "", "", [], b"", request.request_id, permit_until
+            endpoint,
+            "",
+            "",
+            [],
+            b"",
+            request.request_id,
+            permit_until,
+            is_repeatable=request.is_repeatable,
         )
         host, _, port = endpoint.address.rpartition(":")
         try:
@@ -127,7 +134,7 @@
                     sock, endpoint, request, sent_at, end_at
                 )
                 if not has_framing and context.is_active():
-                    check_not_lost(self._parts, endpoint, request.is_repeatable)
+                    check_not_lost(self._parts, sent)
             except OSError as error:
                 return _end(fleet_pb2.ForwardEnd.BROKEN, f"interrupted: {error}")
         return _end(fleet_pb2.ForwardEnd.CLOSED)
