End the lines of a response's head at CRLF only

Callers got a 200 with a body that was not the endpoint's: its field lines stood in the body, or the body was shifted by two bytes, in every framing, directly and through a peer. An item was completed with such a text, and a node without the platform, its client of the platform and the command line took such answers as well.

Cause: heads were read up to any line feed. One that stands in a garbled field, in front of its CRLF or of its name, made the CRLF that follows the empty line that ends the head, so that the rest of the head was read as the body. RFC 9112, section 2.2, lets a recipient accept a lone line feed, but does not ask for it, and no sender may write one.

Now a line that ends otherwise than with CRLF is an invalid one.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -9,15 +9,13 @@
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
 from .chunked_body import ChunkedBody
+from .message_grammar import FIELD_LINE, LINE_END, STATUS_LINE
 
 # Statuses that end a request; those below are interim, and those above undefined.
 STATUS_MIN = 200
 STATUS_MAX = 599
 _LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
 _LINE_END = re.compile(r"[\r\n]")
-_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] +[0-9]{3}(?: [^\r\n]*)?\r?\n")
-# A field, the rest of one that is folded, or the end of the head.
-_FIELD_LINE = re.compile(rb"(?:[!-9;-~]+:|[ \t])[^\r\n]*\r?\n|\r?\n")
 
 # Bytes of a line that a reason quotes.
 _QUOTED_BYTES_MAX = 32
@@ -99,7 +97,7 @@
     def __init__(self, file):
         self._file = file
         self._has_begun = False
-        self._line = _STATUS_LINE
+        self._line = STATUS_LINE
 
     def readline(self, limit):
         line = self._file.readline(limit)
@@ -112,10 +110,13 @@
         return line
 
     def _check(self, line):
+        if line == LINE_END and self._line is FIELD_LINE:
+            # Another status line follows the head of an interim response.
+            self._line = STATUS_LINE
+            return
         if not self._line.fullmatch(line):
             raise InvalidHeadLineError(repr(line[:_QUOTED_BYTES_MAX]))
-        # Another status line follows the head of an interim response.
-        self._line = _FIELD_LINE if line.strip() else _STATUS_LINE
+        self._line = FIELD_LINE
 
     def close(self):
         self._file.close()
--- /dev/null
+++ b/tests/features/gateway/head_grammar.feature
@@ -0,0 +1,16 @@
+Feature: A response with a line that the grammar of HTTP forbids is a broken one
+
+  Scenario Outline: The head has the line "<line>" <place>, read by <reader>
+    Given an endpoint that sends the line "<line>" <place>
+    When <reader> reads the response
+    Then it takes no response
+
+    Examples:
+      | line                         | place                     | reader                    |
+      | X-A: v\n                     | in place of its framing   | a gateway                 |
+      | X-A: v\n                     | in place of its framing   | a gateway, through a peer |
+      | X-A: v\n                     | in place of its framing   | a node                    |
+      | X-A: v\n                     | behind its fields         | a gateway                 |
+      | X-A: v\n                     | in front of its fields    | a gateway, from its store |
+      | X-A: v\n                     | in front of its fields    | a node, from its platform |
+      | X-A: v\n                     | in front of its fields    | the command line          |
--- a/tests/features/steps/early_response_steps.py
+++ b/tests/features/steps/early_response_steps.py
@@ -12,6 +12,7 @@
 
 from behave import given, then, when
 from emulator import RunnerPlan
+from emulator.chunks import format_chunk, format_size_line
 from emulator.endless import format_event
 from emulator.fleet import wait_until
 from emulator.unframed import WHOLE_BODY
@@ -51,6 +52,15 @@
     # Whole events: nothing in the body itself tells that others are missing.
     "events": b"".join(EVENTS[:2]),
 }
+# Each returns the fields that frame a body, and the body on the wire.
+FRAMINGS = {
+    "a length": lambda body: ([f"Content-Length: {len(body)}"], body),
+    "chunks": lambda body: (
+        ["Transfer-Encoding: chunked"],
+        format_chunk(body) + format_size_line(0) + b"\r\n",
+    ),
+    "its close": lambda body: ([], body),
+}
 
 
 class _Handler(socketserver.StreamRequestHandler):
@@ -95,7 +105,8 @@
     def _send_status(self, request_id):
         content = self.server.content
         body = WHOLE_BY_CONTENT[content]
-        fields = [f"Content-Length: {len(body)}"]
+        framing, body = FRAMINGS[self.server.framing](body)
+        fields = [*self.server.fields, *framing]
         if content == "a body, marked so":
             fields.append("Not-Run: 1")
         self.wfile.write(_head(self.server.status, request_id, content, *fields) + body)
@@ -109,6 +120,8 @@
     place = "beginning"
     reset_delay = 0.0
     status = None
+    framing = "a length"
+    fields = ()
 
     def server_bind(self):
         self.socket.setsockopt(
@@ -135,7 +148,7 @@
         "",
         "",
     )
-    return "\r\n".join(lines).encode()
+    return "\r\n".join(lines).encode("latin-1")
 
 
 def _start_endpoint(context, content):
@@ -148,7 +161,7 @@
     context.endpoint_address = "127.0.0.1:{}".format(server.server_address[1])
 
 
-def _start_fleet(context, content, by):
+def start_fleet(context, content, by):
     """Start gateways whose only endpoint is a `_Server`.
 
     The first gateway is cut off from it if it is to be reached through a peer.
@@ -164,7 +177,7 @@
     runner.advertised_address = context.endpoint_address
     runner.register("ready")
     if has_peer:
-        _wait_reached(context, 1)
+        wait_reached(context, 1)
         fleet.runner_links[0].cut("refuse")
         wait_until(
             lambda: _is_forwarded(fleet), REACHED_SECONDS, "gateway 0 asks its peer"
@@ -177,7 +190,7 @@
     return "request forwarded" in events
 
 
-def _wait_reached(context, node=0):
+def wait_reached(context, node=0):
     """Wait until the endpoint is used, which it isn't for a while after faults."""
     fleet = context.gateways
 
@@ -193,10 +206,10 @@
     return uuid.uuid4().hex.encode().ljust(size * BYTES_PER_MB, b"x")
 
 
-def _send_reaching(context, prefix, body):
+def send_reaching(context, prefix, body):
     """Send requests until one has reached the endpoint; return its response."""
     for _ in range(10):
-        _wait_reached(context)
+        wait_reached(context)
         before = len(context.endpoint.received)
         answer = context.gateways.send(prefix + uuid.uuid4().hex, body=body())
         if len(context.endpoint.received) > before:
@@ -206,17 +219,17 @@
 
 @given("an endpoint that sends part of {content} without a length, reached {by}")
 def given_early(context, content, by):
-    _start_fleet(context, content, by)
+    start_fleet(context, content, by)
 
 
 @given("an endpoint that sends {content} with invalid statuses, reached {by}")
 def given_statuses(context, content, by):
-    _start_fleet(context, content, by)
+    start_fleet(context, content, by)
 
 
 @given("an endpoint that sends events with status {status}, reached directly")
 def given_status(context, status):
-    _start_fleet(context, "events", "directly")
+    start_fleet(context, "events", "directly")
     context.endpoint.status = status
 
 
@@ -239,7 +252,7 @@
     for place in PLACES:
         for delay in RESET_DELAYS:
             context.endpoint.place, context.endpoint.reset_delay = place, delay
-            answer = _send_reaching(context, prefix, lambda: _upload(size))
+            answer = send_reaching(context, prefix, lambda: _upload(size))
             context.answers[place, delay] = answer
 
 
@@ -257,17 +270,17 @@
 @when("an item of 3 MB is reset at the {place} of its upload")
 def upload_item(context, place):
     context.endpoint.place, context.endpoint.reset_delay = place, RESET_DELAYS[1]
-    _wait_reached(context)
-    _submit(context, ITEM_BYTES)
+    wait_reached(context)
+    submit(context, ITEM_BYTES)
 
 
 @when("a job of one item is submitted")
 def submit_item(context):
-    _wait_reached(context)
-    _submit(context, 2)
+    wait_reached(context)
+    submit(context, 2)
 
 
-def _submit(context, size):
+def submit(context, size):
     item = {
         "Id": "item-0",
         "Path": "/batch/x/item-0",
@@ -302,15 +315,15 @@
     for status in STATUSES:
         context.endpoint.status = status
         body = lambda: uuid.uuid4().hex.encode()  # noqa: E731
-        context.answers[status] = _send_reaching(context, prefix, body)
+        context.answers[status] = send_reaching(context, prefix, body)
 
 
 @then("each request reached the endpoint, and each response is a 502 of the gateway")
 def check_statuses(context):
-    assert len(context.answers) == len(STATUSES)
-    for status, answer in context.answers.items():
-        assert answer is not None, status
-        assert answer.status == 502 and not answer.is_signed, (status, answer)
+    assert context.answers
+    for case, answer in context.answers.items():
+        assert answer is not None, case
+        assert answer.status == 502 and not answer.is_signed, (case, answer)
 
 
 def _call_by_node(context, body):
--- /dev/null
+++ b/tests/features/steps/invalid_field_steps.py
@@ -0,0 +1,75 @@
+"""Steps for an endpoint whose heads have fields that the grammar of HTTP forbids."""
+
+import uuid
+
+from behave import given, then, when
+from early_response_steps import (
+    WHOLE_BY_CONTENT,
+    send_reaching,
+    start_fleet,
+    submit,
+    wait_reached,
+)
+from emulator.response_grammar import TOKEN_BYTES, is_field
+
+INVALID_FIELDS = {
+    "a blank in a name": "X A: 1",
+    "a control byte in a name": "X\x1fA: 1",
+    "no name": ": 1",
+    "a line feed at the end": "X-A: 1\n",
+    # It stands between a name and its value.
+    "a blank in front": " X-A: 1",
+}
+VALID_FIELDS = {
+    bytes(sorted(TOKEN_BYTES)).decode(): "1",
+    "X-Text": 'a\t"b" (c), {d} \x80\x85\xa0\xff',
+    "X-Empty": "",
+}
+
+
+@given("an endpoint that sends {content} framed by {framing}, reached {by}")
+def given_framing(context, content, framing, by):
+    start_fleet(context, content, by)
+    context.endpoint.status = 200
+    context.endpoint.framing = framing
+
+
+@when('a caller requests "{prefix}" for each of the invalid fields')
+def request_invalid(context, prefix):
+    fields = INVALID_FIELDS.values()
+    assert not any(is_field(field.encode()) for field in fields)
+    _request(context, prefix, fields)
+
+
+@when('a caller requests "{prefix}" for each of the odd but valid fields')
+def request_valid(context, prefix):
+    fields = [f"{name}: {value}" for name, value in VALID_FIELDS.items()]
+    assert all(is_field(field.encode("latin-1")) for field in fields)
+    _request(context, prefix, fields)
+
+
+def _request(context, prefix, fields):
+    context.answers = {}
+    for field in fields:
+        context.endpoint.fields = [field]
+        body = lambda: uuid.uuid4().hex.encode()  # noqa: E731
+        context.answers[field] = send_reaching(context, prefix, body)
+
+
+@then("each response is whole, and has the endpoint's field")
+def check_valid(context):
+    whole = WHOLE_BY_CONTENT[context.endpoint.content]
+    for (name, value), answer in zip(
+        VALID_FIELDS.items(), context.answers.values(), strict=True
+    ):
+        assert answer.status == 200 and answer.is_complete, (name, answer)
+        value_by_name = {key.lower(): found for key, found in answer.headers.items()}
+        assert value_by_name[name.lower()] == value, (name, answer)
+        assert answer.body == whole, (name, answer)
+
+
+@when("a job of one item is submitted that is answered with {field} among the fields")
+def submit_item(context, field):
+    wait_reached(context)
+    context.endpoint.fields = [INVALID_FIELDS[field]]
+    submit(context, 2)
