--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -15,7 +15,6 @@
 STATUS_MIN = 200
 STATUS_MAX = 599
 _LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
-_LINE_END = re.compile(r"[\r\n]")
 
 # Bytes of a line that a reason quotes.
 _QUOTED_BYTES_MAX = 32
@@ -147,9 +146,6 @@
 def _is_chunked(headers):
     """Return whether a body is in chunks; raise an error if its framing is unreadable.
 
-    The parser of heads adds a line that begins with a blank to the field before it,
-    which may hide a length.
-
     >>> headers = http.client.HTTPMessage()
     >>> _is_chunked(headers)
     False
@@ -159,8 +155,6 @@
         ...
     sequoiaglade_endpoints.connections.InvalidFramingHeaderError: Content-Length ['4_2']
     """
-    if any(_LINE_END.search(value) for value in headers.values()):
-        raise InvalidFramingHeaderError("a line of the head begins with a blank")
     codings = headers.get_all("Transfer-Encoding", ())
     if codings:
         if [coding.strip().lower() for coding in codings] != ["chunked"]:
--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -7,6 +7,22 @@
 
     Examples:
       | line                         | place                     | reader                    |
+      | X                            | in front of its fields    | a gateway                 |
+      | : v                          | in front of its fields    | a gateway                 |
+      | \x20X-A: v                   | in front of its fields    | a gateway                 |
+      | \x20                         | in front of its fields    | a gateway                 |
+      | \t                           | in front of its fields    | a gateway                 |
+      | \x20Content-Length: 9        | in front of its fields    | a gateway                 |
+      | \x20Content-Length: 9        | in place of its framing   | a gateway                 |
+      | \tTransfer-Encoding: chunked | in place of its framing   | a gateway                 |
+      | \x20Content-Length: 9        | in front of its fields    | a gateway, through a peer |
+      | \x20Content-Length: 9        | in front of its fields    | a node                    |
+      | \x20                         | in front of its fields    | a gateway, from its store |
+      | \x20                         | in front of its fields    | a node, from its platform |
+      | \x20                         | in front of its fields    | the command line          |
+      | \x20X-A: v                   | behind its fields         | a gateway                 |
+      | \x20                         | behind its fields         | a gateway                 |
+      | \x20                         | behind its fields         | a node                    |
       | X-A: v\n                     | in place of its framing   | a gateway                 |
       | X-A: v\n                     | in place of its framing   | a gateway, through a peer |
       | X-A: v\n                     | in place of its framing   | a node                    |
