--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -1,5 +1,23 @@
 Feature: A response with a line that the grammar of HTTP forbids is a broken one
 
+  # The byte * is replaced by each byte from 0 to 255, of which the grammar permits some.
+  Scenario Outline: The line "<line>" holds each byte in place of *, read by <reader>
+    Given an endpoint that sends the line "<line>" in the head of a whole response
+    When <reader> reads the response with each byte in place of *
+    Then it takes the responses that the grammar permits, and no others
+
+    Examples:
+      | line             | reader                        |
+      | *X-A: v          | a gateway                     |
+      | X*A: v           | a gateway                     |
+      | XA*: v           | a gateway                     |
+      | X*A: v           | a gateway, through a peer     |
+      | *X-A: v          | a node                        |
+      | X*A: v           | a node                        |
+      | X*A: v           | a gateway, from its store     |
+      | X*A: v           | a node, from its platform     |
+      | X*A: v           | the command line              |
+
   Scenario Outline: The head has the line "<line>" <place>, read by <reader>
     Given an endpoint that sends the line "<line>" <place>
     When <reader> reads the response
--- a/tests/features/gateway/invalid_fields.feature
+++ b/tests/features/gateway/invalid_fields.feature
@@ -37,3 +37,5 @@
       | field                            | by             |
       | a blank in a name                | directly       |
       | a line feed at the end           | directly       |
+      | a bracket in a name              | directly       |
+      | a bracket in a name              | through a peer |
--- a/tests/features/gateway/resumed_streams.feature
+++ b/tests/features/gateway/resumed_streams.feature
@@ -24,6 +24,9 @@
       | a text that is no head                   |
       | half of a head                           |
       | an answer to another request             |
+      | a blank in a field's name                |
+      | a bracket in a field's name              |
+      | a line feed in a field's value           |
 
   # Nothing but comments before the next event: the stream goes on.
   Scenario: A broken stream is continued after a comment
@@ -45,3 +48,4 @@
       | the head of an error in the event stream |
       | the first event again and an end         |
       | half of a head                           |
+      | a bracket in a field's name              |
--- a/tests/features/steps/invalid_field_steps.py
+++ b/tests/features/steps/invalid_field_steps.py
@@ -15,6 +15,7 @@
 INVALID_FIELDS = {
     "a blank in a name": "X A: 1",
     "a control byte in a name": "X\x1fA: 1",
+    "a bracket in a name": "X(A: 1",
     "no name": ": 1",
     "a line feed at the end": "X-A: 1\n",
     # It stands between a name and its value.
--- a/tests/features/steps/resumed_stream_steps.py
+++ b/tests/features/steps/resumed_stream_steps.py
@@ -18,7 +18,8 @@
 COMMENT = b": wait\n\n"
 SIGNED = ("Request-Id: {id}", "Server-Stamp: emulated")
 EVENT_STREAM = (*SIGNED, "Content-Type: text/event-stream")
-CHUNKED = (*EVENT_STREAM, "Transfer-Encoding: chunked")
+CODING = "Transfer-Encoding: chunked"
+CHUNKED = (*EVENT_STREAM, CODING)
 
 
 def _head(status, *lines):
@@ -30,9 +31,9 @@
     return _head(status, *lines, f"Content-Length: {len(body)}") + body
 
 
-def _chunked(*parts):
+def _chunked(*parts, field="X-Events: 6"):
     chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
-    return _head(200, *CHUNKED) + chunks + b"0\r\n\r\n"
+    return _head(200, *EVENT_STREAM, field, CODING) + chunks + b"0\r\n\r\n"
 
 
 TEXT = (*SIGNED, "Content-Type: text/plain")
@@ -56,6 +57,9 @@
     "an unfinished event": _chunked(EVENTS[2][:-1]),
     "a text that is no head": b"overloaded\r\n\r\n",
     "half of a head": _head(200, *CHUNKED)[:60],
+    "a blank in a field's name": _chunked(*EVENTS[2:], field="X Events: 6"),
+    "a bracket in a field's name": _chunked(*EVENTS[2:], field="X(Events: 6"),
+    "a line feed in a field's value": _chunked(*EVENTS[2:], field="X-Events: 6\n"),
     "an answer to another request": _with_length(
         200, EVENTS[2], "Request-Id: other", *EVENT_STREAM[1:]
     ),
