Refuse heads with control bytes in values of fields or the reason phrase

Callers got fields whose values hold control bytes passed on, with the endpoint's status and body, in each framing, directly and through a peer, also in a stream that went on at a second endpoint; items were completed by such responses, and the store's client, a node without the platform, its client of the platform and the command line took them.

Cause: only line ends were excluded from values and reason phrases. RFC 9110, section 5.5, and RFC 9112, section 4, permit tabs, blanks, visible characters and bytes above 127.

Now the shared patterns take those alone. All other control bytes are refused, as a caller may read the field otherwise than the gateway does.

Valid fields with tabs, quotes and bytes above 127 reach callers unchanged, before and now.

--- a/packages/endpoints/sequoiaglade_endpoints/message_grammar.py
+++ b/packages/endpoints/sequoiaglade_endpoints/message_grammar.py
@@ -3,9 +3,11 @@
 import re
 
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+# Visible characters, blanks, tabs and bytes above 127.
+_TEXT = rb"[\t -~\x80-\xff]*"
 # A line feed alone may also be part of a garbled field, behind which the head goes on.
 LINE_END = b"\r\n"
-STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] +[0-9]{3}(?: [^\r\n]*)?\r\n")
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] +[0-9]{3}(?: " + _TEXT + rb")?\r\n")
 # A line that begins with a blank, and so may hide the framing, is no field (RFC 9112,
 # section 5.2).
-FIELD_LINE = re.compile(_TOKEN + rb":[^\r\n]*\r\n")
+FIELD_LINE = re.compile(_TOKEN + rb":" + _TEXT + rb"\r\n")
--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -11,12 +11,25 @@
       | *X-A: v          | a gateway                     |
       | X*A: v           | a gateway                     |
       | XA*: v           | a gateway                     |
+      | X-A: *v          | a gateway                     |
+      | X-A: v*w         | a gateway                     |
+      | X-A: v*          | a gateway                     |
+      | HTTP/1.1 200 O*K | a gateway                     |
+      | HTTP/1.1 200 O*  | a gateway                     |
       | X*A: v           | a gateway, through a peer     |
+      | X-A: v*w         | a gateway, through a peer     |
+      | X-A: v*          | a gateway, through a peer     |
+      | HTTP/1.1 200 O*  | a gateway, through a peer     |
       | *X-A: v          | a node                        |
       | X*A: v           | a node                        |
+      | X-A: v*          | a node                        |
+      | HTTP/1.1 200 O*  | a node                        |
       | X*A: v           | a gateway, from its store     |
+      | X-A: v*          | a gateway, from its store     |
       | X*A: v           | a node, from its platform     |
+      | X-A: v*          | a node, from its platform     |
       | X*A: v           | the command line              |
+      | X-A: v*          | the command line              |
 
   Scenario Outline: The head has the line "<line>" <place>, read by <reader>
     Given an endpoint that sends the line "<line>" <place>
--- a/tests/features/gateway/invalid_fields.feature
+++ b/tests/features/gateway/invalid_fields.feature
@@ -39,3 +39,4 @@
       | a line feed at the end           | directly       |
       | a bracket in a name              | directly       |
       | a bracket in a name              | through a peer |
+      | a control byte in a value        | directly       |
--- a/tests/features/gateway/resumed_streams.feature
+++ b/tests/features/gateway/resumed_streams.feature
@@ -26,6 +26,7 @@
       | an answer to another request             |
       | a blank in a field's name                |
       | a bracket in a field's name              |
+      | a control byte in a field's value        |
       | a line feed in a field's value           |
 
   # Nothing but comments before the next event: the stream goes on.
@@ -49,3 +50,4 @@
       | the first event again and an end         |
       | half of a head                           |
       | a bracket in a field's name              |
+      | a control byte in a field's value        |
--- a/tests/features/steps/invalid_field_steps.py
+++ b/tests/features/steps/invalid_field_steps.py
@@ -17,6 +17,7 @@
     "a control byte in a name": "X\x1fA: 1",
     "a bracket in a name": "X(A: 1",
     "no name": ": 1",
+    "a control byte in a value": "X-A: 1\0",
     "a line feed at the end": "X-A: 1\n",
     # It stands between a name and its value.
     "a blank in front": " X-A: 1",
--- a/tests/features/steps/resumed_stream_steps.py
+++ b/tests/features/steps/resumed_stream_steps.py
@@ -59,6 +59,7 @@
     "half of a head": _head(200, *CHUNKED)[:60],
     "a blank in a field's name": _chunked(*EVENTS[2:], field="X Events: 6"),
     "a bracket in a field's name": _chunked(*EVENTS[2:], field="X(Events: 6"),
+    "a control byte in a field's value": _chunked(*EVENTS[2:], field="X-Events: 6\0"),
     "a line feed in a field's value": _chunked(*EVENTS[2:], field="X-Events: 6\n"),
     "an answer to another request": _with_length(
         200, EVENTS[2], "Request-Id: other", *EVENT_STREAM[1:]
