Read chunk extensions and trailers by the grammar of RFC 9112

A response in chunks counted as whole although the line of a size or a trailer was garbled: control bytes in a trailer's value, or any bytes but line ends behind an extension's first character. What stands there is not passed on, but a line that no sender may write shows that the framing around it can't be trusted.

Cause: the pattern of a size's line ended with the beginning of an extension, and trailers had a pattern of their own, which excluded line ends alone.

Now extensions are read as RFC 9112, section 7.1.1, has them, with blanks where recipients have to accept them, and trailers are fields as in a head, by one pattern.

--- a/packages/endpoints/sequoiaglade_endpoints/chunked_body.py
+++ b/packages/endpoints/sequoiaglade_endpoints/chunked_body.py
@@ -1,13 +1,9 @@
 """Framing of bodies in chunks (RFC 9112, section 7.1), checked while they are read."""
 
-import re
 from enum import Enum, auto
 
-_NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-# A size, with extensions after a semicolon, which begin with the name of one.
-_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:[ \t]*;[ \t]*" + _NAME + rb"[^\r\n]*)?\r\n")
-_TRAILER_LINE = re.compile(_NAME + rb":[^\r\n]*\r\n")
-_LINE_END = b"\r\n"
+from .message_grammar import FIELD_LINE, LINE_END, SIZE_LINE
+
 # Bytes of a line that a reason quotes.
 _QUOTED_BYTES_MAX = 32
 
@@ -90,16 +86,16 @@
         self._file.close()
 
     def _take_size(self, line):
-        match = _SIZE_LINE.fullmatch(line)
+        match = SIZE_LINE.fullmatch(line)
         if match is None:
             raise FramingError(_flaw(line, "the size of a chunk"))
         self._left = int(match[1], 16)
         self._next = _Next.DATA if self._left else _Next.TRAILER
 
     def _take_trailer(self, line):
-        if line == _LINE_END:
+        if line == LINE_END:
             self._next = _Next.NOTHING
-        elif not _TRAILER_LINE.fullmatch(line):
+        elif not FIELD_LINE.fullmatch(line):
             raise FramingError(_flaw(line, "a trailer"))
 
     def _take_data(self, data):
@@ -108,7 +104,7 @@
             if not self._left:
                 self._next = _Next.DATA_END
         elif self._next is _Next.DATA_END:
-            if data not in (_LINE_END, b""):
+            if data not in (LINE_END, b""):
                 raise FramingError(f"a chunk is followed by {data!r}")
             self._next = _Next.SIZE
 
--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -61,3 +61,21 @@
       | X-A: v\n                     | in front of its fields    | a gateway, from its store |
       | X-A: v\n                     | in front of its fields    | a node, from its platform |
       | X-A: v\n                     | in front of its fields    | the command line          |
+
+  # What a size is cut to, or garbled to, is in cut_chunks.feature.
+  Scenario Outline: The line "<line>" of a body in chunks holds each byte in place of *, read by <reader>
+    Given an endpoint that sends the line "<line>" in the chunks of a whole response
+    When <reader> reads the response with each byte in place of *
+    Then it takes the responses that the grammar permits, and no others
+
+    Examples:
+      | line    | reader                    |
+      | X*A: v  | a gateway                 |
+      | X-A: v* | a gateway                 |
+      | 0;x*y   | a gateway                 |
+      | 0;x="*" | a gateway                 |
+      | X*A: v  | a gateway, through a peer |
+      | 0;x*y   | a gateway, through a peer |
+      | X-A: v* | a node                    |
+      | 0;x*y   | a node                    |
+      | 0;x="*" | the command line          |
