Forwarding: note nothing from heads of responses that are invalid

An endpoint was taken out of use for callers of all gateways after one response that none of them could use: a peer that forwarded it noted that the endpoint leaves, from a head with an invalid field. Limits and cold starts that such a head names were noted in the same way. A gateway that is called itself refuses the head before it looks at it.

Cause: the forwarder read heads with the parser of http.client alone, and the status with int().

Now it reads them by WholeHeadResponse, as all other readers do.

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -1,9 +1,11 @@
 """HTTP connections whose current attempt another thread can abort."""
 
 import http.client
+import io
 import re
 import socket
 import threading
+from typing import NamedTuple
 
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
@@ -143,6 +145,32 @@
             self.fp = ChunkedBody(self.fp)
 
 
+def read_head(data):
+    r"""Return the response whose head begins some bytes, to read its status and fields.
+
+    An `http.client.HTTPException` or an `OSError` is raised if it is cut or invalid.
+
+    >>> read_head(b"HTTP/1.1 204 Done\r\nX-A: 1\r\n\r\n").headers["X-A"]
+    '1'
+    >>> read_head(b"HTTP/1.1 204 Done\r\nX A: 1\r\n\r\n")
+    Traceback (most recent call last):
+        ...
+    sequoiaglade_endpoints.connections.InvalidHeadLineError: b'X A: 1\r\n'
+    """
+    response = WholeHeadResponse(_ReceivedBytes(data))
+    response.begin()
+    return response
+
+
+class _ReceivedBytes(NamedTuple):
+    """The part of a socket's interface from which `http.client` reads a response."""
+
+    data: bytes
+
+    def makefile(self, mode):
+        return io.BytesIO(self.data)
+
+
 def _is_chunked(headers):
     """Return whether a body is in chunks; raise an error if its framing is unreadable.
 
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import http.client
-import io
 import socket
 import threading
 import time
@@ -10,6 +9,7 @@
 import structlog
 from urllib3.util.connection import create_connection
 
+from sequoiaglade_endpoints.connections import read_head
 from sequoiaglade_protocol import fleet_pb2
 
 from ..access_messages import FindEndpoint
@@ -160,21 +160,20 @@
 
         Return whether the head names what ends the body.
         """
-        status_line, _, fields = head.partition(b"\r\n")
         try:
-            status = int(status_line.split()[1])
-            headers = http.client.parse_headers(io.BytesIO(fields))
-        except (IndexError, ValueError, http.client.HTTPException) as error:
+            response = read_head(head)
+        except (http.client.HTTPException, OSError) as error:
             self._log.info(
                 "head of forwarded response not readable",
                 request_id=request.request_id,
                 error=repr(error),
             )
             return False
+        headers = response.headers
         facts = self._parts.dialect.read_head(headers)
         sent = EndpointRequest(endpoint, "", "", [], b"", request.request_id)
         if facts.is_leaving:
-            note_leaving(self._parts, sent, facts, status)
+            note_leaving(self._parts, sent, facts, response.status)
         note_request_limit(self._parts, sent, facts, sent_at)
         note_cold_response(self._parts, sent, facts, sent_at)
         return "Transfer-Encoding" in headers or "Content-Length" in headers
--- a/tests/features/gateway/invalid_fields.feature
+++ b/tests/features/gateway/invalid_fields.feature
@@ -36,7 +36,15 @@
     Examples:
       | field                            | by             |
       | a blank in a name                | directly       |
-      | a line feed at the end           | directly       |
       | a bracket in a name              | directly       |
-      | a bracket in a name              | through a peer |
       | a control byte in a value        | directly       |
+      | a line feed at the end           | directly       |
+      | a bracket in a name              | through a peer |
+
+  # The peer that forwards reads what the endpoint says of itself.
+  Scenario: A peer forwards a response, and an invalid field stands beside that it leaves
+    Given an endpoint that sends a body framed by a length, reached through a peer
+    When it says that it leaves, beside each of the invalid fields
+    Then no gateway has noted that it leaves
+    When it says that it leaves, beside a valid field
+    Then the gateway that forwards has noted that it leaves
--- a/tests/features/steps/invalid_field_steps.py
+++ b/tests/features/steps/invalid_field_steps.py
@@ -75,3 +75,39 @@
     wait_reached(context)
     context.endpoint.fields = [INVALID_FIELDS[field]]
     submit(context, 2)
+
+
+@when("it says that it leaves, beside each of the invalid fields")
+def announce_invalid(context):
+    for field in INVALID_FIELDS.values():
+        _announce(context, field)
+
+
+@when("it says that it leaves, beside a valid field")
+def announce(context):
+    _announce(context, "X-A: 1")
+
+
+def _announce(context, field):
+    context.endpoint.fields = ["Server-Leaving: 1", field]
+    send_reaching(context, "/safe/", lambda: uuid.uuid4().hex.encode())
+
+
+def _noting_nodes(context):
+    nodes = context.gateways.nodes
+    return [
+        number
+        for number, node in enumerate(nodes)
+        if any(line["event"] == "endpoint leaving" for line in node.log_lines())
+    ]
+
+
+@then("no gateway has noted that it leaves")
+def check_not_noted(context):
+    assert not _noting_nodes(context)
+
+
+@then("the gateway that forwards has noted that it leaves")
+def check_noted(context):
+    noting = _noting_nodes(context)
+    assert 1 in noting, noting
