Emulator: callers refuse lines that the grammar forbids

Cause: the callers read heads with http.client's parser, and the strict caller, written for cut framing, excluded line ends alone from values and only blanks and the colon from names.

--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -30,6 +30,14 @@
       | X-A: v*          | a node, from its platform     |
       | X*A: v           | the command line              |
       | X-A: v*          | the command line              |
+      | *X-A: v          | a caller of the emulator      |
+      | X*A: v           | a caller of the emulator      |
+      | X-A: v*          | a caller of the emulator      |
+      | HTTP/1.1 200 O*  | a caller of the emulator      |
+      | *X-A: v          | a strict caller               |
+      | X*A: v           | a strict caller               |
+      | X-A: v*          | a strict caller               |
+      | HTTP/1.1 200 O*  | a strict caller               |
 
   Scenario Outline: The head has the line "<line>" <place>, read by <reader>
     Given an endpoint that sends the line "<line>" <place>
@@ -51,6 +59,8 @@
       | \x20                         | in front of its fields    | a gateway, from its store |
       | \x20                         | in front of its fields    | a node, from its platform |
       | \x20                         | in front of its fields    | the command line          |
+      | \x20X-A: v                   | in front of its fields    | a caller of the emulator  |
+      | \x20X-A: v                   | in front of its fields    | a strict caller           |
       | \x20X-A: v                   | behind its fields         | a gateway                 |
       | \x20                         | behind its fields         | a gateway                 |
       | \x20                         | behind its fields         | a node                    |
@@ -61,6 +71,7 @@
       | X-A: v\n                     | in front of its fields    | a gateway, from its store |
       | X-A: v\n                     | in front of its fields    | a node, from its platform |
       | X-A: v\n                     | in front of its fields    | the command line          |
+      | X-A: v\n                     | in place of its framing   | a caller of the emulator  |
 
   # What a size is cut to, or garbled to, is in cut_chunks.feature.
   Scenario Outline: The line "<line>" of a body in chunks holds each byte in place of *, read by <reader>
@@ -79,3 +90,9 @@
       | X-A: v* | a node                    |
       | 0;x*y   | a node                    |
       | 0;x="*" | the command line          |
+      | X*A: v  | a caller of the emulator  |
+      | X-A: v* | a caller of the emulator  |
+      | 0;x="*" | a caller of the emulator  |
+      | X*A: v  | a strict caller           |
+      | 0;x*y   | a strict caller           |
+      | 0;x="*" | a strict caller           |
