--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -86,6 +86,10 @@
     """A line of the head is neither a status line nor a field."""
 
 
+class RepeatedFieldError(http.client.HTTPException):
+    """The head has a field more than once of which callers read one."""
+
+
 class _HeadReader:
     """Reads the lines of a head, and raises an error if it is cut or can't be read.
 
@@ -128,7 +132,8 @@
 
     http.client accepts statuses from 100 to 999, and skips no interim ones but 100. It
     reads a body whose length or transfer coding it can't read up to the end of the
-    connection. A body in chunks is read as a `ChunkedBody`.
+    connection, and takes the first of several types of the content, while callers may
+    take the last. A body in chunks is read as a `ChunkedBody`.
     """
 
     def begin(self):
@@ -141,6 +146,9 @@
                 self.fp = file
         if not STATUS_MIN <= self.status <= STATUS_MAX:
             raise http.client.BadStatusLine(f"status {self.status}")
+        types = self.headers.get_all("Content-Type", ())
+        if len(types) > 1:
+            raise RepeatedFieldError(f"Content-Type {types!r}")
         if _is_chunked(self.headers):
             self.fp = ChunkedBody(self.fp)
 
--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -72,6 +72,8 @@
       | X-A: v\n                     | in front of its fields    | a node, from its platform |
       | X-A: v\n                     | in front of its fields    | the command line          |
       | X-A: v\n                     | in place of its framing   | a caller of the emulator  |
+      | Content-Type: text/plain     | behind its fields         | a gateway                 |
+      | Content-Type: text/plain     | behind its fields         | a node                    |
 
   # What a size is cut to, or garbled to, is in cut_chunks.feature.
   Scenario Outline: The line "<line>" of a body in chunks holds each byte in place of *, read by <reader>
--- a/tests/features/gateway/invalid_fields.feature
+++ b/tests/features/gateway/invalid_fields.feature
@@ -17,6 +17,19 @@
       | a body, marked so   | a length  | /safe/   | through a peer |
       | events              | chunks    | /resume/ | through a peer |
 
+  # Callers that read the first one and callers that read the last one would differ.
+  Scenario Outline: Repeated fields of <content>, framed by <framing>, for <prefix> reach a caller <by>
+    Given an endpoint that sends <content> framed by <framing>, reached <by>
+    When a caller requests "<prefix>" for each of the repeated fields
+    Then each request reached the endpoint, and each response is a 502 of the gateway
+
+    Examples:
+      | content | framing   | prefix   | by             |
+      | a body  | a length  | /safe/   | directly       |
+      | a body  | chunks    | /once/   | directly       |
+      | events  | chunks    | /resume/ | directly       |
+      | events  | its close | /once/   | through a peer |
+
   Scenario Outline: Fields of <content>, framed by <framing>, that the grammar permits reach a caller <by>
     Given an endpoint that sends <content> framed by <framing>, reached <by>
     When a caller requests "/once/" for each of the odd but valid fields
@@ -38,6 +51,7 @@
       | a blank in a name                | directly       |
       | a bracket in a name              | directly       |
       | a control byte in a value        | directly       |
+      | a second signature               | directly       |
       | a line feed at the end           | directly       |
       | a bracket in a name              | through a peer |
 
--- a/tests/features/steps/invalid_field_steps.py
+++ b/tests/features/steps/invalid_field_steps.py
@@ -22,6 +22,13 @@
     # It stands between a name and its value.
     "a blank in front": " X-A: 1",
 }
+# The endpoint's head has each of them already.
+REPEATED_FIELDS = {
+    "a second request id": "Request-Id: other",
+    "a second signature": "Server-Stamp: other",
+    "the signature again": "Server-Stamp: emulated",
+    "a second type": "Content-Type: text/plain",
+}
 VALID_FIELDS = {
     bytes(sorted(TOKEN_BYTES)).decode(): "1",
     "X-Text": 'a\t"b" (c), {d} \x80\x85\xa0\xff',
@@ -43,6 +50,11 @@
     _request(context, prefix, fields)
 
 
+@when('a caller requests "{prefix}" for each of the repeated fields')
+def request_repeated(context, prefix):
+    _request(context, prefix, REPEATED_FIELDS.values())
+
+
 @when('a caller requests "{prefix}" for each of the odd but valid fields')
 def request_valid(context, prefix):
     fields = [f"{name}: {value}" for name, value in VALID_FIELDS.items()]
@@ -73,7 +85,7 @@
 @when("a job of one item is submitted that is answered with {field} among the fields")
 def submit_item(context, field):
     wait_reached(context)
-    context.endpoint.fields = [INVALID_FIELDS[field]]
+    context.endpoint.fields = [(INVALID_FIELDS | REPEATED_FIELDS)[field]]
     submit(context, 2)
 
 
