Endpoints: name the reading of a head from bytes parse_head

The forwarder called two functions read_head, this one and that of the dialect. No change of behaviour; invalid_fields and head_grammar pass with it (127 scenarios of four features).

--- a/packages/endpoints/sequoiaglade_endpoints/connections.py
+++ b/packages/endpoints/sequoiaglade_endpoints/connections.py
@@ -153,14 +153,14 @@
             self.fp = ChunkedBody(self.fp)
 
 
-def read_head(data):
+def parse_head(data):
     r"""Return the response whose head begins some bytes, to read its status and fields.
 
     An `http.client.HTTPException` or an `OSError` is raised if it is cut or invalid.
 
-    >>> read_head(b"HTTP/1.1 204 Done\r\nX-A: 1\r\n\r\n").headers["X-A"]
+    >>> parse_head(b"HTTP/1.1 204 Done\r\nX-A: 1\r\n\r\n").headers["X-A"]
     '1'
-    >>> read_head(b"HTTP/1.1 204 Done\r\nX A: 1\r\n\r\n")
+    >>> parse_head(b"HTTP/1.1 204 Done\r\nX A: 1\r\n\r\n")
     Traceback (most recent call last):
         ...
     sequoiaglade_endpoints.connections.InvalidHeadLineError: b'X A: 1\r\n'
--- a/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
+++ b/packages/gateway/sequoiaglade_gateway/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 import structlog
 from urllib3.util.connection import create_connection
 
-from sequoiaglade_endpoints.connections import read_head
+from sequoiaglade_endpoints.connections import parse_head
 from sequoiaglade_protocol import fleet_pb2
 
 from ..access_messages import FindEndpoint
@@ -161,7 +161,7 @@
         Return whether the head names what ends the body.
         """
         try:
-            response = read_head(head)
+            response = parse_head(head)
         except (http.client.HTTPException, OSError) as error:
             self._log.info(
                 "head of forwarded response not readable",
