Soak: endpoints send heads that the grammar forbids

The soak of the ends of responses played sound heads alone. Endpoints now also put one of ten lines into half of their heads in two further setups, beside a valid field that marks such a head, while endpoints, gateways and ways to them end. An answer that is invalid itself, or has the mark, breaks the rule. The plays of known seeds keep their first six setups, and the setups of a play after the sixth change.

--- a/tests/features/gateway/response_ends.feature
+++ b/tests/features/gateway/response_ends.feature
@@ -7,6 +7,10 @@
     When the soak of the ends of responses runs 0.4 minutes from seed 47
     Then it has played endpoints that end and gateways that end under peers' responses
 
+  Scenario: Plays of a seed find no head that the grammar forbids
+    When the soak of heads that the grammar forbids runs 0.4 minutes from seed 50
+    Then it has played endpoints that end and gateways that end under peers' responses
+
   # A caller that reads a cut response as whole could not show the fault.
   Scenario Outline: The strict caller finds each cut of a response with <framing>
     Given a server that sends a stream with <framing>
@@ -42,3 +46,5 @@
       | an early end by its own word          | ends as complete after event 2 of 3           | own end without framing |
       | a run that ended at once              | ends as complete after event 2 of 3           | own end of a run that ended at once |
       | a run that ended at once, not resumed | ends as complete after event 2 of 3           | broken |
+      | the flawed head of an endpoint        | the head of an endpoint that is flawed        | broken |
+      | a head with an invalid line           | InvalidHeadError: the line                    | broken |
--- a/tests/features/steps/response_end_steps.py
+++ b/tests/features/steps/response_end_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from cut_calls import serve
 from emulator.ending_judge import classify, judge
-from emulator.ending_plan import ResponsePlan
+from emulator.ending_plan import FLAW_HEADER, ResponsePlan
 from emulator.strict_caller import StrictAnswer, StrictCaller
 
 sys.path.insert(0, str(Path(__file__).parents[2] / "soak"))
@@ -54,6 +54,15 @@
     context.outcome = response_ends.run(seed, minutes)
 
 
+@when(
+    "the soak of heads that the grammar forbids runs {minutes:g} minutes from seed "
+    "{seed:d}"
+)
+def run_head_soak(context, minutes, seed):
+    setups = response_ends.HEAD_FLAW_SETUPS
+    context.outcome = response_ends.run(seed, minutes, setups)
+
+
 @then("it has played endpoints that end and gateways that end under peers' responses")
 def check_played(context):
     print(context.outcome)
@@ -93,6 +102,20 @@
     assert found == [whole], (found, whole)
 
 
+@given("an answer that has the flawed head of an endpoint")
+def given_flawed_head(context):
+    context.plan, context.route = PLAN._replace(head_flaw=1, cutters=7), "once"
+    headers = {"server-stamp": "emulated.7", FLAW_HEADER.lower(): "1"}
+    context.answer = StrictAnswer(200, headers, b"".join(FIRST), "", 0.0, 1.0)
+
+
+@given("an answer that has a head with an invalid line")
+def given_invalid_head(context):
+    context.plan, context.route = PLAN, "once"
+    flaw = "InvalidHeadError: the line"
+    context.answer = StrictAnswer(0, {}, b"", flaw, 0.0, 1.0)
+
+
 @given("an answer that has {flaw}")
 def given_answer(context, flaw):
     is_item = flaw == "an item that is shortened"
--- a/tests/soak/response_ends.py
+++ b/tests/soak/response_ends.py
@@ -1,10 +1,11 @@
 """Ends of responses: endpoints, gateways and peers end, in processes of their own.
 
-Endpoints cut responses at any byte and end connections or themselves, while gateways
-are killed, stopped and suspended; some responses come through peers. Callers that parse
-answers strictly check that each stream that ends as complete has all events once, in
-order, of runs that went on where the run before ended, and that each whole body or item
-that counts as complete is whole.
+Endpoints cut responses at any byte, send heads that the grammar forbids, and end
+connections or themselves, while gateways are killed, stopped and suspended; some
+responses come through peers. Callers that parse answers strictly check that each stream
+that ends as complete has all events once, in order, of runs that went on where the run
+before ended, that each whole body or item that counts as complete is whole, and that no
+answer has a head that is invalid or comes from such a head.
 
 A response without length or chunks whose connection is closed regularly has ended by
 its endpoint's own word; so has a run that ends at once with whole framing. Such endings
@@ -45,7 +46,8 @@
 
     With `cut` gateway 0 is cut off from the endpoints in this way of `Link.cut`, and
     its responses come through peers. `disturbs` names what is disturbed: "gateways",
-    "endpoints". `fixed` are fields of all response plans.
+    "endpoints". `fixed` are fields of all response plans. With `has_head_flaws` half of
+    the plans have heads that the grammar forbids.
     """
 
     callers: int = 12
@@ -54,6 +56,7 @@
     pace_milliseconds: tuple = (0, 0, 20, 60)
     has_jobs: bool = True
     fixed: Any = ()
+    has_head_flaws: bool = False
 
 
 class Finding(NamedTuple):
@@ -74,7 +77,6 @@
     def __init__(self, seed, setup, sources_by_node=None):
         self._seed = seed
         self._setup = setup
-        self._drawn = (setup.pace_milliseconds, setup.fixed)
         self._sources = sources_by_node
         self._has_ended = threading.Event()
         self._lock = threading.Lock()
@@ -164,9 +166,14 @@
                         self._ask(rng, caller, gateway)
             self._has_ended.wait(0.02)
 
+    def _draw_plan(self, rng, route):
+        setup = self._setup
+        plan = draw_plan(rng, route, setup.pace_milliseconds, setup.fixed)
+        return plan.with_head_flaw() if setup.has_head_flaws else plan
+
     def _ask(self, rng, caller, gateway):
         route = rng.choice(("resume", "resume", "once", "safe"))
-        plan = draw_plan(rng, route, *self._drawn)
+        plan = self._draw_plan(rng, route)
         request_id = f"{rng.getrandbits(64):016x}"
         headers = {
             "Host": HOST,
@@ -184,7 +191,7 @@
         """Submit jobs and read their results while gateways answer."""
         while not self._has_ended.is_set():
             plans = {
-                f"{rng.getrandbits(64):016x}": draw_plan(rng, "batch", *self._drawn)
+                f"{rng.getrandbits(64):016x}": self._draw_plan(rng, "batch")
                 for _ in range(8)
             }
             items = [
@@ -271,16 +278,20 @@
     Setup(callers=60, pace_milliseconds=(0, 5)),
     Setup(cut="hang", disturbs=("gateways", "endpoints")),
 )
+HEAD_FLAW_SETUPS = (
+    Setup(disturbs=("endpoints",), has_head_flaws=True),
+    Setup(cut="reset", disturbs=("gateways",), has_head_flaws=True),
+)
 
 
-def run(seed, minutes):
+def run(seed, minutes, setups=SETUPS + HEAD_FLAW_SETUPS):
     """Run plays for `minutes`; return what was counted, raise on a broken rule."""
     deadline = time.monotonic() + 60 * minutes
     counts = Counter()
     number = 0
     while not number or time.monotonic() < deadline:
         seconds = min(PLAY_SECONDS, 30 * minutes, deadline - time.monotonic())
-        play = Play(f"{seed}/{number}", SETUPS[number % len(SETUPS)])
+        play = Play(f"{seed}/{number}", setups[number % len(setups)])
         play.run(max(2.0, seconds))
         counts += play.counts
         broken = [row for row in play.findings if row.kind in (BROKEN, PROCESS)]
