Tests: a request for each case was sent, also where statuses are the cases

The step that statuses and fields share counted only that there were answers at all; it counts them against the cases again, as it did for statuses.

--- a/tests/features/steps/early_response_steps.py
+++ b/tests/features/steps/early_response_steps.py
@@ -311,7 +311,7 @@
 
 @when('a caller requests "{prefix}" for each of the invalid statuses')
 def request_statuses(context, prefix):
-    context.answers = {}
+    context.answers, context.case_count = {}, len(STATUSES)
     for status in STATUSES:
         context.endpoint.status = status
         body = lambda: uuid.uuid4().hex.encode()  # noqa: E731
@@ -320,7 +320,7 @@
 
 @then("each request reached the endpoint, and each response is a 502 of the gateway")
 def check_statuses(context):
-    assert context.answers
+    assert len(context.answers) == context.case_count
     for case, answer in context.answers.items():
         assert answer is not None, case
         assert answer.status == 502 and not answer.is_signed, (case, answer)
--- a/tests/features/steps/invalid_field_steps.py
+++ b/tests/features/steps/invalid_field_steps.py
@@ -68,7 +68,7 @@
 
 
 def _request(context, prefix, fields):
-    context.answers = {}
+    context.answers, context.case_count = {}, len(fields)
     for field in fields:
         context.endpoint.fields = [field]
         body = lambda: uuid.uuid4().hex.encode()  # noqa: E731
