Head grammar: sound responses of permitted forms are read

Rows that show that the stricter reading takes an interim response before the sound one, blanks around values, an empty reason phrase, and extensions and trailers of chunks, by the readers of responses.

--- a/tests/features/gateway/head_grammar.feature
+++ b/tests/features/gateway/head_grammar.feature
@@ -75,6 +75,26 @@
       | Content-Type: text/plain     | behind its fields         | a gateway                 |
       | Content-Type: text/plain     | behind its fields         | a node                    |
 
+  Scenario Outline: A sound response with <form> is read by <reader>
+    Given an endpoint that sends a sound response with <form>
+    When <reader> reads the response
+    Then it takes the response
+
+    Examples:
+      | form                      | reader                    |
+      | an interim one before it  | a gateway                 |
+      | blanks around values      | a gateway                 |
+      | no reason phrase          | a gateway                 |
+      | extensions and trailers   | a gateway                 |
+      | an interim one before it  | a gateway, through a peer |
+      | extensions and trailers   | a gateway, through a peer |
+      | an interim one before it  | a node                    |
+      | extensions and trailers   | a node                    |
+      | blanks around values      | a gateway, from its store |
+      | extensions and trailers   | a gateway, from its store |
+      | blanks around values      | a node, from its platform |
+      | extensions and trailers   | the command line          |
+
   # What a size is cut to, or garbled to, is in cut_chunks.feature.
   Scenario Outline: The line "<line>" of a body in chunks holds each byte in place of *, read by <reader>
     Given an endpoint that sends the line "<line>" in the chunks of a whole response
--- a/tests/features/steps/head_grammar_steps.py
+++ b/tests/features/steps/head_grammar_steps.py
@@ -25,6 +25,7 @@
 LENGTH = b"Content-Length: %d" % len(BODY)
 CHUNK = b"%x\r\n%b\r\n" % (len(BODY), BODY)
 LAST_CHUNK = b"0"
+CODING = b"Transfer-Encoding: chunked"
 ESCAPES = (("\\x20", " "), ("\\t", "\t"), ("\\n", "\n"))
 
 
@@ -32,6 +33,22 @@
     return b"\r\n".join((*lines, b"", b""))
 
 
+WHOLE = _join(STATUS_LINE, *FIELDS, LENGTH) + BODY
+SOUND_BY_FORM = {
+    "an interim one before it": _join(b"HTTP/1.1 100 Continue", b"X-A: v") + WHOLE,
+    "blanks around values": _join(
+        STATUS_LINE, *(field.replace(b": ", b":\t ") for field in FIELDS), LENGTH + b" "
+    )
+    + BODY,
+    "no reason phrase": WHOLE.replace(b" OK\r\n", b" \r\n"),
+    "extensions and trailers": (
+        _join(STATUS_LINE, *FIELDS, CODING.replace(b"chunked", b"Chunked"))
+        + CHUNK
+        + _join(b'0 ; a = "b\\"c" ;d', b"X-A: v")
+    ),
+}
+
+
 def _read_store(context):
     with ObjectStore(context.address) as store:
         found = store.get("k", "a")
@@ -99,7 +116,7 @@
     serve(context, b"")
     is_size = line.startswith("0")
     context.permits = is_size_line if is_size else is_field
-    head = _join(STATUS_LINE, *FIELDS, b"Transfer-Encoding: chunked") + CHUNK
+    head = _join(STATUS_LINE, *FIELDS, CODING) + CHUNK
     context.line = line.encode()
     before = () if is_size else (LAST_CHUNK,)
     context.response_of = lambda data: head + _join(*before, data)
@@ -117,6 +134,11 @@
     serve(context, _join(STATUS_LINE, *fields[place]) + BODY)
 
 
+@given("an endpoint that sends a sound response with {form}")
+def given_sound(context, form):
+    serve(context, SOUND_BY_FORM[form])
+
+
 @when("{reader} reads the response with each byte in place of *")
 def read_each(context, reader):
     context.outcome_by_line = {}
@@ -144,3 +166,8 @@
 @then("it takes no response")
 def check_none(context):
     assert context.outcome is None, context.outcome
+
+
+@then("it takes the response")
+def check_taken(context):
+    assert context.outcome is not None
