--- a/review/9/public.py
+++ b/review/9/public.py
@@ -65,7 +65,9 @@
             for route in value["Routes"]:
                 route["Public"] = route["Public"] or route["Kind"] == "batch"
         store.put("config", "main", value)
-        record(f"version 12 acknowledged, public: {[r['Public'] for r in value['Routes']]}")
+        record(
+            f"version 12 acknowledged, public: {[r['Public'] for r in value['Routes']]}"
+        )
         time.sleep(CONFIG_APPLY_SECONDS + 1.0)
         after = uuid.uuid4().hex[:16]
         accepted_at[after] = hand_in(record, machines, after)
@@ -89,7 +91,9 @@
             for machine in machines:
                 status, value = read_job(machine, job_id)
                 count = value and len(value["Results"])
-                record(f"job {job_id} read at {machine.name}: {status}, {count} results")
+                record(
+                    f"job {job_id} read at {machine.name}: {status}, {count} results"
+                )
                 if status in (404, 410):
                     lost[job_id] = lost.get(job_id, 0) + 1
         time.sleep(3.0)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -64,7 +64,9 @@
             return json.dumps(found)
         return "" if found is None else str(found)
 
-    text = re.sub(r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}", section, template, flags=re.S
+    )
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, text)
 
 
@@ -286,7 +288,12 @@
         self.platform = None
 
     def __enter__(self):
-        stack = self._stack
+        with self._stack as stack:
+            self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    def _start(self, stack):
         folder = tempfile.mkdtemp(prefix="review-")
         stack.callback(shutil.rmtree, folder, True)
         stack.enter_context(self.store)
@@ -306,7 +313,6 @@
         self.platform = Platform(self.machines, self._memory_mb, self.record)
         self.platform.start()
         stack.callback(self.platform.stop)
-        return self
 
     def __exit__(self, *exc_info):
         self._stack.close()
